--- /dev/null
+++ b/cmd/mustardleverd/run.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"mustardlever.dev/mustardlever/answerer"
+	"mustardlever.dev/mustardlever/configurer"
+	"mustardlever.dev/mustardlever/keeper"
+	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/operator"
+	"mustardlever.dev/mustardlever/recorder"
+	"mustardlever.dev/mustardlever/server"
+)
+
+const (
+	startTimeout = 15 * time.Second
+	stopMargin   = 10 * time.Second
+	// balancerGrace is the time between an entry's turning unready and its
+	// closing of the callers' listener, in which the balancer leaves it.
+	balancerGrace = time.Second
+)
+
+// run wires one process and runs it until a signal.
+func run(_ context.Context, c *cli.Command) error {
+	p, configuration, err := load(c.String("settings"))
+	if err != nil {
+		return err
+	}
+	role := fx.Options(fx.Provide(newEntry), fx.Invoke(serveEntry))
+	if p.Role == configurer.RoleAgent {
+		role = fx.Options(fx.Provide(newAgent), fx.Invoke(serveAgent))
+	}
+	app := fx.New(
+		fx.Supply(p, configuration),
+		fx.Provide(newLog, newRecorder),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(time.Duration(p.DrainMillis)*time.Millisecond+stopMargin),
+		role,
+	)
+	if err := app.Err(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	if err := app.Start(ctx); err != nil {
+		return err
+	}
+	<-app.Wait()
+	ctx, cancel = context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancel()
+	return app.Stop(ctx)
+}
+
+func newLog(p configurer.Process) *logrus.Entry {
+	l := logrus.New()
+	l.SetOutput(os.Stderr)
+	if level, err := logrus.ParseLevel(p.LogLevel); err == nil {
+		l.SetLevel(level)
+	}
+	return l.WithField("part", p.Role).WithField("process", p.Name)
+}
+
+func newRecorder() *recorder.Recorder { return new(recorder.Recorder) }
+
+func identity(p configurer.Process) messenger.Identity {
+	return messenger.Identity{Name: p.Name, Role: messenger.Role(p.Role), Zone: p.Zone, Operator: p.OperatorAddress}
+}
+
+func newEntry(p configurer.Process, c configurer.Configuration, log *logrus.Entry, r *recorder.Recorder) *server.Entry {
+	return &server.Entry{Settings: entrySettings(p, c), Log: log, Recorder: r}
+}
+
+func entrySettings(p configurer.Process, c configurer.Configuration) server.EntrySettings {
+	services := make(map[string]keeper.Settings)
+	for name, s := range c.Services {
+		services[name] = keeper.Settings{
+			TicketLife: millis(s.TicketLifeMillis), Retention: millis(s.RetentionMillis),
+			Deadline: millis(s.DeadlineMillis), QueueTasks: s.QueueTasks,
+		}
+	}
+	return server.EntrySettings{
+		Identity: identity(p), Entries: p.Entries, TicketKey: []byte(p.TicketKey), Services: services,
+	}
+}
+
+func newAgent(p configurer.Process, c configurer.Configuration, log *logrus.Entry, r *recorder.Recorder) (*server.Agent, error) {
+	s, err := agentSettings(p, c)
+	return &server.Agent{Settings: s, Log: log, Recorder: r}, err
+}
+
+const defaultSlots = 8
+
+func agentSettings(p configurer.Process, c configurer.Configuration) (server.AgentSettings, error) {
+	a := server.AgentSettings{Identity: identity(p), Entries: p.Entries}
+	for _, b := range p.BackendServers {
+		s, ok := c.Services[b.Service]
+		if !ok {
+			return a, &configurer.Error{
+				Op: "read settings", Kind: configurer.KindInvalid,
+				Detail: "backend-servers: the configuration has no service " + b.Service,
+			}
+		}
+		slots := s.Slots
+		if slots == 0 {
+			slots = defaultSlots
+		}
+		a.BackendServers = append(a.BackendServers, server.BackendServer{
+			Service: b.Service, Address: b.Address, Slots: slots,
+			Connections: s.Connections, Timeout: millis(s.TaskTimeoutMillis),
+		})
+	}
+	return a, nil
+}
+
+func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// serveEntry listens for processes, callers and operators, and drains at the
+// stop: callers first, then jobs, then sessions.
+func serveEntry(l fx.Lifecycle, p configurer.Process, e *server.Entry, r *recorder.Recorder) error {
+	links, err := net.Listen("tcp", p.LinkAddress)
+	if err != nil {
+		return err
+	}
+	callers := answerer.New(e)
+	operators := operator.New(entrySource(e, r))
+	l.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			e.Start(links)
+			publish(e.Traffic(), r)
+			if err := serve(callers, p.CallerAddress); err != nil {
+				return err
+			}
+			return serve(operators, p.OperatorAddress)
+		},
+		OnStop: func(ctx context.Context) error {
+			ctx, cancel := context.WithTimeout(ctx, millis(p.DrainMillis))
+			defer cancel()
+			stopEntry(ctx, e, callers)
+			return operators.Close()
+		},
+	})
+	return nil
+}
+
+func stopEntry(ctx context.Context, e *server.Entry, callers *http.Server) {
+	e.BeginDrain()
+	callers.SetKeepAlivesEnabled(false)
+	select {
+	case <-ctx.Done():
+	case <-time.After(balancerGrace):
+	}
+	callers.Shutdown(ctx)
+	e.Drain(ctx)
+	e.Stop()
+}
+
+func serveAgent(l fx.Lifecycle, p configurer.Process, a *server.Agent, r *recorder.Recorder) {
+	operators := operator.New(agentSource(a, r))
+	l.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			a.Start()
+			publish(a.Traffic(), r)
+			return serve(operators, p.OperatorAddress)
+		},
+		OnStop: func(ctx context.Context) error {
+			ctx, cancel := context.WithTimeout(ctx, millis(p.DrainMillis))
+			defer cancel()
+			a.Drain(ctx)
+			a.Stop()
+			return operators.Close()
+		},
+	})
+}
+
+func serve(s *http.Server, address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	go s.Serve(l)
+	return nil
+}
--- /dev/null
+++ b/keeper/job.go
@@ -0,0 +1,166 @@
+package keeper
+
+import (
+	"time"
+
+	"mustardlever.dev/mustardlever/dispatcher"
+	"mustardlever.dev/mustardlever/messenger"
+)
+
+// Job is what a caller submits: 1 to 270 tasks, each one request to a backend
+// server of the service.
+type Job struct {
+	Tasks          []messenger.Request
+	DeadlineMillis int64  // zero: Settings.Deadline
+	Digest         string // of the submission, to tell a resubmission from another job
+}
+
+// State is the state of a job.
+type State string
+
+// States of jobs.
+const (
+	StateRunning  State = "running"
+	StateComplete State = "complete"
+	StateFailed   State = "failed"
+)
+
+// TaskAnswer is what became of one task. Result is set when it ran and its
+// result is known.
+type TaskAnswer struct {
+	State  messenger.TaskState
+	Agent  string
+	Result *messenger.Result
+}
+
+// Answer is the whole answer to a job. Tasks is nil while it runs.
+type Answer struct {
+	State  State
+	Reason messenger.Reason
+	Tasks  []TaskAnswer
+}
+
+// MayHaveRun reports whether any task ran or may have run.
+func (a *Answer) MayHaveRun() bool {
+	for _, t := range a.Tasks {
+		if t.State != messenger.TaskNotRun {
+			return true
+		}
+	}
+	return a.State == StateRunning
+}
+
+// taskState is the owner's view of a task.
+type taskState int
+
+const (
+	pending taskState = iota // may be started
+	sent                     // a start was sent and not answered
+	ran                      // the result is here
+	unknown                  // it may have run
+)
+
+type task struct {
+	state   taskState
+	agent   string
+	attempt int // grows with each refusal
+	result  *messenger.Result
+}
+
+// key names a job over all owners.
+type key struct {
+	owner    string
+	sequence uint64
+}
+
+// job is a submitted job.
+type job struct {
+	key       key
+	witness   string // empty for none, and for a job taken over
+	adopted   bool   // taken over from a lost owner
+	digest    string
+	requests  []messenger.Request // nil once the job has ended
+	tasks     []task
+	place     dispatcher.Job[*job]
+	submitted time.Time
+	deadline  time.Time
+
+	waitsSeal   bool             // taken over, the seal is not complete
+	stopping    messenger.Reason // no further task is started
+	doubt       messenger.Reason // why a task is unknown
+	settling    time.Time        // when the witness was asked to agree
+	surrendered bool             // the witness has taken over
+	answer      *Answer          // set when ended
+	ended       time.Time
+}
+
+func (j *job) count(s taskState) int {
+	n := 0
+	for i := range j.tasks {
+		if j.tasks[i].state == s {
+			n++
+		}
+	}
+	return n
+}
+
+// resultBytes is the size of the job's results.
+func (j *job) resultBytes() int {
+	n := 0
+	for i := range j.tasks {
+		if r := j.tasks[i].result; r != nil {
+			n += len(r.Body) + len(r.Error)
+		}
+	}
+	return n
+}
+
+// ticket returns the job's ticket as it is sent by self.
+func (j *job) ticket(self string) messenger.Ticket {
+	t := messenger.Ticket{Owner: j.key.owner, Witness: j.witness, Sequence: j.key.sequence}
+	if j.adopted {
+		t.Witness = self
+	}
+	if t.Owner == self {
+		t.Owner = ""
+	}
+	return t
+}
+
+// mark sets every task in state from to state to.
+func (j *job) mark(from, to taskState) {
+	for i := range j.tasks {
+		if j.tasks[i].state == from {
+			j.tasks[i].state = to
+		}
+	}
+}
+
+// states returns the states to tell: what is pending is told as not run.
+func (j *job) states() []messenger.TaskState {
+	states := make([]messenger.TaskState, len(j.tasks))
+	for i := range j.tasks {
+		states[i] = told(j.tasks[i].state)
+	}
+	return states
+}
+
+func told(s taskState) messenger.TaskState {
+	switch s {
+	case ran:
+		return messenger.TaskRan
+	case pending:
+		return messenger.TaskNotRun
+	default:
+		return messenger.TaskUnknown
+	}
+}
+
+// newAnswer builds the final answer of a job.
+func (j *job) newAnswer(s State, r messenger.Reason) *Answer {
+	a := &Answer{State: s, Reason: r, Tasks: make([]TaskAnswer, len(j.tasks))}
+	for i, t := range j.tasks {
+		a.Tasks[i] = TaskAnswer{State: told(t.state), Agent: t.agent, Result: t.result}
+	}
+	return a
+}
--- /dev/null
+++ b/keeper/keeper.go
@@ -0,0 +1,187 @@
+package keeper
+
+import (
+	"time"
+
+	"mustardlever.dev/mustardlever/dispatcher"
+	"mustardlever.dev/mustardlever/messenger"
+)
+
+// Settings bounds a Keeper. Zero fields take the defaults.
+type Settings struct {
+	TicketLife time.Duration // from issue to expiry; default 60 s
+	Retention  time.Duration // how long an answer is kept after the job ended; default 60 s
+	Deadline   time.Duration // a job's time when the caller names none; default 60 s
+	SettleWait time.Duration // longest wait for the witness's agreement; default 1 s
+	SealWait   time.Duration // longest wait for agents to be sealed; default 700 ms
+	QueueTasks int           // tasks that may wait; default 50,000
+	KeptJobs   int           // jobs kept, ended ones included; default 200,000
+	KeptBytes  int           // bytes of ended jobs' results kept; default 48 MiB
+	Dispatcher dispatcher.Settings
+}
+
+func (s Settings) withDefaults() Settings {
+	setDefault(&s.TicketLife, time.Minute)
+	setDefault(&s.Retention, time.Minute)
+	setDefault(&s.Deadline, time.Minute)
+	setDefault(&s.SettleWait, time.Second)
+	setDefault(&s.SealWait, 700*time.Millisecond)
+	setDefault(&s.QueueTasks, 50_000)
+	setDefault(&s.KeptJobs, 200_000)
+	setDefault(&s.KeptBytes, 48<<20)
+	return s
+}
+
+func setDefault[T comparable](p *T, value T) {
+	var zero T
+	if *p == zero {
+		*p = value
+	}
+}
+
+// Output is a message to a process incarnation.
+type Output struct {
+	To      string
+	Message messenger.Message
+}
+
+// Ended tells that a job has its final answer, or, with a nil Answer, that its
+// witness has taken over and has to be asked.
+type Ended struct {
+	Owner    string
+	Sequence uint64
+	Answer   *Answer
+}
+
+// Decision is something worth recording: Kind is a short kebab-case name.
+type Decision struct {
+	Kind     string
+	Owner    string
+	Sequence uint64
+	Task     int // -1 for the whole job
+	Peer     string
+	Reason   string
+}
+
+// agent is an agent incarnation with which there is a session.
+type agent struct {
+	name     string
+	address  string
+	leaving  bool
+	inflight map[*job]map[int]bool
+	told     int // demand last told
+}
+
+// Keeper is the decision state. Set Self and Service, call Init.
+type Keeper struct {
+	Settings Settings
+	Self     string // entry incarnation
+	Zone     string // availability zone of the entry
+	Service  string
+
+	start     time.Time
+	next      uint64 // number of the next ticket
+	issued    []span // not expired yet, oldest first
+	expired   uint64 // tickets below have expired
+	below     uint64 // tickets below are closed
+	jobs      map[key]*job
+	active    map[*job]bool // not ended
+	ended     []*job        // oldest first
+	agents    map[string]*agent
+	gone      map[string]uint64 // agents no longer used: from which ticket on
+	witnesses map[string]*witness
+	wards     map[string]*ward
+	closed    map[string]bool // owners whose wards are closed
+	forgotten bool            // a closed owner was forgotten for room
+	kept      []*job          // ended jobs with results, oldest first
+	keptBytes int
+	queue     dispatcher.Dispatcher[*job]
+	draining  bool
+	lastClose time.Time
+
+	out       []Output
+	endings   []Ended
+	decisions []Decision
+}
+
+// span is a run of tickets below end that expire together.
+type span struct {
+	end     uint64
+	expires time.Time
+}
+
+// Init prepares the Keeper.
+func (k *Keeper) Init(now time.Time) {
+	k.Settings = k.Settings.withDefaults()
+	k.start = now
+	k.next, k.expired, k.below = 1, 1, 1
+	k.jobs = make(map[key]*job)
+	k.active = make(map[*job]bool)
+	k.agents = make(map[string]*agent)
+	k.gone = make(map[string]uint64)
+	k.witnesses = make(map[string]*witness)
+	k.wards = make(map[string]*ward)
+	k.closed = make(map[string]bool)
+	k.queue.Settings = k.Settings.Dispatcher
+	k.queue.Init(now)
+}
+
+// Drain returns and clears what was decided since the last call.
+func (k *Keeper) Drain() ([]Output, []Ended, []Decision) {
+	out, endings, decisions := k.out, k.endings, k.decisions
+	k.out, k.endings, k.decisions = nil, nil, nil
+	return out, endings, decisions
+}
+
+func (k *Keeper) send(to string, m messenger.Message) {
+	m.Service = k.Service
+	k.out = append(k.out, Output{to, m})
+}
+
+func (k *Keeper) decide(kind string, j *job, task int, peer, reason string) {
+	k.decisions = append(k.decisions, Decision{kind, j.key.owner, j.key.sequence, task, peer, reason})
+}
+
+// Drained reports whether no job is left unfinished.
+func (k *Keeper) Drained() bool { return len(k.active) == 0 }
+
+// BeginDrain stops the issue of tickets.
+func (k *Keeper) BeginDrain() { k.draining = true }
+
+// Counts are the sizes of a Keeper's state.
+type Counts struct {
+	Jobs, Active, Waiting, Credits, Agents, Wards int
+}
+
+// Counts returns the present sizes.
+func (k *Keeper) Counts() Counts {
+	return Counts{len(k.jobs), len(k.active), k.queue.Waiting(), k.queue.Credits(), len(k.agents), len(k.wards)}
+}
+
+// Receive takes a message of this service from a peer.
+func (k *Keeper) Receive(now time.Time, from string, m messenger.Message) {
+	switch {
+	case m.Outcome != nil:
+		k.outcome(now, from, m.Outcome)
+	case m.Credit != nil:
+		k.queue.Credit(from, m.Credit.Slots)
+		k.dispatch()
+	case m.Recall != nil:
+		n := k.queue.TakeBack(from, m.Recall.Slots)
+		k.send(from, messenger.Message{Return: &messenger.Return{Slots: n, Demand: k.queue.Waiting()}})
+	case m.Announce != nil:
+		k.announce(now, from, m.Announce)
+	case m.Roster != nil:
+		k.roster(from, m.Roster)
+	case m.RosterAck != nil:
+		k.rosterAck(now, from, m.RosterAck)
+	case m.Settle != nil:
+		k.settle(from, m.Settle)
+	case m.SettleAck != nil:
+		k.settleAck(now, from, m.SettleAck)
+	case m.Marks != nil:
+		k.marks(now, from, m.Marks)
+	case m.Close != nil:
+		k.close(from, m.Close)
+	}
+}
--- /dev/null
+++ b/keeper/tick.go
@@ -0,0 +1,150 @@
+package keeper
+
+import (
+	"time"
+
+	"mustardlever.dev/mustardlever/messenger"
+)
+
+const (
+	closeInterval = time.Second // between two advances of the closed watermark
+	maxClosed     = 1 << 16     // owners remembered as closed
+	lostLives     = 10          // ticket lives after which a lost owner is closed
+)
+
+// Tick carries out what falls due: deadlines, waits, expiry and forgetting. It
+// is to be called several times a second.
+func (k *Keeper) Tick(now time.Time) {
+	for j := range k.active {
+		k.checkJob(now, j)
+	}
+	for owner, w := range k.wards {
+		k.checkWard(now, owner, w)
+	}
+	k.queue.Tick(now)
+	k.expire(now)
+	k.forgetEnded(now)
+	if now.Sub(k.lastClose) >= closeInterval {
+		k.lastClose = now
+		k.advanceClosed()
+	}
+	k.dispatch()
+}
+
+func (k *Keeper) checkJob(now time.Time, j *job) {
+	switch {
+	case !j.settling.IsZero() && now.Sub(j.settling) >= k.Settings.SettleWait:
+		k.endUnsettled(now, j)
+	case j.settling.IsZero() && !j.waitsSeal && !now.Before(j.deadline):
+		k.stop(now, j, messenger.ReasonDeadline)
+	}
+}
+
+// checkWard ends the wait for agents that do not answer a seal, and closes a
+// sealed owner when its tickets' time is over.
+func (k *Keeper) checkWard(now time.Time, owner string, w *ward) {
+	life := k.Settings.TicketLife + k.Settings.Deadline + k.Settings.Retention
+	if !w.sealed {
+		if !w.lost.IsZero() && now.Sub(w.lost) >= lostLives*life {
+			k.closeOwner(owner)
+			delete(k.wards, owner)
+		}
+		return
+	}
+	if !w.ready && now.Sub(w.sealedAt) >= k.Settings.SealWait {
+		for name := range w.waiting {
+			w.missing[name] = true
+			delete(w.waiting, name)
+		}
+		k.sealReady(now, owner, w)
+	}
+	if now.Sub(w.sealedAt) < life {
+		return
+	}
+	k.closeOwner(owner)
+	for name := range w.members {
+		k.send(name, messenger.Message{Close: &messenger.Close{Owner: owner, Witness: k.Self, Below: never}})
+	}
+	delete(k.wards, owner)
+}
+
+// closeOwner remembers that nothing of the owner's is taken over any more.
+func (k *Keeper) closeOwner(owner string) {
+	if len(k.closed) >= maxClosed {
+		for o := range k.closed {
+			delete(k.closed, o)
+			k.forgotten = true
+			break
+		}
+	}
+	k.closed[owner] = true
+}
+
+// expire advances the expiry watermark.
+func (k *Keeper) expire(now time.Time) {
+	for len(k.issued) > 0 && !now.Before(k.issued[0].expires) {
+		k.expired = k.issued[0].end
+		k.issued = k.issued[1:]
+	}
+}
+
+// forgetEnded drops ended jobs after their retention. A job of our own stays
+// until its ticket has expired too, so that it cannot be submitted afresh.
+func (k *Keeper) forgetEnded(now time.Time) {
+	kept := k.ended[:0]
+	for i, j := range k.ended {
+		if now.Sub(j.ended) < k.Settings.Retention {
+			kept = append(kept, k.ended[i:]...)
+			break
+		}
+		if k.needed(j) {
+			kept = append(kept, j)
+			continue
+		}
+		k.drop(j)
+		delete(k.jobs, j.key)
+	}
+	clear(k.ended[len(kept):])
+	k.ended = kept
+	for len(k.kept) > 0 && k.kept[0].resultBytes() == 0 {
+		k.kept[0] = nil
+		k.kept = k.kept[1:]
+	}
+}
+
+// needed tells whether forgetting the job would let it be started afresh: one
+// of our own while its ticket has not expired, one taken over while its owner
+// is not closed.
+func (k *Keeper) needed(j *job) bool {
+	if j.adopted {
+		return k.wards[j.key.owner] != nil
+	}
+	return j.key.sequence >= k.expired
+}
+
+// advanceClosed raises the watermark below which every ticket has expired and
+// every job was forgotten, and tells those who keep something for them.
+func (k *Keeper) advanceClosed() {
+	below := k.expired
+	for id := range k.jobs {
+		if id.owner == k.Self {
+			below = min(below, id.sequence)
+		}
+	}
+	if below <= k.below {
+		return
+	}
+	k.below = below
+	m := messenger.Message{Close: &messenger.Close{Owner: k.Self, Below: below}}
+	for name := range k.agents {
+		k.send(name, m)
+	}
+	for name := range k.witnesses {
+		k.send(name, m)
+	}
+	for name, until := range k.gone {
+		if until <= below {
+			delete(k.gone, name)
+		}
+	}
+}
--- /dev/null
+++ b/keeper/witness.go
@@ -0,0 +1,145 @@
+package keeper
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"mustardlever.dev/mustardlever/messenger"
+)
+
+// witness is the owner's view of an entry that may witness its tickets.
+type witness struct {
+	zone   string
+	acked  map[string]bool // agents it acknowledged
+	sealed bool            // it has taken over
+}
+
+// WitnessUp notes a session with another entry, which may witness from now on.
+func (k *Keeper) WitnessUp(entry, zone string) {
+	if p := k.wards[entry]; p != nil {
+		p.lost = time.Time{}
+	}
+	w := k.witnesses[entry]
+	if w == nil {
+		w = &witness{zone: zone, acked: make(map[string]bool)}
+		k.witnesses[entry] = w
+	}
+	var members []messenger.Member
+	for a := range k.agents {
+		members = append(members, messenger.Member{Agent: a})
+	}
+	for a, until := range k.gone {
+		members = append(members, messenger.Member{Agent: a, Until: until})
+	}
+	if len(members) > 0 && !w.sealed {
+		k.send(entry, messenger.Message{Roster: &messenger.Roster{Members: members}})
+	}
+}
+
+// WitnessLost notes that the session with another entry was given up. No new
+// ticket names it. It may still take over tickets that do.
+func (k *Keeper) WitnessLost(now time.Time, entry string) {
+	if p := k.wards[entry]; p != nil {
+		p.lost = now
+	}
+	delete(k.witnesses, entry)
+	for j := range k.active {
+		if j.witness == entry && !j.settling.IsZero() {
+			k.endUnsettled(now, j)
+		}
+	}
+}
+
+// endUnsettled ends a job whose witness did not agree in time: what was not
+// started here may yet be started there.
+func (k *Keeper) endUnsettled(now time.Time, j *job) {
+	j.mark(pending, unknown)
+	k.end(now, j, j.newAnswer(StateFailed, j.stopping))
+}
+
+// pickWitness chooses the witness for new tickets: an entry of another zone
+// if there is one, that acknowledged the most agents. It returns the empty
+// string when there is none.
+func (k *Keeper) pickWitness() string {
+	best, bestScore := "", 0
+	names := slices.Sorted(maps.Keys(k.witnesses))
+	for i := range names {
+		// Start at another place for each call, to spread the work.
+		name := names[(uint64(i)+k.next)%uint64(len(names))]
+		w := k.witnesses[name]
+		if w.sealed || len(w.acked) == 0 {
+			continue
+		}
+		score := 2 * len(w.acked)
+		if w.zone != k.Zone {
+			score++
+		}
+		if score > bestScore {
+			best, bestScore = name, score
+		}
+	}
+	return best
+}
+
+// tellRoster tells the witnesses about one agent.
+func (k *Keeper) tellRoster(agent string) {
+	m := messenger.Member{Agent: agent, Until: k.gone[agent]}
+	for name, w := range k.witnesses {
+		if m.Until != 0 {
+			delete(w.acked, agent)
+		}
+		if !w.sealed {
+			k.send(name, messenger.Message{Roster: &messenger.Roster{Members: []messenger.Member{m}}})
+		}
+	}
+}
+
+// rosterAck takes a witness's acknowledgement of agents.
+func (k *Keeper) rosterAck(now time.Time, from string, m *messenger.RosterAck) {
+	w := k.witnesses[from]
+	if w == nil {
+		return
+	}
+	if m.Sealed {
+		k.surrenderPair(now, from)
+		return
+	}
+	for _, a := range m.Agents {
+		if k.agents[a] != nil {
+			w.acked[a] = true
+		}
+	}
+	k.dispatch()
+}
+
+// surrenderPair gives the unfinished jobs that a witness has taken over up to
+// it.
+func (k *Keeper) surrenderPair(now time.Time, entry string) {
+	if w := k.witnesses[entry]; w != nil {
+		w.sealed = true
+	}
+	for j := range k.active {
+		if j.witness != entry || j.adopted || j.surrendered {
+			continue
+		}
+		j.surrendered = true
+		k.decide("job-surrendered", j, -1, entry, "the witness has taken over")
+		k.endings = append(k.endings, Ended{j.key.owner, j.key.sequence, nil})
+		k.retire(now, j)
+	}
+}
+
+// Witnessed reports whether this many agents are there and, if a witness is
+// wanted, one has acknowledged them all.
+func (k *Keeper) Witnessed(agents int, wanted bool) bool {
+	if len(k.agents) < agents {
+		return false
+	}
+	for _, w := range k.witnesses {
+		if len(w.acked) >= agents && !w.sealed {
+			return true
+		}
+	}
+	return !wanted
+}
--- /dev/null
+++ b/messenger/message.go
@@ -0,0 +1,257 @@
+package messenger
+
+import "encoding/json"
+
+// Ticket names one job of one service: the entry incarnation that owns it, the
+// entry incarnation that witnesses it (empty for none) and its number among the
+// owner's tickets of the service.
+type Ticket struct {
+	Owner    string `json:"owner,omitempty"`
+	Witness  string `json:"witness,omitempty"`
+	Sequence uint64 `json:"sequence"`
+}
+
+// Request is what a task sends to its backend server: one HTTP POST of Body to
+// Path. TimeoutMillis bounds it; zero means the service's default.
+type Request struct {
+	Path          string          `json:"path,omitempty"`
+	Body          json.RawMessage `json:"body,omitempty"`
+	TimeoutMillis int64           `json:"timeout-ms,omitempty"`
+}
+
+// Result is what a backend server answered, or the error met after the request
+// may have reached it (Status 0).
+type Result struct {
+	Status      int             `json:"status,omitempty"`
+	Body        json.RawMessage `json:"body,omitempty"`
+	Encoding    string          `json:"encoding,omitempty"` // "base64" when Body is no text
+	Error       string          `json:"error,omitempty"`
+	ServeMicros int64           `json:"serve-us,omitempty"`
+}
+
+// Message is a message between processes: exactly one of the pointers is set.
+// Service is the service it concerns, empty for those about processes.
+type Message struct {
+	Service string `json:"service,omitempty"`
+
+	Announce  *Announce  `json:"announce,omitempty"`
+	Start     *Start     `json:"start,omitempty"`
+	Outcome   *Outcome   `json:"outcome,omitempty"`
+	Credit    *Credit    `json:"credit,omitempty"`
+	Demand    *Demand    `json:"demand,omitempty"`
+	Recall    *Recall    `json:"recall,omitempty"`
+	Return    *Return    `json:"return,omitempty"`
+	Close     *Close     `json:"close,omitempty"`
+	Seal      *Seal      `json:"seal,omitempty"`
+	Marks     *Marks     `json:"marks,omitempty"`
+	Fetch     *Fetch     `json:"fetch,omitempty"`
+	Roster    *Roster    `json:"roster,omitempty"`
+	RosterAck *RosterAck `json:"roster-ack,omitempty"`
+	Settle    *Settle    `json:"settle,omitempty"`
+	SettleAck *SettleAck `json:"settle-ack,omitempty"`
+	Forward   *Forward   `json:"forward,omitempty"`
+	Reply     *Reply     `json:"reply,omitempty"`
+	Entries   *Entries   `json:"entries,omitempty"`
+}
+
+// Announce (agent to entry) offers a backend server of a service. A leaving
+// agent announces itself once more with Leaving set and accepts no start of a
+// new task from then on.
+type Announce struct {
+	Slots   int    `json:"slots"`
+	Address string `json:"address"`
+	Leaving bool   `json:"leaving,omitempty"`
+}
+
+// Start (entry to agent) asks for one task to be started. It uses up one grant.
+// Agent is the agent incarnation meant. Ticket.Owner is empty when the sender
+// owns the ticket.
+type Start struct {
+	Agent   string  `json:"agent"`
+	Ticket  Ticket  `json:"ticket"`
+	Task    int     `json:"task"`
+	Attempt int     `json:"attempt,omitempty"` // grows each time the task is bound again
+	Request Request `json:"request"`
+	Demand  int     `json:"demand"` // the sender's demand after this start
+}
+
+// Refusal says why an agent did not start a task and never will.
+type Refusal string
+
+// Refusals. RefusalUnreachable is the only one after an attempt: the backend
+// server refused the connection, so that no byte reached it.
+const (
+	RefusalSealed      Refusal = "sealed"
+	RefusalIncarnation Refusal = "incarnation"
+	RefusalLeaving     Refusal = "leaving"
+	RefusalClosed      Refusal = "closed"
+	RefusalNoGrant     Refusal = "no-grant"
+	RefusalUnreachable Refusal = "unreachable"
+)
+
+// Outcome (agent to entry) answers a start: Result when the task ran, Refusal
+// when it did not and never will on this agent. Grant hands the freed slot
+// back to the receiver.
+type Outcome struct {
+	Ticket  Ticket  `json:"ticket"`
+	Task    int     `json:"task"`
+	Attempt int     `json:"attempt,omitempty"`
+	Result  *Result `json:"result,omitempty"`
+	Refusal Refusal `json:"refusal,omitempty"`
+	Grant   int     `json:"grant,omitempty"`
+}
+
+// Credit (agent to entry) grants further slots.
+type Credit struct {
+	Slots int `json:"slots"`
+}
+
+// Demand (entry to agent) tells how many tasks wait for a grant.
+type Demand struct {
+	Tasks int `json:"tasks"`
+}
+
+// Recall (agent to entry) asks for up to Slots unused grants back.
+type Recall struct {
+	Slots int `json:"slots"`
+}
+
+// Return (entry to agent) gives unused grants back; it answers Recall, with
+// zero when all are in use. Demand is the sender's present demand.
+type Return struct {
+	Slots  int `json:"slots"`
+	Demand int `json:"demand"`
+}
+
+// Close (entry to agent and to witness) says that no ticket of Owner below
+// Below can start anything any more. A witness that has sealed closes its own
+// pair (Owner, Witness) only; Witness is empty when the owner itself closes.
+type Close struct {
+	Owner   string `json:"owner"`
+	Witness string `json:"witness,omitempty"`
+	Below   uint64 `json:"below"`
+}
+
+// Seal (witness to agent) forbids further starts by Owner for tickets of this
+// witness, and asks for marks.
+type Seal struct {
+	Owner string `json:"owner"`
+}
+
+// Mark is a task that an agent started. Done tells that its result is there.
+type Mark struct {
+	Sequence uint64 `json:"sequence"`
+	Task     int    `json:"task"`
+	Attempt  int    `json:"attempt,omitempty"`
+	Done     bool   `json:"done,omitempty"`
+}
+
+// Marks (agent to witness) answers Seal. Tickets below ClosedBelow may have
+// been forgotten and must not be started again.
+type Marks struct {
+	Owner       string `json:"owner"`
+	ClosedBelow uint64 `json:"closed-below,omitempty"`
+	Marks       []Mark `json:"marks,omitempty"`
+}
+
+// Fetch (witness to agent) asks for the outcomes of a ticket's tasks, now for
+// those done and later for those that still run.
+type Fetch struct {
+	Ticket Ticket `json:"ticket"`
+}
+
+// Member is an agent incarnation on a roster. The owner uses it for tickets
+// numbered below Until (zero: no end).
+type Member struct {
+	Agent string `json:"agent"`
+	Until uint64 `json:"until,omitempty"`
+}
+
+// Roster (owner to witness) adds or changes members.
+type Roster struct {
+	Members []Member `json:"members"`
+}
+
+// RosterAck (witness to owner) acknowledges members. Sealed says instead that
+// the witness has taken over, and acknowledges nothing any more.
+type RosterAck struct {
+	Agents []string `json:"agents,omitempty"`
+	Sealed bool     `json:"sealed,omitempty"`
+}
+
+// TaskState is what is known of a task when its job ends.
+type TaskState string
+
+// States of a task in an answer.
+const (
+	TaskRan     TaskState = "ran"
+	TaskNotRun  TaskState = "not-run"
+	TaskUnknown TaskState = "unknown"
+)
+
+// Settle (owner to witness) makes a failed job's answer final: no task whose
+// state is not-run may be started by the witness. The owner answers its caller
+// only after the acknowledgement.
+type Settle struct {
+	Ticket Ticket      `json:"ticket"`
+	Reason Reason      `json:"reason"`
+	States []TaskState `json:"states"`
+}
+
+// Reason says why a job ended without being complete.
+type Reason string
+
+// Reasons of failed jobs.
+const (
+	ReasonDeadline   Reason = "deadline"        // not finished in time
+	ReasonCancelled  Reason = "cancelled"       // the caller cancelled it
+	ReasonAgentLost  Reason = "agent-lost"      // an agent was lost with a task of it
+	ReasonNoResult   Reason = "no-result"       // a task was sent and not answered
+	ReasonOwnerLost  Reason = "owner-lost"      // what the owner did cannot be known
+	ReasonOverload   Reason = "overload"        // the queue is full
+	ReasonImpossible Reason = "cannot-run"      // no backend server can ever run it
+	ReasonMismatch   Reason = "ticket-in-use"   // the ticket holds another job
+	ReasonExpired    Reason = "ticket-expired"  // the ticket's time is over
+	ReasonDropped    Reason = "results-dropped" // it ran, but its results were dropped for room
+)
+
+// SettleAck (witness to owner) answers Settle; Sealed means the witness has
+// taken over and nothing may be called not-run.
+type SettleAck struct {
+	Ticket Ticket `json:"ticket"`
+	Sealed bool   `json:"sealed,omitempty"`
+}
+
+// Forward (entry to entry) passes a caller's operation on to the ticket's
+// owner, or to its witness (TakeOver) when the owner cannot be reached.
+type Forward struct {
+	ID         uint64          `json:"id"`
+	Operation  string          `json:"operation"`
+	Ticket     string          `json:"ticket"`
+	Job        json.RawMessage `json:"job,omitempty"`
+	WaitMillis int64           `json:"wait-ms,omitempty"`
+	TakeOver   bool            `json:"take-over,omitempty"`
+}
+
+// Redirect says that a forwarded operation has to be put to another entry.
+type Redirect string
+
+// Redirects.
+const (
+	RedirectOwner   Redirect = "owner"   // the witness reached the owner and did not take over
+	RedirectWitness Redirect = "witness" // the witness has taken over
+)
+
+// Reply (entry to entry) answers Forward with an HTTP status and a JSON answer,
+// or with a Redirect.
+type Reply struct {
+	ID       uint64          `json:"id"`
+	Status   int             `json:"status"`
+	Answer   json.RawMessage `json:"answer,omitempty"`
+	Redirect Redirect        `json:"redirect,omitempty"`
+}
+
+// Entries (entry to all) lists link addresses of entries the sender knows.
+type Entries struct {
+	Addresses []string `json:"addresses"`
+}
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,109 @@
+// Package operator serves operators over HTTP: health, metrics, the state of
+// services and peers, and the record of events.
+//
+//	GET /healthz       200 while the process runs
+//	GET /readyz        200 while it takes new work
+//	GET /debug/vars    metrics (expvar)
+//	GET /v1/process    identity, traffic, peers
+//	GET /v1/services   services and their agents (entries)
+//	GET /v1/events     the record; query owner, number, service, kind, since
+package operator
+
+import (
+	"expvar"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/recorder"
+	"mustardlever.dev/mustardlever/server"
+)
+
+const (
+	headerTimeout  = 5 * time.Second
+	bodyTimeout    = 10 * time.Second
+	maxHeaderBytes = 16 << 10
+)
+
+// Process is what operators see of a process.
+type Process struct {
+	Identity messenger.Identity   `json:"identity"`
+	Ready    bool                 `json:"ready"`
+	Traffic  Traffic              `json:"traffic"`
+	Peers    []messenger.Identity `json:"peers,omitempty"`
+	Running  int                  `json:"running"`
+	Dropped  int64                `json:"events-dropped"`
+}
+
+// Traffic is a reading of messenger.Traffic.
+type Traffic struct {
+	FramesIn    int64 `json:"frames-in"`
+	FramesOut   int64 `json:"frames-out"`
+	BytesIn     int64 `json:"bytes-in"`
+	BytesOut    int64 `json:"bytes-out"`
+	MessagesIn  int64 `json:"messages-in"`
+	MessagesOut int64 `json:"messages-out"`
+}
+
+// Read returns a reading of t.
+func Read(t *messenger.Traffic) Traffic {
+	return Traffic{
+		FramesIn: t.FramesIn.Load(), FramesOut: t.FramesOut.Load(),
+		BytesIn: t.BytesIn.Load(), BytesOut: t.BytesOut.Load(),
+		MessagesIn: t.MessagesIn.Load(), MessagesOut: t.MessagesOut.Load(),
+	}
+}
+
+// Source is where the answers come from. Services is nil for an agent.
+type Source struct {
+	Process  func() Process
+	Services func() []server.ServiceView
+	Recorder *recorder.Recorder
+}
+
+// New returns the HTTP server of a process's operators.
+func New(s Source) *http.Server {
+	gin.SetMode(gin.ReleaseMode)
+	g := gin.New()
+	g.Use(gin.Recovery())
+	g.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
+	g.GET("/readyz", s.ready)
+	g.GET("/debug/vars", gin.WrapH(expvar.Handler()))
+	g.GET("/v1/process", func(c *gin.Context) { c.JSON(http.StatusOK, s.Process()) })
+	g.GET("/v1/events", s.events)
+	if s.Services != nil {
+		g.GET("/v1/services", func(c *gin.Context) { c.JSON(http.StatusOK, s.Services()) })
+	}
+	return &http.Server{
+		Handler: g, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+func (s Source) ready(c *gin.Context) {
+	if s.Process().Ready {
+		c.String(http.StatusOK, "ready\n")
+		return
+	}
+	c.String(http.StatusServiceUnavailable, "leaving\n")
+}
+
+func (s Source) events(c *gin.Context) {
+	f := recorder.Filter{Owner: c.Query("owner"), Service: c.Query("service"), Kind: c.Query("kind")}
+	var err error
+	if text := c.Query("number"); text != "" {
+		if f.Number, err = strconv.ParseUint(text, 10, 64); err != nil {
+			c.JSON(http.StatusBadRequest, gin.H{"kind": "bad-request", "message": "number is a whole number"})
+			return
+		}
+	}
+	if text := c.Query("since"); text != "" {
+		if f.Since, err = strconv.ParseInt(text, 10, 64); err != nil {
+			c.JSON(http.StatusBadRequest, gin.H{"kind": "bad-request", "message": "since is a clock reading in microseconds"})
+			return
+		}
+	}
+	c.JSON(http.StatusOK, s.Recorder.Events(f))
+}
--- /dev/null
+++ b/server/entry.go
@@ -0,0 +1,295 @@
+package server
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mustardlever.dev/mustardlever/keeper"
+	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/recorder"
+	"mustardlever.dev/mustardlever/ticketer"
+)
+
+// EntrySettings are the settings of an Entry.
+type EntrySettings struct {
+	Identity  messenger.Identity // without incarnation
+	Entries   []string           // link addresses of other entries
+	TicketKey []byte
+	Services  map[string]keeper.Settings
+	Messenger messenger.Settings
+}
+
+// Entry serves callers' operations. Set the fields before Start.
+type Entry struct {
+	Settings EntrySettings
+	Log      *logrus.Entry
+	Recorder *recorder.Recorder
+
+	hub    messenger.Hub
+	coder  ticketer.Coder
+	shards map[string]*entryShard
+	calls  calls
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+
+	mu       sync.Mutex
+	known    map[string]bool // link addresses of entries
+	draining bool
+}
+
+// job names a job over all owners.
+type jobName struct {
+	owner    string
+	sequence uint64
+}
+
+// entryShard is one service's decisions, under a lock.
+type entryShard struct {
+	service string
+	mu      sync.Mutex
+	keeper  keeper.Keeper
+	waiters map[jobName][]chan *keeper.Answer
+}
+
+// Start listens for other processes on l and connects to the other entries.
+func (e *Entry) Start(l net.Listener) {
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.hub.Self = e.Settings.Identity.WithNewIncarnation()
+	e.hub.Self.Address = l.Addr().String()
+	e.hub.Settings = e.Settings.Messenger
+	e.coder.Key = e.Settings.TicketKey
+	e.known = map[string]bool{e.hub.Self.Address: true}
+	e.Recorder.Process, e.Recorder.Zone = e.hub.Self.Incarnation, e.hub.Self.Zone
+	e.shards = make(map[string]*entryShard)
+	for name, s := range e.Settings.Services {
+		e.shards[name] = e.newShard(name, s)
+	}
+	e.hub.Deliver = e.deliver
+	e.hub.Up = e.up
+	e.hub.Lost = e.lost
+	e.hub.Learn = e.learn
+	e.hub.Known = e.addresses
+	e.hub.Clock, e.hub.Witness = e.Recorder.Now, e.Recorder.Witness
+	e.hub.Start(l)
+	e.learn(e.Settings.Entries)
+	e.done.Go(e.tick)
+	e.Recorder.Add(recorder.Event{Kind: "process-started", Task: -1})
+	e.Log.Infof("Entry %s runs.", e.hub.Self.Incarnation)
+}
+
+func (e *Entry) newShard(name string, s keeper.Settings) *entryShard {
+	x := &entryShard{service: name, waiters: make(map[jobName][]chan *keeper.Answer)}
+	x.keeper.Settings = s
+	x.keeper.Self, x.keeper.Zone, x.keeper.Service = e.hub.Self.Incarnation, e.hub.Self.Zone, name
+	x.keeper.Init(time.Now())
+	return x
+}
+
+// Identity returns the entry's identity.
+func (e *Entry) Identity() messenger.Identity { return e.hub.Self }
+
+// Traffic returns the counters of the entry's connections.
+func (e *Entry) Traffic() *messenger.Traffic { return &e.hub.Traffic }
+
+// Peers returns the processes with which there is a session.
+func (e *Entry) Peers() []messenger.Identity { return e.hub.Peers() }
+
+// learn connects to entries heard of, and passes new addresses on.
+func (e *Entry) learn(addresses []string) {
+	e.mu.Lock()
+	var fresh []string
+	for _, x := range addresses {
+		if _, _, err := net.SplitHostPort(x); err == nil && !e.known[x] {
+			e.known[x] = true
+			fresh = append(fresh, x)
+		}
+	}
+	e.mu.Unlock()
+	if len(fresh) == 0 {
+		return
+	}
+	for _, x := range fresh {
+		e.hub.Keep(x)
+	}
+	for _, p := range e.hub.Peers() {
+		e.hub.Send(p.Incarnation, messenger.Message{Entries: &messenger.Entries{Addresses: fresh}})
+	}
+}
+
+func (e *Entry) addresses() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	list := make([]string, 0, len(e.known))
+	for x := range e.known {
+		list = append(list, x)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// act runs one decision of a shard and carries out what it decided.
+func (e *Entry) act(s *entryShard, decide func(k *keeper.Keeper, now time.Time)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	decide(&s.keeper, time.Now())
+	out, endings, decisions := s.keeper.Drain()
+	for _, o := range out {
+		e.hub.Send(o.To, o.Message)
+	}
+	for _, d := range decisions {
+		e.Recorder.Add(recorder.Event{
+			Kind: d.Kind, Service: s.service, Owner: d.Owner, Number: d.Sequence,
+			Task: d.Task, Peer: d.Peer, Reason: d.Reason,
+		})
+	}
+	for _, x := range endings {
+		name := jobName{x.Owner, x.Sequence}
+		for _, c := range s.waiters[name] {
+			c <- x.Answer // has room for one
+		}
+		delete(s.waiters, name)
+	}
+}
+
+func (e *Entry) deliver(from messenger.Identity, m messenger.Message) {
+	switch {
+	case m.Entries != nil:
+		e.learn(m.Entries.Addresses)
+	case m.Forward != nil:
+		f := *m.Forward
+		e.done.Go(func() { e.serveForward(from.Incarnation, f) })
+	case m.Reply != nil:
+		e.calls.finish(m.Reply)
+	default:
+		if s := e.shards[m.Service]; s != nil {
+			e.act(s, func(k *keeper.Keeper, now time.Time) { k.Receive(now, from.Incarnation, m) })
+		}
+	}
+}
+
+func (e *Entry) up(peer messenger.Identity) {
+	e.Log.Infof("Peer %s is connected.", peer.Incarnation)
+	if peer.Role != messenger.RoleEntry {
+		return
+	}
+	e.learn([]string{peer.Address})
+	for _, s := range e.shards {
+		e.act(s, func(k *keeper.Keeper, _ time.Time) { k.WitnessUp(peer.Incarnation, peer.Zone) })
+	}
+}
+
+func (e *Entry) lost(peer messenger.Identity) {
+	e.Log.Warnf("Peer %s is lost.", peer.Incarnation)
+	e.Recorder.Add(recorder.Event{Kind: "peer-lost", Peer: peer.Incarnation, Task: -1})
+	e.calls.lose(peer.Incarnation)
+	for _, s := range e.shards {
+		e.act(s, func(k *keeper.Keeper, now time.Time) {
+			if peer.Role == messenger.RoleEntry {
+				k.WitnessLost(now, peer.Incarnation)
+			} else {
+				k.AgentLost(now, peer.Incarnation)
+			}
+		})
+	}
+}
+
+func (e *Entry) tick() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-e.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, s := range e.shards {
+			e.act(s, func(k *keeper.Keeper, now time.Time) { k.Tick(now) })
+		}
+	}
+}
+
+// ServiceView is what operators see of a service.
+type ServiceView struct {
+	Service string             `json:"service"`
+	Counts  keeper.Counts      `json:"counts"`
+	Agents  []keeper.AgentView `json:"agents"`
+}
+
+// Services returns what operators see of each service, by name.
+func (e *Entry) Services() []ServiceView {
+	var views []ServiceView
+	for name, s := range e.shards {
+		s.mu.Lock()
+		views = append(views, ServiceView{name, s.keeper.Counts(), s.keeper.Agents()})
+		s.mu.Unlock()
+	}
+	slices.SortFunc(views, func(a, b ServiceView) int {
+		if a.Service < b.Service {
+			return -1
+		}
+		return 1
+	})
+	return views
+}
+
+// Ready reports whether the entry takes new work.
+func (e *Entry) Ready() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.draining
+}
+
+// BeginDrain stops the issue of tickets. Jobs that hold one are still taken.
+func (e *Entry) BeginDrain() {
+	e.Log.Info("Entry leaves.")
+	e.Recorder.Add(recorder.Event{Kind: "process-draining", Task: -1})
+	e.mu.Lock()
+	e.draining = true
+	e.mu.Unlock()
+	for _, s := range e.shards {
+		e.act(s, func(k *keeper.Keeper, _ time.Time) { k.BeginDrain() })
+	}
+}
+
+// Drain returns when every job of this entry has ended and been told, or when
+// ctx ends.
+func (e *Entry) Drain(ctx context.Context) {
+	for ctx.Err() == nil && !e.drained() {
+		pause(ctx, tickInterval)
+	}
+	e.hub.Flush(ctx)
+}
+
+func (e *Entry) drained() bool {
+	for _, s := range e.shards {
+		s.mu.Lock()
+		d := s.keeper.Drained()
+		s.mu.Unlock()
+		if !d {
+			return false
+		}
+	}
+	return true
+}
+
+// Stop ends the entry at once.
+func (e *Entry) Stop() {
+	e.cancel()
+	e.hub.Stop()
+	e.done.Wait()
+}
+
+// Witnessed reports whether the service has this many agents and, if a witness
+// is wanted, an entry that acknowledged them all.
+func (e *Entry) Witnessed(service string, agents int, wanted bool) bool {
+	s := e.shards[service]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.keeper.Witnessed(agents, wanted)
+}
--- /dev/null
+++ b/server/error.go
@@ -0,0 +1,31 @@
+package server
+
+import (
+	"github.com/pkg/errors"
+
+	"mustardlever.dev/mustardlever/internal/fault"
+	"mustardlever.dev/mustardlever/keeper"
+)
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindUnknownService Kind = "unknown-service"
+	KindBadRequest     Kind = "bad-request"
+	KindTooLarge       Kind = "too-large"
+	KindOwnerLost      Kind = "owner-lost"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// detail returns the sentence for a person in an error of any package.
+func detail(err error) string {
+	var x *keeper.Error
+	if errors.As(err, &x) && x.Detail != "" {
+		return x.Detail
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/ticketer/ticketer.go
@@ -0,0 +1,98 @@
+package ticketer
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"mustardlever.dev/mustardlever/internal/fault"
+	"mustardlever.dev/mustardlever/messenger"
+)
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// KindForged is the kind of a ticket that was not issued under this key or was
+// changed since.
+const KindForged Kind = "forged"
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+const (
+	prefix         = "mt1."
+	codeBytes      = 16
+	maxTicketBytes = 512
+)
+
+// Ticket is a parsed ticket. Expires is the time since the start of the owner
+// incarnation after which no job is accepted with it; only the owner judges it.
+type Ticket struct {
+	messenger.Ticket
+	Service string
+	Expires time.Duration
+}
+
+// payload is the wire form of a ticket.
+type payload struct {
+	Service  string `json:"s"`
+	Owner    string `json:"o"`
+	Witness  string `json:"w,omitempty"`
+	Sequence uint64 `json:"n"`
+	Expires  int64  `json:"x"` // milliseconds
+}
+
+// Coder writes and reads tickets under Key.
+type Coder struct {
+	Key []byte
+}
+
+// Encode returns the string form of t.
+func (c Coder) Encode(t Ticket) string {
+	p := payload{t.Service, t.Owner, t.Witness, t.Sequence, t.Expires.Milliseconds()}
+	b, err := json.Marshal(p)
+	if err != nil {
+		panic(err) // strings and integers always marshal
+	}
+	body := base64.RawURLEncoding.EncodeToString(b)
+	return prefix + body + "." + base64.RawURLEncoding.EncodeToString(c.code(body))
+}
+
+// Decode parses s. It errors with KindForged unless s was made by Encode under
+// the same key.
+func (c Coder) Decode(s string) (Ticket, error) {
+	bad := &Error{Op: "decode ticket", Kind: KindForged, Detail: "not a ticket of this system"}
+	if len(s) > maxTicketBytes || !strings.HasPrefix(s, prefix) {
+		return Ticket{}, bad
+	}
+	body, code, found := strings.Cut(s[len(prefix):], ".")
+	if !found {
+		return Ticket{}, bad
+	}
+	mac, err := base64.RawURLEncoding.DecodeString(code)
+	if err != nil || !hmac.Equal(mac, c.code(body)) {
+		return Ticket{}, bad
+	}
+	b, err := base64.RawURLEncoding.DecodeString(body)
+	if err != nil {
+		return Ticket{}, bad
+	}
+	var p payload
+	if err := json.Unmarshal(b, &p); err != nil {
+		return Ticket{}, bad
+	}
+	return Ticket{
+		Ticket:  messenger.Ticket{Owner: p.Owner, Witness: p.Witness, Sequence: p.Sequence},
+		Service: p.Service,
+		Expires: time.Duration(p.Expires) * time.Millisecond,
+	}, nil
+}
+
+func (c Coder) code(body string) []byte {
+	h := hmac.New(sha256.New, c.Key)
+	h.Write([]byte(body))
+	return h.Sum(nil)[:codeBytes]
+}
