Carry JSON-RPC with go.lsp.dev/jsonrpc2, which passes payloads verbatim

Cause: a job resubmitted at the entry that does not own it was refused as another job. The first library decodes params into a map and encodes them again, which reorders the keys of callers' task bodies, so that the forwarded submission had another digest. Ruled out: the digest itself (the same over a plain encode and decode of the message) and white space (it is taken over the encoded form). Change: go.lsp.dev/jsonrpc2 scans the envelope only. Sessions now open by the call 'hello' and the notification 'begin', so that no batch can overtake the answer to the hello.

--- a/messenger/hub.go
+++ b/messenger/hub.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/jsonrpc2"
+	"go.lsp.dev/jsonrpc2"
 )
 
 // Settings bounds a Hub's timing. Zero fields take the defaults.
@@ -37,18 +37,17 @@
 }
 
 const (
-	dialTimeout    = 1 * time.Second
-	helloTimeout   = 2 * time.Second
-	minRedial      = 50 * time.Millisecond
-	maxRedial      = 1 * time.Second
-	sweepInterval  = 100 * time.Millisecond
-	maxBuried      = 1 << 16 // epochs of given-up sessions remembered
-	ackEvery       = 256     // messages received that force an acknowledgement
-	methodHello    = "hello"
-	methodBatch    = "batch"
-	methodPing     = "ping"
-	codeRefused    = 1
-	codeBadMessage = jsonrpc2.CodeInvalidParams
+	dialTimeout   = 1 * time.Second
+	helloTimeout  = 2 * time.Second
+	minRedial     = 50 * time.Millisecond
+	maxRedial     = 1 * time.Second
+	sweepInterval = 100 * time.Millisecond
+	maxBuried     = 1 << 16 // epochs of given-up sessions remembered
+	ackEvery      = 256     // messages received that force an acknowledgement
+	methodHello   = "hello"
+	methodBegin   = "begin"
+	methodBatch   = "batch"
+	methodPing    = "ping"
 )
 
 // hello opens or resumes a session. Epoch is the sender's, PeerEpoch the
@@ -131,7 +130,7 @@
 func (h *Hub) unacknowledged() bool {
 	for _, s := range h.list() {
 		s.mu.Lock()
-		waiting := s.conn != nil && len(s.out) > 0
+		waiting := s.wire != nil && len(s.out) > 0
 		s.mu.Unlock()
 		if waiting {
 			return true
@@ -187,7 +186,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.conn != nil && time.Since(s.heard) < d
+	return s.wire != nil && time.Since(s.heard) < d
 }
 
 // Ping asks the peer for a sign of life and waits for it.
@@ -197,13 +196,13 @@
 		return &Error{Op: "ping", Kind: KindUnreachable, Detail: incarnation}
 	}
 	s.mu.Lock()
-	c := s.conn
+	w := s.wire
 	s.mu.Unlock()
-	if c == nil {
+	if w == nil {
 		return &Error{Op: "ping", Kind: KindUnreachable, Detail: incarnation}
 	}
 	var reply struct{}
-	if err := c.Call(ctx, methodPing, struct{}{}, &reply); err != nil {
+	if _, err := w.rpc.Call(ctx, methodPing, struct{}{}, &reply); err != nil {
 		return &Error{Op: "ping", Kind: KindUnreachable, Detail: incarnation, Err: err}
 	}
 	return nil
@@ -244,7 +243,7 @@
 func (h *Hub) connected(address string) bool {
 	for _, s := range h.list() {
 		s.mu.Lock()
-		live := s.conn != nil && s.peer.Address == address
+		live := s.wire != nil && s.peer.Address == address
 		s.mu.Unlock()
 		if live {
 			return true
@@ -253,26 +252,6 @@
 	return false
 }
 
-// link is one connection, dialed or accepted, before and after its hello.
-type link struct {
-	hub     *Hub
-	session *session // readable once ready is closed; nil when no session came about
-	ready   chan struct{}
-	once    sync.Once
-}
-
-func newLink(h *Hub) *link {
-	return &link{hub: h, ready: make(chan struct{})}
-}
-
-// settle sets the link's session, the first time it is called.
-func (l *link) settle(s *session) {
-	l.once.Do(func() {
-		l.session = s
-		close(l.ready)
-	})
-}
-
 // dial opens a connection to address and its session. It returns when the
 // connection has ended; false means that no session came about.
 func (h *Hub) dial(address string) bool {
@@ -281,32 +260,26 @@
 	if err != nil {
 		return false
 	}
-	l := newLink(h)
-	defer l.settle(nil)
-	conn := jsonrpc2.NewConn(h.ctx, newStream(c, &h.Traffic), l)
-	defer conn.Close()
+	w := h.newWire(c)
+	defer w.close()
+	defer w.settle(nil)
 	ctx, cancel := context.WithTimeout(h.ctx, helloTimeout)
 	defer cancel()
-	// The peer's epoch of us is unknown before it answers, so the first hello
-	// asks who is there, and the second one names the session.
-	var who hello
-	if err := conn.Call(ctx, methodHello, hello{Identity: h.Self}, &who); err != nil {
-		return false
-	}
-	s := h.session(who.Identity)
-	if s == nil {
+	var peer hello
+	if _, err := w.rpc.Call(ctx, methodHello, hello{Identity: h.Self}, &peer); err != nil {
 		return false
 	}
-	mine := h.greeting(s)
-	var reply hello
-	if err := conn.Call(ctx, methodHello, mine, &reply); err != nil {
+	s := h.session(peer.Identity)
+	if s == nil || !h.attach(w, s, peer, h.Self.Name < peer.Identity.Name) {
 		return false
 	}
-	if !h.attach(l, s, conn, reply, mine.Epoch, h.Self.Name < reply.Identity.Name) {
+	if err := w.rpc.Notify(ctx, methodBegin, h.greeting(s)); err != nil {
+		h.dropped(s, w)
 		return false
 	}
-	<-conn.DisconnectNotify()
-	h.dropped(s, conn)
+	h.done.Go(func() { h.write(s, w) })
+	<-w.rpc.Done()
+	h.dropped(s, w)
 	return true
 }
 
@@ -352,41 +325,38 @@
 	return s
 }
 
-// attach makes conn the session's connection. It reports false when the
-// session has a better connection already or has meanwhile been given up.
-func (h *Hub) attach(l *link, s *session, conn *jsonrpc2.Conn, peer hello, epoch uint64, preferred bool) bool {
+// attach makes w the session's connection. It reports false when the session
+// has a better connection already.
+func (h *Hub) attach(w *wire, s *session, peer hello, preferred bool) bool {
 	h.changes.Lock()
 	defer h.changes.Unlock()
 	h.renew(s, peer.Epoch)
 	s.mu.Lock()
-	keepsOther := s.conn != nil && s.preferred && !preferred && time.Since(s.heard) < h.Settings.DeadAfter
-	if s.epoch != epoch || keepsOther {
+	if s.ended || s.wire != nil && s.preferred && !preferred && time.Since(s.heard) < h.Settings.DeadAfter {
 		s.mu.Unlock()
 		return false
 	}
 	begins := !s.open
 	s.detach()
 	s.open = true
-	s.peerEpoch = peer.Epoch
 	s.sent = 0
-	if peer.PeerEpoch == epoch {
+	if peer.PeerEpoch == s.epoch {
 		s.acknowledge(peer.Received)
 		s.sent = peer.Received
 	}
+	s.peerEpoch = peer.Epoch
 	s.acked = 0
-	s.conn, s.preferred, s.stop = conn, preferred, make(chan struct{})
+	s.wire, s.preferred = w, preferred
 	s.heard = time.Now()
 	s.peer = peer.Identity
-	stop := s.stop
 	s.mu.Unlock()
 	if begins && h.Up != nil {
 		h.Up(peer.Identity)
 	}
-	l.settle(s)
+	w.settle(s)
 	if h.Learn != nil && len(peer.Entries) > 0 {
 		h.Learn(peer.Entries)
 	}
-	h.done.Go(func() { h.write(s, conn, stop) })
 	return true
 }
 
@@ -407,11 +377,11 @@
 	}
 }
 
-// dropped notes that conn ended.
-func (h *Hub) dropped(s *session, conn *jsonrpc2.Conn) {
+// dropped notes that w ended.
+func (h *Hub) dropped(s *session, w *wire) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.conn == conn {
+	if s.wire == w {
 		s.detach()
 	}
 }
@@ -437,96 +407,87 @@
 // serve runs one accepted connection. One that has not opened a session within
 // helloTimeout is closed.
 func (h *Hub) serve(c net.Conn) {
-	l := newLink(h)
-	conn := jsonrpc2.NewConn(h.ctx, newStream(c, &h.Traffic), l)
-	defer conn.Close()
+	w := h.newWire(c)
+	defer w.close()
 	select {
-	case <-l.ready:
+	case <-w.ready:
+	case <-w.rpc.Done():
+		return
 	case <-time.After(helloTimeout):
 		return
 	case <-h.ctx.Done():
 		return
 	}
 	select {
-	case <-conn.DisconnectNotify():
+	case <-w.rpc.Done():
 	case <-h.ctx.Done():
 	}
-	h.dropped(l.session, conn)
+	h.dropped(w.session, w)
 }
 
-// Handle receives one JSON-RPC request. It implements jsonrpc2.Handler and is
-// called for one request of a connection at a time.
-func (l *link) Handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
-	switch r.Method {
+// handle receives one JSON-RPC request. It is called for one request of a
+// connection at a time.
+func (h *Hub) handle(w *wire, r *jsonrpc2.Request) (any, error) {
+	switch r.Method() {
 	case methodBatch:
-		l.batch(conn, r)
+		return nil, h.batch(w, r.Params())
 	case methodPing:
-		conn.Reply(ctx, r.ID, struct{}{})
+		return struct{}{}, nil
 	case methodHello:
-		l.hello(ctx, conn, r)
-	default:
-		if !r.Notif {
-			conn.ReplyWithError(ctx, r.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method"})
-		}
+		return h.hello(r.Params())
+	case methodBegin:
+		return nil, h.begin(w, r.Params())
 	}
+	return nil, jsonrpc2.NewError(jsonrpc2.MethodNotFound, "unknown method")
 }
 
-// hello answers the two hellos of a dialing peer. The first, with epoch zero,
-// only asks for our identity.
-func (l *link) hello(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
-	h := l.hub
+// hello answers a dialing peer with the state of the session with it.
+func (h *Hub) hello(params []byte) (any, error) {
 	var peer hello
-	if r.Params == nil || json.Unmarshal(*r.Params, &peer) != nil {
-		conn.ReplyWithError(ctx, r.ID, &jsonrpc2.Error{Code: codeBadMessage, Message: "malformed hello"})
-		return
-	}
-	if peer.Epoch == 0 {
-		conn.Reply(ctx, r.ID, hello{Identity: h.Self})
-		return
+	if err := json.Unmarshal(params, &peer); err != nil {
+		return nil, jsonrpc2.NewError(jsonrpc2.InvalidParams, "malformed hello")
 	}
 	s := h.session(peer.Identity)
 	if s == nil {
-		conn.ReplyWithError(ctx, r.ID, &jsonrpc2.Error{Code: codeRefused, Message: "that is this process's own name"})
-		return
+		return nil, jsonrpc2.NewError(jsonrpc2.InvalidRequest, "that is this process's own name")
 	}
-	h.changes.Lock()
-	h.renew(s, peer.Epoch)
-	s.mu.Lock()
-	mine := hello{Identity: h.Self, Epoch: s.epoch, PeerEpoch: peer.Epoch, Received: s.received}
-	s.mu.Unlock()
-	h.changes.Unlock()
-	mine.Entries = h.known()
-	// The reply goes out before batches do, since attach starts the writer.
-	if err := conn.Reply(ctx, r.ID, mine); err != nil {
-		return
+	return h.greeting(s), nil
+}
+
+// begin opens or resumes the session with the peer that dialed.
+func (h *Hub) begin(w *wire, params []byte) error {
+	var peer hello
+	if err := json.Unmarshal(params, &peer); err != nil {
+		return &Error{Op: "begin", Kind: KindHello, Err: err}
 	}
-	if !h.attach(l, s, conn, peer, mine.Epoch, peer.Identity.Name < h.Self.Name) {
-		go conn.Close()
+	s := h.session(peer.Identity)
+	if s == nil || !h.attach(w, s, peer, peer.Identity.Name < h.Self.Name) {
+		return &Error{Op: "begin", Kind: KindHello, Detail: "there is a better connection"}
 	}
+	h.done.Go(func() { h.write(s, w) })
+	return nil
 }
 
 // batch takes in a batch notification.
-func (l *link) batch(conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
-	<-l.ready
-	s := l.session
-	if s == nil || r.Params == nil {
-		return
+func (h *Hub) batch(w *wire, params []byte) error {
+	<-w.ready
+	s := w.session
+	if s == nil {
+		return &Error{Op: "batch", Kind: KindHello, Detail: "no session"}
 	}
 	var b batch
-	if err := json.Unmarshal(*r.Params, &b); err != nil {
-		go conn.Close()
-		return
+	if err := json.Unmarshal(params, &b); err != nil {
+		return &Error{Op: "batch", Kind: KindFrame, Err: err}
 	}
-	h := l.hub
 	if h.Witness != nil && b.Clock != 0 {
 		h.Witness(b.Clock)
 	}
 	s.delivery.Lock()
 	defer s.delivery.Unlock()
 	s.mu.Lock()
-	if s.conn != conn {
+	if s.wire != w {
 		s.mu.Unlock()
-		return
+		return nil
 	}
 	s.heard = time.Now()
 	s.acknowledge(b.Ack)
@@ -541,17 +502,18 @@
 	if force {
 		s.signal()
 	}
+	return nil
 }
 
-// write sends what is queued on conn: messages at once, acknowledgements alone
+// write sends what is queued on w: messages at once, acknowledgements alone
 // after AckDelay, and an empty batch after Heartbeat.
-func (h *Hub) write(s *session, conn *jsonrpc2.Conn, stop chan struct{}) {
+func (h *Hub) write(s *session, w *wire) {
 	timer := time.NewTimer(h.Settings.AckDelay)
 	defer timer.Stop()
 	last := time.Now()
 	for {
 		s.mu.Lock()
-		if s.conn != conn {
+		if s.wire != w {
 			s.mu.Unlock()
 			return
 		}
@@ -572,8 +534,8 @@
 			if h.Clock != nil {
 				b.Clock = h.Clock()
 			}
-			if err := conn.Notify(h.ctx, methodBatch, b); err != nil {
-				h.dropped(s, conn)
+			if err := w.rpc.Notify(h.ctx, methodBatch, b); err != nil {
+				h.dropped(s, w)
 				return
 			}
 			last = time.Now()
@@ -581,7 +543,7 @@
 		}
 		timer.Reset(h.Settings.AckDelay)
 		select {
-		case <-stop:
+		case <-w.closed:
 			return
 		case <-h.ctx.Done():
 			return
@@ -610,10 +572,10 @@
 func (h *Hub) check(s *session) {
 	s.mu.Lock()
 	silent := time.Since(s.heard)
-	if s.conn != nil && silent > h.Settings.DeadAfter {
+	if s.wire != nil && silent > h.Settings.DeadAfter {
 		s.detach()
 	}
-	lost := s.conn == nil && silent > h.Settings.LostAfter
+	lost := s.wire == nil && silent > h.Settings.LostAfter
 	s.mu.Unlock()
 	if lost {
 		h.giveUp(s)
@@ -635,6 +597,7 @@
 	s.mu.Lock()
 	open := s.open
 	s.epoch++
+	s.ended = true
 	h.bury(s.peer.Incarnation, s.epoch)
 	s.reset()
 	peer := s.peer
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -3,8 +3,6 @@
 import (
 	"sync"
 	"time"
-
-	"github.com/sourcegraph/jsonrpc2"
 )
 
 // batch is the notification that carries messages. First is the number of
@@ -26,10 +24,10 @@
 	peerEpoch uint64 // the peer's, as last seen
 	open      bool   // a hello was exchanged in this pair of epochs
 
-	conn      *jsonrpc2.Conn // nil while disconnected
-	preferred bool           // conn was dialed by the process of the smaller name
-	stop      chan struct{}  // closed when conn is replaced or lost
-	heard     time.Time      // when the peer was last heard
+	ended     bool      // given up; another session may follow
+	wire      *wire     // nil while disconnected
+	preferred bool      // wire was dialed by the process of the smaller name
+	heard     time.Time // when the peer was last heard
 
 	out      []Message // not acknowledged yet
 	first    uint64    // number of out[0]
@@ -53,12 +51,11 @@
 
 // detach closes the present connection.
 func (s *session) detach() {
-	if s.conn == nil {
+	if s.wire == nil {
 		return
 	}
-	close(s.stop)
-	go s.conn.Close()
-	s.conn = nil
+	s.wire.close()
+	s.wire = nil
 }
 
 // push appends a message for the peer. It reports false when no session is
