--- /dev/null
+++ b/cmd/mustardctl/main.go
@@ -0,0 +1,59 @@
+// Command mustardctl is the command line of mustardlever's operators.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Exit codes.
+const (
+	exitFailed  = 1 // the command failed, or no process answered
+	exitUsage   = 2 // wrong arguments, settings or configuration
+	exitJob     = 3 // the job failed
+	exitRefused = 4 // an entry refused
+)
+
+const description = `Examples:
+  mustardctl submit --entry http://127.0.0.1:7201 --service access-desk --tasks 12
+  mustardctl submit --entry http://127.0.0.1:7201 --service access-desk --file job.json --json
+  mustardctl job show --entry http://127.0.0.1:7201 TICKET
+  mustardctl job cancel --entry http://127.0.0.1:7201 TICKET
+  mustardctl process --operator 127.0.0.1:7301 --operator 127.0.0.1:7302
+  mustardctl services --operator 127.0.0.1:7301
+  mustardctl timeline --operator 127.0.0.1:7301 --ticket TICKET
+  mustardctl check --base base.json --overlay brazos.json
+
+Exit codes: 0 done, 1 failed or unreachable, 2 wrong arguments or configuration,
+3 the job failed, 4 an entry refused.`
+
+func main() {
+	command := &cli.Command{
+		Name:        "mustardctl",
+		Usage:       "operate mustardlever",
+		Description: description,
+		Commands: []*cli.Command{
+			submitCommand(), ticketsCommand(), jobCommand(),
+			processCommand(), servicesCommand(), timelineCommand(), checkCommand(),
+		},
+	}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "mustardctl:", err)
+		os.Exit(exitFailed)
+	}
+}
+
+func entryFlag() cli.Flag {
+	return &cli.StringSliceFlag{Name: "entry", Usage: "base `URL` of an entry or of the balancer; may be repeated", Required: true}
+}
+
+func operatorFlag() cli.Flag {
+	return &cli.StringSliceFlag{Name: "operator", Usage: "operators' `ADDRESS` of a process; may be repeated", Required: true}
+}
+
+func jsonFlag() cli.Flag {
+	return &cli.BoolFlag{Name: "json", Usage: "print JSON"}
+}
--- a/cmd/mustardleverd/dev.go
+++ b/cmd/mustardleverd/dev.go
@@ -117,7 +117,9 @@
 		most = max(most, n)
 	}
 	fmt.Printf("the backend servers saw %d tasks, each started at most %d time\n\ntime line:\n", len(starts), most)
-	printEvents(lab.Events(recorder.Filter{Service: cluster.Service}))
+	for _, e := range lab.Events(recorder.Filter{Service: cluster.Service}) {
+		fmt.Println(" ", e)
+	}
 	return nil
 }
 
@@ -132,13 +134,3 @@
 	}
 	return s
 }
-
-func printEvents(events []recorder.Event) {
-	for _, e := range events {
-		task := ""
-		if e.Task >= 0 {
-			task = fmt.Sprintf(" task %d", e.Task)
-		}
-		fmt.Printf("  %s  %-24s %s ticket %d%s %s\n", e.Time().Format("15:04:05.000000"), e.Process, e.Kind, e.Number, task, e.Reason)
-	}
-}
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -56,8 +56,12 @@
 // Stop closes the Backend.
 func (b *Backend) Stop() { b.server.Close() }
 
-// ServeHTTP runs one task.
+// ServeHTTP runs one task. A GET answers the starts of each task id.
 func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet {
+		json.NewEncoder(w).Encode(b.Starts())
+		return
+	}
 	var work Work
 	body, err := io.ReadAll(r.Body)
 	if err == nil && len(body) > 0 {
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -8,7 +8,9 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -33,6 +35,21 @@
 // Time returns the wall clock time of the event.
 func (e Event) Time() time.Time { return time.UnixMicro(e.Clock) }
 
+// String formats the event as one line.
+func (e Event) String() string {
+	task := ""
+	if e.Task >= 0 {
+		task = fmt.Sprintf("task %d", e.Task)
+	}
+	job := ""
+	if e.Number != 0 {
+		job = fmt.Sprintf("ticket %d of %s", e.Number, e.Owner)
+	}
+	at := e.Time().UTC().Format("2006-01-02 15:04:05.000000")
+	line := fmt.Sprintf("%s  %-22s %-17s %s %s %s %s", at, e.Process, e.Kind, job, task, e.Peer, e.Reason)
+	return strings.Join(strings.Fields(line), " ")
+}
+
 // Recorder holds the newest events in a ring. The zero value keeps 20,000. It
 // is safe for concurrent use.
 type Recorder struct {
--- a/ticketer/ticketer.go
+++ b/ticketer/ticketer.go
@@ -64,25 +64,35 @@
 // Decode parses s. It errors with KindForged unless s was made by Encode under
 // the same key.
 func (c Coder) Decode(s string) (Ticket, error) {
-	bad := &Error{Op: "decode ticket", Kind: KindForged, Detail: "not a ticket of this system"}
-	if len(s) > maxTicketBytes || !strings.HasPrefix(s, prefix) {
-		return Ticket{}, bad
-	}
-	body, code, found := strings.Cut(s[len(prefix):], ".")
-	if !found {
-		return Ticket{}, bad
+	body, code, found := strings.Cut(strings.TrimPrefix(s, prefix), ".")
+	if len(s) > maxTicketBytes || !found {
+		return Ticket{}, forged()
 	}
 	mac, err := base64.RawURLEncoding.DecodeString(code)
 	if err != nil || !hmac.Equal(mac, c.code(body)) {
-		return Ticket{}, bad
+		return Ticket{}, forged()
+	}
+	return Peek(s)
+}
+
+func forged() error {
+	return &Error{Op: "decode ticket", Kind: KindForged, Detail: "not a ticket of this system"}
+}
+
+// Peek parses s without its key. It errors with KindForged when s is malformed
+// but cannot tell whether it was issued.
+func Peek(s string) (Ticket, error) {
+	if len(s) > maxTicketBytes || !strings.HasPrefix(s, prefix) {
+		return Ticket{}, forged()
 	}
+	body, _, _ := strings.Cut(s[len(prefix):], ".")
 	b, err := base64.RawURLEncoding.DecodeString(body)
 	if err != nil {
-		return Ticket{}, bad
+		return Ticket{}, forged()
 	}
 	var p payload
 	if err := json.Unmarshal(b, &p); err != nil {
-		return Ticket{}, bad
+		return Ticket{}, forged()
 	}
 	return Ticket{
 		Ticket:  messenger.Ticket{Owner: p.Owner, Witness: p.Witness, Sequence: p.Sequence},
