Test the promises with separate processes; void a sealed owner's grants

Cause 1: after a takeover of a frozen owner the answer came 3.8 s after the freeze, over the bound of 3.2 s (tasks' own time 1.2 s + 2 s). Agents went on granting freed slots to the frozen owner, whose last word was a large demand. Ruled out: slow detection (0.9 s silence + 0.4 s ping were as set). Cause 2: an owner cut off from its witness only, and left without grants, never sent a start and so never learnt from a refusal that it was sealed; its caller waited for the deadline (30 s, three runs of three). Change: a seal voids the owner's unused grants, and the agent gives it none until it is heard again; the agent tells the owner (Sealed) at once. Also: addresses of tests are distinct loopback numbers, since a free port could be taken by an outgoing connection before its use (seen once); a dialer knows the peer behind an address, so that two addresses of one peer do not replace each other's connection for ever.

--- a/cmd/mustardleverd/run.go
+++ b/cmd/mustardleverd/run.go
@@ -73,7 +73,10 @@
 func newRecorder() *recorder.Recorder { return new(recorder.Recorder) }
 
 func identity(p configurer.Process) messenger.Identity {
-	return messenger.Identity{Name: p.Name, Role: messenger.Role(p.Role), Zone: p.Zone, Operator: p.OperatorAddress}
+	return messenger.Identity{
+		Name: p.Name, Role: messenger.Role(p.Role), Zone: p.Zone,
+		Address: p.LinkAdvertised, Operator: p.OperatorAddress,
+	}
 }
 
 func newEntry(p configurer.Process, c configurer.Configuration, log *logrus.Entry, r *recorder.Recorder) *server.Entry {
--- a/configurer/process.go
+++ b/configurer/process.go
@@ -24,6 +24,7 @@
 	Role            string          `json:"role"` // "entry" or "agent"
 	Zone            string          `json:"zone"`
 	LinkAddress     string          `json:"link-address"`     // where other processes connect; entries
+	LinkAdvertised  string          `json:"link-advertised"`  // what others dial, if not link-address
 	CallerAddress   string          `json:"caller-address"`   // where callers connect; entries
 	OperatorAddress string          `json:"operator-address"` // where operators connect
 	Entries         []string        `json:"entries"`          // link addresses of entries
@@ -113,6 +114,9 @@
 
 func (p *Process) checkEntry(f *file) {
 	f.address("link-address", p.LinkAddress)
+	if p.LinkAdvertised != "" {
+		f.address("link-advertised", p.LinkAdvertised)
+	}
 	f.address("caller-address", p.CallerAddress)
 	if len(p.TicketKey) < MinKeyCharacters {
 		f.reject("ticket-key", "expected at least %d characters, the same at every entry", MinKeyCharacters)
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -13,9 +13,10 @@
 
 // share is what one entry holds.
 type share struct {
-	idle     int // granted and not used yet
-	demand   int // tasks the entry said are waiting
-	recalled int // asked back and not answered yet
+	idle     int  // granted and not used yet
+	demand   int  // tasks the entry said are waiting
+	recalled int  // asked back and not answered yet
+	shunned  bool // believed lost, gets no grant until heard again
 }
 
 func (s *share) unmet() int { return max(s.demand-s.idle, 0) }
@@ -47,15 +48,27 @@
 	}
 }
 
+// Void takes the entry's unused grants away and forgets its demand, since it
+// is believed to be lost. A start on a grant taken away is refused.
+func (g *Granter) Void(entry string) {
+	if s := g.shares[entry]; s != nil {
+		*s = share{shunned: true}
+	}
+}
+
 // Use turns one of the entry's grants into a running task and notes its
 // demand. It reports false when the entry holds no grant.
 func (g *Granter) Use(entry string, demand int) bool {
 	s := g.shares[entry]
-	if s == nil || s.idle == 0 {
+	if s == nil {
 		return false
 	}
-	s.idle--
+	s.shunned = false
 	s.demand = demand
+	if s.idle == 0 {
+		return false
+	}
+	s.idle--
 	g.running++
 	return true
 }
@@ -70,6 +83,7 @@
 func (g *Granter) SetDemand(entry string, tasks int) {
 	if s := g.shares[entry]; s != nil {
 		s.demand = tasks
+		s.shunned = false
 	}
 }
 
@@ -82,6 +96,7 @@
 	s.idle -= min(n, s.idle)
 	s.recalled = 0
 	s.demand = demand
+	s.shunned = false
 }
 
 // Idle returns the entry's unused grants.
@@ -99,6 +114,10 @@
 		return nil, nil
 	}
 	entries := slices.Sorted(maps.Keys(g.shares))
+	entries = slices.DeleteFunc(entries, func(e string) bool { return g.shares[e].shunned })
+	if len(entries) == 0 {
+		return nil, nil
+	}
 	grants = g.grant(entries)
 	return grants, g.recall(entries)
 }
@@ -144,9 +163,8 @@
 // others lack.
 func (g *Granter) recall(entries []string) []Grant {
 	lacking := 0
-	for _, s := range g.shares {
-		lacking += s.unmet()
-		lacking -= s.recalled
+	for _, e := range entries {
+		lacking += g.shares[e].unmet() - g.shares[e].recalled
 	}
 	var recalls []Grant
 	for _, e := range entries {
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -143,7 +143,8 @@
 // have a witness that acknowledged every agent.
 func (c *Cluster) Ready() bool {
 	for _, e := range c.Entries {
-		if !e.Witnessed(Service, len(c.Agents), len(c.Entries) > 1) {
+		n := e.Services()[0].Counts
+		if n.Agents < len(c.Agents) || len(c.Entries) > 1 && n.Witnessed < len(c.Agents) {
 			return false
 		}
 	}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -150,12 +150,27 @@
 
 // Counts are the sizes of a Keeper's state.
 type Counts struct {
-	Jobs, Active, Waiting, Credits, Agents, Wards int
+	Jobs      int `json:"jobs"`       // kept, ended ones included
+	Active    int `json:"unfinished"` // not ended
+	Waiting   int `json:"waiting-tasks"`
+	Credits   int `json:"granted-slots"`
+	Agents    int `json:"agents"`
+	Witnessed int `json:"witnessed-agents"` // acknowledged by the witness that has the most
+	Wards     int `json:"wards"`            // owners that this entry witnesses
 }
 
 // Counts returns the present sizes.
 func (k *Keeper) Counts() Counts {
-	return Counts{len(k.jobs), len(k.active), k.queue.Waiting(), k.queue.Credits(), len(k.agents), len(k.wards)}
+	c := Counts{
+		Jobs: len(k.jobs), Active: len(k.active), Waiting: k.queue.Waiting(),
+		Credits: k.queue.Credits(), Agents: len(k.agents), Wards: len(k.wards),
+	}
+	for _, w := range k.witnesses {
+		if !w.sealed {
+			c.Witnessed = max(c.Witnessed, len(w.acked))
+		}
+	}
+	return c
 }
 
 // Receive takes a message of this service from a peer.
@@ -179,6 +194,8 @@
 		k.settle(from, m.Settle)
 	case m.SettleAck != nil:
 		k.settleAck(now, from, m.SettleAck)
+	case m.Sealed != nil:
+		k.sealedBy(now, from, m.Sealed.Witness)
 	case m.Marks != nil:
 		k.marks(now, from, m.Marks)
 	case m.Close != nil:
--- a/keeper/witness.go
+++ b/keeper/witness.go
@@ -8,6 +8,9 @@
 	"mustardlever.dev/mustardlever/messenger"
 )
 
+// maxSlots is more than any backend server has.
+const maxSlots = 1 << 20
+
 // witness is the owner's view of an entry that may witness its tickets.
 type witness struct {
 	zone   string
@@ -113,6 +116,17 @@
 	k.dispatch()
 }
 
+// sealedBy takes an agent's word that a witness has taken over. The agent has
+// voided this entry's grants and hears of its demand anew.
+func (k *Keeper) sealedBy(now time.Time, agent, witness string) {
+	if a := k.agents[agent]; a != nil {
+		a.told = 0
+	}
+	k.queue.TakeBack(agent, maxSlots)
+	k.surrenderPair(now, witness)
+	k.dispatch()
+}
+
 // surrenderPair gives the unfinished jobs that a witness has taken over up to
 // it.
 func (k *Keeper) surrenderPair(now time.Time, entry string) {
@@ -129,17 +143,3 @@
 		k.retire(now, j)
 	}
 }
-
-// Witnessed reports whether this many agents are there and, if a witness is
-// wanted, one has acknowledged them all.
-func (k *Keeper) Witnessed(agents int, wanted bool) bool {
-	if len(k.agents) < agents {
-		return false
-	}
-	for _, w := range k.witnesses {
-		if len(w.acked) >= agents && !w.sealed {
-			return true
-		}
-	}
-	return !wanted
-}
--- a/messenger/hub.go
+++ b/messenger/hub.go
@@ -81,6 +81,7 @@
 	sessions map[string]*session
 	buried   map[string]uint64 // incarnation: our epoch after giving up
 	dialing  map[string]bool
+	behind   map[string]string // address: the incarnation last met there
 	ctx      context.Context
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
@@ -94,6 +95,7 @@
 	h.sessions = make(map[string]*session)
 	h.buried = make(map[string]uint64)
 	h.dialing = make(map[string]bool)
+	h.behind = make(map[string]string)
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.listener = l
 	if l != nil {
@@ -240,10 +242,15 @@
 	}
 }
 
+// connected tells whether the peer behind address has a connection, by this
+// address or another.
 func (h *Hub) connected(address string) bool {
+	h.mu.Lock()
+	met := h.behind[address]
+	h.mu.Unlock()
 	for _, s := range h.list() {
 		s.mu.Lock()
-		live := s.wire != nil && s.peer.Address == address
+		live := s.wire != nil && (s.peer.Address == address || s.peer.Incarnation == met)
 		s.mu.Unlock()
 		if live {
 			return true
@@ -269,6 +276,12 @@
 	if _, err := w.rpc.Call(ctx, methodHello, hello{Identity: h.Self}, &peer); err != nil {
 		return false
 	}
+	h.mu.Lock()
+	h.behind[address] = peer.Identity.Incarnation
+	h.mu.Unlock()
+	if h.connected(address) {
+		return true
+	}
 	s := h.session(peer.Identity)
 	if s == nil || !h.attach(w, s, peer, h.Self.Name < peer.Identity.Name) {
 		return false
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -43,6 +43,7 @@
 	Return    *Return    `json:"return,omitempty"`
 	Close     *Close     `json:"close,omitempty"`
 	Seal      *Seal      `json:"seal,omitempty"`
+	Sealed    *Sealed    `json:"sealed,omitempty"`
 	Marks     *Marks     `json:"marks,omitempty"`
 	Fetch     *Fetch     `json:"fetch,omitempty"`
 	Roster    *Roster    `json:"roster,omitempty"`
@@ -138,6 +139,12 @@
 	Owner string `json:"owner"`
 }
 
+// Sealed (agent to owner) tells that a witness has sealed it here, and that
+// its unused grants are void.
+type Sealed struct {
+	Witness string `json:"witness"`
+}
+
 // Mark is a task that an agent started. Done tells that its result is there.
 type Mark struct {
 	Sequence uint64 `json:"sequence"`
--- a/server/entry.go
+++ b/server/entry.go
@@ -61,7 +61,9 @@
 func (e *Entry) Start(l net.Listener) {
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.hub.Self = e.Settings.Identity.WithNewIncarnation()
-	e.hub.Self.Address = l.Addr().String()
+	if e.hub.Self.Address == "" {
+		e.hub.Self.Address = l.Addr().String()
+	}
 	e.hub.Settings = e.Settings.Messenger
 	e.coder.Key = e.Settings.TicketKey
 	e.known = map[string]bool{e.hub.Self.Address: true}
@@ -284,12 +286,3 @@
 	e.hub.Stop()
 	e.done.Wait()
 }
-
-// Witnessed reports whether the service has this many agents and, if a witness
-// is wanted, an entry that acknowledged them all.
-func (e *Entry) Witnessed(service string, agents int, wanted bool) bool {
-	s := e.shards[service]
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.keeper.Witnessed(agents, wanted)
-}
--- a/starter/seal.go
+++ b/starter/seal.go
@@ -25,6 +25,11 @@
 		}
 	}
 	s.send(witness, messenger.Message{Marks: reply})
+	s.grants.Void(m.Owner)
+	if s.entries[m.Owner] {
+		s.send(m.Owner, messenger.Message{Sealed: &messenger.Sealed{Witness: witness}})
+	}
+	s.rebalance()
 }
 
 // fetch reports a ticket's outcomes to its witness, those of running tasks
--- /dev/null
+++ b/tests/fleet_test.go
@@ -0,0 +1,457 @@
+package tests
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mustardlever.dev/mustardlever/caller"
+	"mustardlever.dev/mustardlever/internal/standin"
+	"mustardlever.dev/mustardlever/operator"
+	"mustardlever.dev/mustardlever/recorder"
+	"mustardlever.dev/mustardlever/server"
+	"mustardlever.dev/mustardlever/submitter"
+	"mustardlever.dev/mustardlever/ticketer"
+)
+
+const (
+	service      = "access-desk"
+	readyTimeout = 20 * time.Second
+)
+
+var daemon string // path of the built mustardleverd
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "mustardlever")
+	if err != nil {
+		panic(err)
+	}
+	daemon = filepath.Join(dir, "mustardleverd")
+	if out, err := exec.Command("go", "build", "-o", daemon, "../cmd/mustardleverd").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is one daemon.
+type process struct {
+	name     string
+	callers  string // base URL, entries
+	operator string
+	relay    *relay // before the link address, entries
+	command  *exec.Cmd
+	log      *bytes.Buffer
+	exited   chan struct{}
+}
+
+// fleet is a set of daemons with stand-ins of backend servers.
+type fleet struct {
+	t        *testing.T
+	dir      string
+	entries  []*process
+	agents   []*process
+	backends []*standin.Backend
+}
+
+var addresses atomic.Int64 // given out so far
+
+// freeAddress returns an address that no other test and no outgoing connection
+// uses: each has an IP number of its own in the loopback network.
+func freeAddress() string {
+	n := addresses.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:7000", 1+os.Getpid()%250, 1+n/250, 1+n%250)
+}
+
+// newFleet starts entries and agents and waits until all know each other.
+func newFleet(t *testing.T, entries, agents int) *fleet {
+	f := &fleet{t: t, dir: t.TempDir()}
+	configuration := `{"services": {"access-desk": {"slots": 8}}}`
+	require.NoError(t, os.WriteFile(filepath.Join(f.dir, "base.json"), []byte(configuration), 0o600))
+	for i := range entries {
+		f.addEntry(i)
+	}
+	for i := range agents {
+		f.addAgent(i)
+	}
+	t.Cleanup(f.stop)
+	f.awaitReady()
+	return f
+}
+
+func (f *fleet) links() []string {
+	list := []string{}
+	for _, e := range f.entries {
+		list = append(list, e.relay.address)
+	}
+	return list
+}
+
+func (f *fleet) addEntry(i int) {
+	p := &process{name: fmt.Sprintf("entry-%d", i+1), operator: freeAddress()}
+	link, callers := freeAddress(), freeAddress()
+	p.callers = "http://" + callers
+	p.relay = newRelay(f.t, link)
+	f.start(p, map[string]any{
+		"name": p.name, "role": "entry", "zone": fmt.Sprintf("zone-%d", i+1),
+		"link-address": link, "link-advertised": p.relay.address,
+		"caller-address": callers, "operator-address": p.operator, "entries": f.links(),
+		"ticket-key": strings.Repeat("k", 32), "configuration": map[string]string{"base": "base.json"},
+	})
+	f.entries = append(f.entries, p)
+}
+
+func (f *fleet) addAgent(i int) {
+	b := &standin.Backend{Name: fmt.Sprintf("backend-%d", i+1)}
+	require.NoError(f.t, b.Start("127.0.0.1:0"))
+	f.backends = append(f.backends, b)
+	p := &process{name: fmt.Sprintf("agent-%d", i+1), operator: freeAddress()}
+	f.start(p, map[string]any{
+		"name": p.name, "role": "agent", "zone": fmt.Sprintf("zone-%d", i%3+1),
+		"operator-address": p.operator, "entries": f.links(),
+		"backend-servers": []map[string]string{{"service": service, "address": b.Address()}},
+		"configuration":   map[string]string{"base": "base.json"},
+	})
+	f.agents = append(f.agents, p)
+}
+
+func (f *fleet) start(p *process, settings map[string]any) {
+	text, err := json.Marshal(settings)
+	require.NoError(f.t, err)
+	path := filepath.Join(f.dir, p.name+".json")
+	require.NoError(f.t, os.WriteFile(path, text, 0o600))
+	p.log = new(bytes.Buffer)
+	p.command = exec.Command(daemon, "run", "--settings", path)
+	p.command.Stdout, p.command.Stderr = p.log, p.log
+	require.NoError(f.t, p.command.Start())
+	p.exited = make(chan struct{})
+	go func() {
+		p.command.Wait()
+		close(p.exited)
+	}()
+}
+
+func (p *process) signal(s syscall.Signal) { p.command.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+func (f *fleet) stop() {
+	for _, p := range append(f.entries, f.agents...) {
+		p.kill()
+		if f.t.Failed() {
+			f.t.Logf("%s:\n%s", p.name, p.log.String())
+		}
+	}
+	for _, p := range f.entries {
+		p.relay.close()
+	}
+	for _, b := range f.backends {
+		b.Stop()
+	}
+}
+
+func get(address, path string, v any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return err
+	}
+	p, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return err
+	}
+	defer p.Body.Close()
+	return json.NewDecoder(p.Body).Decode(v)
+}
+
+// ready tells whether each entry sees all peers and has a witness that
+// acknowledged every agent.
+func (f *fleet) ready() bool {
+	for _, e := range f.entries {
+		var p operator.Process
+		var v []server.ServiceView
+		if get(e.operator, "/v1/process", &p) != nil || get(e.operator, "/v1/services", &v) != nil {
+			return false
+		}
+		if len(p.Peers) != len(f.entries)+len(f.agents)-1 || v[0].Counts.Agents != len(f.agents) {
+			return false
+		}
+		if len(f.entries) > 1 && v[0].Counts.Witnessed < len(f.agents) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) awaitReady() {
+	require.Eventually(f.t, f.ready, readyTimeout, 20*time.Millisecond, "the fleet is not ready")
+}
+
+// starts returns how often each task was started.
+func (f *fleet) starts() map[string]int {
+	all := make(map[string]int)
+	for _, b := range f.backends {
+		for id, n := range b.Starts() {
+			all[id] += n
+		}
+	}
+	return all
+}
+
+// serving returns the number of tasks that run.
+func (f *fleet) serving() int64 {
+	n := int64(0)
+	for _, b := range f.backends {
+		n += b.Serving()
+	}
+	return n
+}
+
+// client returns a client of the entries numbered, all if none is.
+func (f *fleet) client(numbers ...int) *submitter.Client {
+	c := &submitter.Client{Ahead: 1, HTTP: &http.Client{Transport: new(http.Transport)}}
+	for i, e := range f.entries {
+		wanted := len(numbers) == 0
+		for _, n := range numbers {
+			wanted = wanted || n == i
+		}
+		if wanted {
+			c.Entries = append(c.Entries, e.callers)
+		}
+	}
+	return c
+}
+
+// ticket takes a ticket of the entry numbered.
+func (f *fleet) ticket(entry int) string {
+	t, err := f.client(entry).Ticket(f.t.Context(), service)
+	require.NoError(f.t, err)
+	return t
+}
+
+// witness returns the number of the ticket's witness.
+func (f *fleet) witness(ticket string) int {
+	t, err := ticketer.Peek(ticket)
+	require.NoError(f.t, err)
+	for i, e := range f.entries {
+		if strings.HasPrefix(t.Witness, e.name+".") {
+			return i
+		}
+	}
+	f.t.Fatalf("ticket without witness")
+	return -1
+}
+
+// job encodes a job whose tasks have ids that begin with name.
+func job(name string, tasks, millis int) []byte {
+	var s caller.Submission
+	for i := range tasks {
+		body, err := json.Marshal(standin.Work{ID: fmt.Sprintf("%s-%d", name, i), Millis: millis})
+		if err != nil {
+			panic(err)
+		}
+		s.Tasks = append(s.Tasks, caller.Task{Body: body})
+	}
+	b, err := json.Marshal(s)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// pending is a submission under way.
+type pending struct {
+	done   chan struct{}
+	answer *caller.Answer
+	err    error
+	took   time.Duration
+}
+
+// submit submits in the background.
+func (f *fleet) submit(c *submitter.Client, ticket string, body []byte) *pending {
+	p := &pending{done: make(chan struct{})}
+	begin := time.Now()
+	go func() {
+		defer close(p.done)
+		p.answer, p.err = c.SubmitTicket(context.Background(), ticket, ticket[len(ticket)-8:], body)
+		p.took = time.Since(begin)
+	}()
+	return p
+}
+
+func (p *pending) wait(t *testing.T) *caller.Answer {
+	t.Helper()
+	select {
+	case <-p.done:
+	case <-time.After(40 * time.Second):
+		t.Fatal("no answer in 40 s")
+	}
+	require.NoError(t, p.err)
+	return p.answer
+}
+
+// requireTruth checks an answer against the record of starts: whole or failed,
+// each task with its own result, none started twice, none called not-run that
+// was started.
+func requireTruth(t *testing.T, a *caller.Answer, name string, starts map[string]int) {
+	t.Helper()
+	for id, n := range starts {
+		require.LessOrEqual(t, n, 1, "task %s was started %d times", id, n)
+	}
+	require.Contains(t, []string{caller.StateComplete, caller.StateFailed}, a.State)
+	for _, r := range a.Tasks {
+		id := fmt.Sprintf("%s-%d", name, r.Task)
+		switch {
+		case r.State == "not-run":
+			require.Zero(t, starts[id], "%s was called not-run", id)
+		case r.State == "ran":
+			require.Equal(t, 1, starts[id], "%s was called ran", id)
+		}
+		if a.State != caller.StateComplete {
+			continue
+		}
+		var done standin.Done
+		require.Equal(t, "ran", r.State)
+		require.NoError(t, json.Unmarshal(r.Body, &done))
+		require.Equal(t, id, done.ID)
+	}
+}
+
+// events returns the merged record of all entries and agents that answer.
+func (f *fleet) events(query string) []recorder.Event {
+	var lists [][]recorder.Event
+	for _, p := range append(append([]*process{}, f.entries...), f.agents...) {
+		var list []recorder.Event
+		if get(p.operator, "/v1/events?"+query, &list) == nil {
+			lists = append(lists, list)
+		}
+	}
+	return recorder.Merge(lists...)
+}
+
+// relay passes TCP connections on to an entry's link address, and can cut
+// those of a peer.
+type relay struct {
+	address string
+	target  string
+	l       net.Listener
+
+	mu    sync.Mutex
+	cuts  map[string]bool
+	conns map[net.Conn]string // by the dialing peer's name
+}
+
+func newRelay(t *testing.T, target string) *relay {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	r := &relay{address: l.Addr().String(), target: target, l: l, cuts: map[string]bool{}, conns: map[net.Conn]string{}}
+	go r.accept()
+	return r
+}
+
+func (r *relay) accept() {
+	for {
+		c, err := r.l.Accept()
+		if err != nil {
+			return
+		}
+		go r.serve(c)
+	}
+}
+
+// serve reads the first chunk, which holds the hello with the peer's name, and
+// then copies both ways.
+func (r *relay) serve(c net.Conn) {
+	defer c.Close()
+	first := make([]byte, 4096)
+	n, err := c.Read(first)
+	if err != nil {
+		return
+	}
+	_, rest, _ := strings.Cut(string(first[:n]), `"name":"`)
+	name, _, _ := strings.Cut(rest, `"`)
+	d, err := net.Dial("tcp", r.target)
+	if err != nil {
+		return
+	}
+	defer d.Close()
+	r.mu.Lock()
+	cut := r.cuts[name]
+	r.conns[c] = name
+	r.mu.Unlock()
+	if cut {
+		return
+	}
+	d.Write(first[:n])
+	go func() {
+		copyAll(c, d)
+		c.Close()
+	}()
+	copyAll(d, c)
+	r.mu.Lock()
+	delete(r.conns, c)
+	r.mu.Unlock()
+}
+
+func copyAll(to, from net.Conn) {
+	b := make([]byte, 64<<10)
+	for {
+		n, err := from.Read(b)
+		if err != nil {
+			return
+		}
+		if _, err := to.Write(b[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// cut ends and refuses the connections of the peers named.
+func (r *relay) cut(names ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, n := range names {
+		r.cuts[n] = true
+	}
+	for c, name := range r.conns {
+		if r.cuts[name] {
+			c.Close()
+		}
+	}
+}
+
+// mend lets all peers pass again.
+func (r *relay) mend() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.cuts)
+}
+
+func (r *relay) close() {
+	r.l.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		c.Close()
+	}
+}
