--- a/keeper/owner.go
+++ b/keeper/owner.go
@@ -228,15 +228,18 @@
 		k.takeResult(j, m, from)
 		return
 	}
-	j.tasks[m.Task] = task{state: pending, attempt: m.Attempt + 1}
 	k.decide("start-refused", j, m.Task, from, string(m.Refusal))
+	if m.Refusal == messenger.RefusalClosed {
+		// The agent may have started the task and forgotten it since.
+		j.tasks[m.Task].state, j.doubt = unknown, messenger.ReasonExpired
+		return
+	}
+	j.tasks[m.Task] = task{state: pending, attempt: m.Attempt + 1}
 	switch m.Refusal {
 	case messenger.RefusalSealed:
 		k.surrenderPair(now, j.witness)
 	case messenger.RefusalUnreachable:
 		k.queue.Pause(now, from)
-	case messenger.RefusalClosed:
-		k.stop(now, j, messenger.ReasonExpired)
 	}
 }
 
