--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -22,7 +22,6 @@
 	"mustardlever.dev/mustardlever/caller"
 	"mustardlever.dev/mustardlever/internal/standin"
 	"mustardlever.dev/mustardlever/operator"
-	"mustardlever.dev/mustardlever/recorder"
 	"mustardlever.dev/mustardlever/server"
 	"mustardlever.dev/mustardlever/submitter"
 	"mustardlever.dev/mustardlever/ticketer"
@@ -337,18 +336,6 @@
 	}
 }
 
-// events returns the merged record of all entries and agents that answer.
-func (f *fleet) events(query string) []recorder.Event {
-	var lists [][]recorder.Event
-	for _, p := range append(append([]*process{}, f.entries...), f.agents...) {
-		var list []recorder.Event
-		if get(p.operator, "/v1/events?"+query, &list) == nil {
-			lists = append(lists, list)
-		}
-	}
-	return recorder.Merge(lists...)
-}
-
 // relay passes TCP connections on to an entry's link address, and can cut
 // those of a peer.
 type relay struct {
