--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -21,6 +21,7 @@
 type Done struct {
 	ID     string `json:"id"`
 	Server string `json:"server"`
+	Micros int64  `json:"took-us"` // the time the task took here
 }
 
 // Backend is a backend server. It counts the starts of each task id.
@@ -71,6 +72,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	begin := time.Now()
 	b.note(work.ID)
 	b.serving.Add(1)
 	defer b.serving.Add(-1)
@@ -78,7 +80,7 @@
 	if work.Status != 0 {
 		w.WriteHeader(work.Status)
 	}
-	json.NewEncoder(w).Encode(Done{work.ID, b.Name})
+	json.NewEncoder(w).Encode(Done{work.ID, b.Name, time.Since(begin).Microseconds()})
 }
 
 func (b *Backend) note(id string) {
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -62,7 +62,7 @@
 
 // fleet is a set of daemons with stand-ins of backend servers.
 type fleet struct {
-	t        *testing.T
+	t        testing.TB
 	dir      string
 	entries  []*process
 	agents   []*process
@@ -79,7 +79,7 @@
 }
 
 // newFleet starts entries and agents and waits until all know each other.
-func newFleet(t *testing.T, entries, agents int) *fleet {
+func newFleet(t testing.TB, entries, agents int) *fleet {
 	f := &fleet{t: t, dir: t.TempDir()}
 	configuration := `{"services": {"access-desk": {"slots": 8}}}`
 	require.NoError(t, os.WriteFile(filepath.Join(f.dir, "base.json"), []byte(configuration), 0o600))
@@ -298,7 +298,7 @@
 	return p
 }
 
-func (p *pending) wait(t *testing.T) *caller.Answer {
+func (p *pending) wait(t testing.TB) *caller.Answer {
 	t.Helper()
 	select {
 	case <-p.done:
@@ -312,7 +312,7 @@
 // requireTruth checks an answer against the record of starts: whole or failed,
 // each task with its own result, none started twice, none called not-run that
 // was started.
-func requireTruth(t *testing.T, a *caller.Answer, name string, starts map[string]int) {
+func requireTruth(t testing.TB, a *caller.Answer, name string, starts map[string]int) {
 	t.Helper()
 	for id, n := range starts {
 		require.LessOrEqual(t, n, 1, "task %s was started %d times", id, n)
@@ -348,7 +348,7 @@
 	conns map[net.Conn]string // by the dialing peer's name
 }
 
-func newRelay(t *testing.T, target string) *relay {
+func newRelay(t testing.TB, target string) *relay {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	r := &relay{address: l.Addr().String(), target: target, l: l, cuts: map[string]bool{}, conns: map[net.Conn]string{}}
