Halve heartbeats with agents and let idle writers sleep

Each session's writer woke ten times a second to look for acknowledgements; heartbeats went both ways twice a second; dialers looked 20 times a second for a connection already there. Ruled out: the ticks of the shards (they do not grow with agents). Change: a writer sleeps until something falls due; sessions with agents beat once a second and are given up after 3.5 s of silence (3 s before).

--- a/messenger/hub.go
+++ b/messenger/hub.go
@@ -13,17 +13,28 @@
 
 // Settings bounds a Hub's timing. Zero fields take the defaults.
 type Settings struct {
-	Heartbeat time.Duration // longest silence we let pass on a connection; default 500 ms
-	DeadAfter time.Duration // silence after which a connection is closed; default 1.5 s
-	LostAfter time.Duration // silence after which a session is given up; default 3 s
-	AckDelay  time.Duration // longest wait before an acknowledgement alone; default 100 ms
-	MaxBatch  int           // messages a frame; default 512
+	Entries  Timing        // of sessions between entries; default 500 ms, 1.5 s, 3 s
+	Agents   Timing        // of sessions with agents; default 1 s, 2.5 s, 3.5 s
+	AckDelay time.Duration // longest wait before an acknowledgement alone; default 100 ms
+	MaxBatch int           // messages a frame; default 512
+}
+
+// Timing is how the silence of a peer is judged.
+type Timing struct {
+	Heartbeat time.Duration // longest silence we let pass on a connection
+	DeadAfter time.Duration // silence after which a connection is closed
+	LostAfter time.Duration // silence after which a session is given up
+}
+
+func (t *Timing) withDefaults(heartbeat, dead, lost time.Duration) {
+	setDefault(&t.Heartbeat, heartbeat)
+	setDefault(&t.DeadAfter, dead)
+	setDefault(&t.LostAfter, lost)
 }
 
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.Heartbeat, 500*time.Millisecond)
-	setDefault(&s.DeadAfter, 1500*time.Millisecond)
-	setDefault(&s.LostAfter, 3*time.Second)
+	s.Entries.withDefaults(500*time.Millisecond, 1500*time.Millisecond, 3*time.Second)
+	s.Agents.withDefaults(time.Second, 2500*time.Millisecond, 3500*time.Millisecond)
 	setDefault(&s.AckDelay, 100*time.Millisecond)
 	setDefault(&s.MaxBatch, 512)
 	return s
@@ -241,7 +252,7 @@
 	wait := minRedial
 	for h.ctx.Err() == nil {
 		if h.connected(address) {
-			wait = minRedial
+			wait = maxRedial / 2
 		} else if h.dial(address) {
 			wait = minRedial
 		} else {
@@ -358,7 +369,7 @@
 	defer h.changes.Unlock()
 	h.renew(s, peer.Epoch)
 	s.mu.Lock()
-	if s.ended || s.wire != nil && s.preferred && !preferred && time.Since(s.heard) < h.Settings.DeadAfter {
+	if s.ended || s.wire != nil && s.preferred && !preferred && time.Since(s.heard) < h.timing(s).DeadAfter {
 		s.mu.Unlock()
 		return false
 	}
@@ -519,14 +530,13 @@
 	s.acknowledge(b.Ack)
 	ms := s.fresh(b)
 	peer := s.peer
-	force := s.received-s.acked >= ackEvery
 	s.mu.Unlock()
 	h.Traffic.MessagesIn.Add(int64(len(ms)))
 	for _, m := range ms {
 		h.Deliver(peer, m)
 	}
-	if force {
-		s.signal()
+	if len(ms) > 0 {
+		s.signal() // an acknowledgement will be due
 	}
 	return nil
 }
@@ -538,16 +548,16 @@
 	defer timer.Stop()
 	for {
 		w.writing.Lock()
-		sent, err := h.writeDue(s, w)
+		rest, err := h.writeDue(s, w)
 		w.writing.Unlock()
 		if err != nil {
 			h.dropped(s, w)
 			return
 		}
-		if sent {
+		if rest <= 0 {
 			continue
 		}
-		timer.Reset(h.Settings.AckDelay)
+		timer.Reset(rest)
 		select {
 		case <-w.closed:
 			return
@@ -559,25 +569,30 @@
 	}
 }
 
-// writeDue writes one batch on w if one is due. The caller holds w.writing.
-func (h *Hub) writeDue(s *session, w *wire) (bool, error) {
+// writeDue writes one batch on w if one is due, and returns how long the next
+// one may wait if nothing happens. The caller holds w.writing.
+func (h *Hub) writeDue(s *session, w *wire) (time.Duration, error) {
 	s.mu.Lock()
 	idle := time.Since(w.wrote)
 	due := s.wire == w && (s.pending() || s.received-s.acked >= ackEvery ||
-		s.received > s.acked && idle >= h.Settings.AckDelay || idle >= h.Settings.Heartbeat)
+		s.received > s.acked && idle >= h.Settings.AckDelay || idle >= h.timing(s).Heartbeat)
+	rest := h.timing(s).Heartbeat - idle
+	if s.received > s.acked {
+		rest = h.Settings.AckDelay - idle
+	}
 	var b batch
 	if due {
 		b = s.next(h.Settings.MaxBatch)
 	}
 	s.mu.Unlock()
 	if !due {
-		return false, nil
+		return rest, nil
 	}
 	if h.Clock != nil {
 		b.Clock = h.Clock()
 	}
 	w.wrote = time.Now()
-	return true, w.rpc.Notify(h.ctx, methodBatch, b)
+	return 0, w.rpc.Notify(h.ctx, methodBatch, b)
 }
 
 // Flush writes what is queued for the incarnation on the calling goroutine,
@@ -605,6 +620,14 @@
 	s.signal() // what was queued meanwhile
 }
 
+// timing returns how the session's silence is judged.
+func (h *Hub) timing(s *session) Timing {
+	if h.Self.Role == RoleAgent || s.peer.Role == RoleAgent {
+		return h.Settings.Agents
+	}
+	return h.Settings.Entries
+}
+
 // sweep closes silent connections and gives up lost sessions.
 func (h *Hub) sweep() {
 	ticker := time.NewTicker(sweepInterval)
@@ -624,10 +647,10 @@
 func (h *Hub) check(s *session) {
 	s.mu.Lock()
 	silent := time.Since(s.heard)
-	if s.wire != nil && silent > h.Settings.DeadAfter {
+	if s.wire != nil && silent > h.timing(s).DeadAfter {
 		s.detach()
 	}
-	lost := s.wire == nil && silent > h.Settings.LostAfter
+	lost := s.wire == nil && silent > h.timing(s).LostAfter
 	s.mu.Unlock()
 	if lost {
 		h.giveUp(s)
