--- a/configurer/check.go
+++ b/configurer/check.go
@@ -23,7 +23,7 @@
 // types are returned together.
 func decode(name string, text []byte, v any) (*file, error) {
 	f := &file{name: name, text: text, offsets: make(map[string]int)}
-	tree, err := hujson.Parse(text)
+	tree, err := hujson.Parse(terminated(text))
 	if err != nil {
 		return f, &Error{Op: "parse " + name, Kind: KindSyntax, Detail: "expected JSON with comments", Err: err}
 	}
@@ -38,6 +38,9 @@
 	return f, nil
 }
 
+// terminated ends the text's last line, which may be a comment.
+func terminated(text []byte) []byte { return append(slices.Clone(text), '\n') }
+
 // complain adds a mistake at an offset.
 func (f *file) complain(offset int, format string, args ...any) {
 	before := string(f.text[:offset])
--- a/configurer/configuration.go
+++ b/configurer/configuration.go
@@ -93,11 +93,11 @@
 }
 
 func merge(base, overlay []byte) ([]byte, error) {
-	b, err := hujson.Standardize(base)
+	b, err := hujson.Standardize(terminated(base))
 	if err != nil {
 		return nil, err
 	}
-	o, err := hujson.Standardize(overlay)
+	o, err := hujson.Standardize(terminated(overlay))
 	if err != nil {
 		return nil, err
 	}
--- a/ticketer/ticketer.go
+++ b/ticketer/ticketer.go
@@ -28,6 +28,9 @@
 	maxTicketBytes = 512
 )
 
+// encoding refuses what Encode would not write.
+var encoding = base64.RawURLEncoding.Strict()
+
 // Ticket is a parsed ticket. Expires is the time since the start of the owner
 // incarnation after which no job is accepted with it; only the owner judges it.
 type Ticket struct {
@@ -57,8 +60,8 @@
 	if err != nil {
 		panic(err) // strings and integers always marshal
 	}
-	body := base64.RawURLEncoding.EncodeToString(b)
-	return prefix + body + "." + base64.RawURLEncoding.EncodeToString(c.code(body))
+	body := encoding.EncodeToString(b)
+	return prefix + body + "." + encoding.EncodeToString(c.code(body))
 }
 
 // Decode parses s. It errors with KindForged unless s was made by Encode under
@@ -68,7 +71,7 @@
 	if len(s) > maxTicketBytes || !found {
 		return Ticket{}, forged()
 	}
-	mac, err := base64.RawURLEncoding.DecodeString(code)
+	mac, err := encoding.DecodeString(code)
 	if err != nil || !hmac.Equal(mac, c.code(body)) {
 		return Ticket{}, forged()
 	}
@@ -86,7 +89,7 @@
 		return Ticket{}, forged()
 	}
 	body, _, _ := strings.Cut(s[len(prefix):], ".")
-	b, err := base64.RawURLEncoding.DecodeString(body)
+	b, err := encoding.DecodeString(body)
 	if err != nil {
 		return Ticket{}, forged()
 	}
--- /dev/null
+++ b/ticketer/ticketer_test.go
@@ -0,0 +1,43 @@
+package ticketer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/ticketer"
+)
+
+var coder = ticketer.Coder{Key: []byte("0123456789abcdef0123456789abcdef")}
+
+func ExampleCoder() {
+	text := coder.Encode(ticketer.Ticket{
+		Ticket:  messenger.Ticket{Owner: "entry-1.a", Witness: "entry-2.b", Sequence: 7},
+		Service: "access-desk", Expires: time.Minute,
+	})
+	t, err := coder.Decode(text)
+	fmt.Println(t.Service, t.Owner, t.Witness, t.Sequence, t.Expires, err)
+	// Output: access-desk entry-1.a entry-2.b 7 1m0s <nil>
+}
+
+func TestAnyChangeIsRefused(t *testing.T) {
+	text := coder.Encode(ticketer.Ticket{Service: "s", Ticket: messenger.Ticket{Owner: "o"}})
+	for i := range len(text) {
+		b := []byte(text)
+		b[i] ^= 1
+		_, err := coder.Decode(string(b))
+		require.Error(t, err, "byte %d changed", i)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add("mt1.e30.AAAA")
+	f.Fuzz(func(t *testing.T, text string) {
+		if _, err := coder.Decode(text); err == nil {
+			t.Fatalf("%q was accepted", text)
+		}
+	})
+}
