--- a/keeper/agent.go
+++ b/keeper/agent.go
@@ -12,6 +12,7 @@
 	if a == nil {
 		a = &agent{name: from, inflight: make(map[*job]map[int]bool)}
 		k.agents[from] = a
+		k.untold = true
 		delete(k.gone, from)
 		k.tellRoster(from)
 		k.ackWaiting(from)
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -96,6 +96,8 @@
 	kept      []*job          // ended jobs with results, oldest first
 	keptBytes int
 	queue     dispatcher.Dispatcher[*job]
+	demand    int  // waiting tasks when agents were last told
+	untold    bool // an agent has to hear of the demand
 	draining  bool
 	lastClose time.Time
 
--- a/keeper/owner.go
+++ b/keeper/owner.go
@@ -134,9 +134,7 @@
 		}
 		k.startTask(j.Value, k.agents[name])
 	}
-	if k.queue.Waiting() > 0 {
-		k.tellDemand()
-	}
+	k.tellDemand()
 }
 
 // eligible carries out rule 3: the owner uses an agent for a ticket only after
@@ -172,11 +170,18 @@
 	return -1
 }
 
-// tellDemand tells agents that tasks wait, unless they know about as much.
+// tellDemand tells agents that tasks wait, unless they know about as much. It
+// looks at the agents only when the number has changed much since the last look
+// or an agent has to hear of it.
 func (k *Keeper) tellDemand() {
 	n := k.queue.Waiting()
+	if n == 0 || !k.untold && alike(n, k.demand) {
+		k.demand = min(k.demand, n)
+		return
+	}
+	k.demand, k.untold = n, false
 	for _, a := range k.agents {
-		if a.leaving || a.told > 0 && n < 4*a.told && a.told < 4*n {
+		if a.leaving || alike(n, a.told) {
 			continue
 		}
 		a.told = n
@@ -184,6 +189,9 @@
 	}
 }
 
+// alike tells whether two demands differ by less than a factor of four.
+func alike(a, b int) bool { return a > 0 && b > 0 && a < 4*b && b < 4*a }
+
 // outcome takes what an agent says of a task.
 func (k *Keeper) outcome(now time.Time, from string, m *messenger.Outcome) {
 	if m.Grant > 0 {
--- a/keeper/witness.go
+++ b/keeper/witness.go
@@ -121,6 +121,7 @@
 func (k *Keeper) sealedBy(now time.Time, agent, witness string) {
 	if a := k.agents[agent]; a != nil {
 		a.told = 0
+		k.untold = true
 	}
 	k.queue.TakeBack(agent, maxSlots)
 	k.surrenderPair(now, witness)
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"net"
 	"net/http"
@@ -44,11 +45,23 @@
 		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
 		os.Exit(1)
 	}
+	flag.Parse()
+	seed()
 	code := m.Run()
 	os.RemoveAll(dir)
 	os.Exit(code)
 }
 
+// seed fixes rapid's seed and number of sequences unless the command names
+// others.
+func seed() {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "1000"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			f.Value.Set(value)
+		}
+	}
+}
+
 // process is one daemon.
 type process struct {
 	name     string
