--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 	defaultEstimate = 300 * time.Millisecond
 	estimateWeight  = 0.1 // weight of a new sample in the moving estimate
 	treeDegree      = 16
+	idlePreference  = 0.3                    // how much faster an agent with all slots free counts than a busy one
 	minPause        = 500 * time.Millisecond // first pause of an agent that fails
 	maxPause        = 10 * time.Second
 )
@@ -147,7 +148,7 @@
 	if a.credits == 0 || !a.paused.IsZero() {
 		return
 	}
-	a.key = a.estimate
+	a.key = a.estimate * (1 - idlePreference*float64(a.credits)/float64(max(a.slots, a.credits)))
 	a.inTree = true
 	d.free.ReplaceOrInsert(a)
 }
--- /dev/null
+++ b/starter/bench_test.go
@@ -0,0 +1,36 @@
+package starter
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+
+	"mustardlever.dev/mustardlever/messenger"
+)
+
+// BenchmarkMark reports the memory of a mark with a result of 100 bytes.
+func BenchmarkMark(b *testing.B) {
+	for _, tasks := range []uint64{1000, 10_000} {
+		b.Run(fmt.Sprintf("tasks-%d", tasks), func(b *testing.B) {
+			for b.Loop() {
+				s := newStarter()
+				before := heap()
+				for sequence := range tasks {
+					_, runs := start(s, sequence+1)
+					s.Finish(runs[0].ID, &messenger.Result{Status: 200, Body: []byte(strings.Repeat("x", 100))})
+					s.Drain()
+				}
+				b.ReportMetric(float64(heap()-before)/float64(tasks), "B/mark")
+				runtime.KeepAlive(s)
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
