Check in the model that every job ends; bound an agent's marks

Why: a job whose parties recover must end, and an agent's memory must be bounded by count, not by hope. Change: in every state of the model without a further step the job must have been answered; mutants without a deadline and without a limit on the wait for sealed agents. An agent that keeps 200,000 marks grants no slot until tickets close; a refusal there would have to be remembered itself.

--- a/granter/granter.go
+++ b/granter/granter.go
@@ -24,6 +24,7 @@
 // Granter holds the division of Slots. It is not safe for concurrent use.
 type Granter struct {
 	Slots   int
+	Held    bool // nothing is granted or recalled while it is set
 	shares  map[string]*share
 	running int
 	closed  bool
@@ -110,7 +111,7 @@
 // Rebalance grants the free slots and returns whom to tell, and whom to ask
 // for unused grants back. Both lists are in the order of the entries' names.
 func (g *Granter) Rebalance() (grants, recalls []Grant) {
-	if g.closed || len(g.shares) == 0 {
+	if g.closed || g.Held || len(g.shares) == 0 {
 		return nil, nil
 	}
 	entries := slices.Sorted(maps.Keys(g.shares))
--- a/spec/dispatch.pml
+++ b/spec/dispatch.pml
@@ -93,6 +93,16 @@
 #else
 #define MAY_SETTLE (!wSealed)
 #endif
+#ifdef NO_SEAL_WAIT
+#define MAY_GIVE_UP false
+#else
+#define MAY_GIVE_UP true
+#endif
+#ifdef NO_DEADLINE
+#define DEADLINE false
+#else
+#define DEADLINE true
+#endif
 /* A closed refusal does not tell that the task was not started: its mark may
  * have been forgotten. */
 #ifdef NO_CLOSED_DOUBT
@@ -222,7 +232,7 @@
 #endif
 #endif
 	/* The caller cancels, or the deadline comes: what was sent is unknown. */
-	:: atomic { O_OPEN && !oStopping -> oStopping = true }
+	:: atomic { O_OPEN && !oStopping && DEADLINE -> oStopping = true }
 	:: atomic { O_OPEN && oStopping && !oSettling && oState[0] == SENT -> oState[0] = UNKNOWN; oAgent[0] = NOBODY }
 	:: atomic { O_OPEN && oStopping && !oSettling && oState[TASKS-1] == SENT -> oState[TASKS-1] = UNKNOWN; oAgent[TASKS-1] = NOBODY }
 
@@ -255,7 +265,7 @@
 #define MARKS(a) \
 	:: atomic { wAsked && !wReady && wSealState[a] == 0 && mMarks[a] -> \
 		wSealState[a] = 1; wClosed = wClosed || mMarkClosed[a]; REPORTED(a, 0); REPORTED(a, TASKS-1) } \
-	:: atomic { wAsked && !wReady && wSealState[a] == 0 -> wSealState[a] = 2 }
+	:: atomic { wAsked && !wReady && wSealState[a] == 0 && MAY_GIVE_UP -> wSealState[a] = 2 }
 
 /* Rule 4: seal the agents that were acknowledged. */
 #define SEAL(a) \
@@ -347,9 +357,16 @@
 #define ANY_COMPLETE (oAnswer == COMPLETE || wAnswer == COMPLETE)
 #define WHOLE (!ANY_COMPLETE || (starts[0] == 1 && starts[TASKS-1] == 1))
 
+/* Every job ends: each step above only adds to the state, so that every run
+ * comes to a state without a further step, and there the job is answered. A
+ * party that pauses for ever is a run's prefix; that others go on without it is
+ * checked by the agents' crash and by the witness's doubt. */
+#define ENDED (oAnswer != RUNNING || (oSurrendered && wAnswer != RUNNING))
+
 active proctype Monitor() {
 	do
 	:: atomic { !(KEPT(0) && KEPT(TASKS-1) && WHOLE) -> assert(false) }
+	:: timeout -> assert(ENDED)
 	od
 }
 
--- a/starter/seal.go
+++ b/starter/seal.go
@@ -59,6 +59,7 @@
 				s.forget(l, m.Below)
 			}
 		}
+		s.rebalance()
 		return
 	}
 	l := s.ledgers[pair{m.Owner, from}]
@@ -67,6 +68,7 @@
 	}
 	l.below = max(l.below, m.Below)
 	s.forget(l, m.Below)
+	s.rebalance()
 }
 
 // forget drops the marks of tickets below the watermark. A task that still
@@ -79,6 +81,7 @@
 		for _, k := range tasks {
 			s.drop(k)
 		}
+		s.marks -= len(tasks)
 		delete(l.tickets, sequence)
 	}
 	for len(s.results) > 0 && s.results[0].result == nil {
--- a/starter/start.go
+++ b/starter/start.go
@@ -119,7 +119,7 @@
 	} else {
 		r.mark.state, r.mark.result = done, result
 	}
-	grants, recalls := s.grants.Rebalance()
+	grants, recalls := s.divide()
 	for i, to := range r.mark.notify {
 		grant := 0
 		if i == 0 {
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -12,6 +12,7 @@
 const (
 	defaultKeptBytes      = 16 << 20 // 16 MiB
 	defaultOwnerRetention = 10 * time.Minute
+	defaultMaxMarks       = 200_000
 	maxOwners             = 1 << 16 // watermarks of owners remembered
 )
 
@@ -21,6 +22,7 @@
 // Settings bounds a Starter. Zero fields take the defaults.
 type Settings struct {
 	KeptBytes      int           // result bytes kept for witnesses; default 16 MiB
+	MaxMarks       int           // marks kept; beyond it no slot is granted; default 200,000
 	OwnerRetention time.Duration // how long a lost owner's marks are kept; default 10 min
 }
 
@@ -94,6 +96,7 @@
 	nextRun   uint64
 	results   []*mark // done marks, oldest first
 	bytes     int
+	marks     int
 	out       []Output
 	started   []Run
 }
@@ -103,6 +106,9 @@
 	if s.Settings.KeptBytes == 0 {
 		s.Settings.KeptBytes = defaultKeptBytes
 	}
+	if s.Settings.MaxMarks == 0 {
+		s.Settings.MaxMarks = defaultMaxMarks
+	}
 	if s.Settings.OwnerRetention == 0 {
 		s.Settings.OwnerRetention = defaultOwnerRetention
 	}
@@ -198,7 +204,13 @@
 
 func size(r *messenger.Result) int { return len(r.Body) + len(r.Error) }
 
-func (s *Starter) rebalance() { s.tell(s.grants.Rebalance()) }
+func (s *Starter) rebalance() { s.tell(s.divide()) }
+
+// divide grants free slots, unless MaxMarks are kept already.
+func (s *Starter) divide() (grants, recalls []granter.Grant) {
+	s.grants.Held = s.marks >= s.Settings.MaxMarks
+	return s.grants.Rebalance()
+}
 
 func (s *Starter) tell(grants, recalls []granter.Grant) {
 	for _, g := range grants {
@@ -236,6 +248,9 @@
 	if l.tickets[sequence] == nil {
 		l.tickets[sequence] = make(ticketMarks)
 	}
+	if l.tickets[sequence][task] == nil {
+		s.marks++
+	}
 	l.tickets[sequence][task] = k
 }
 
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -106,3 +106,15 @@
 	require.LessOrEqual(t, s.bytes, 10)
 	require.Len(t, seal(s).Marks, 3, "the marks stay")
 }
+
+func TestFullAgentGrantsNothingUntilTicketsClose(t *testing.T) {
+	s := newStarter()
+	s.Settings.MaxMarks = 2
+	for sequence := uint64(1); sequence <= 2; sequence++ {
+		_, runs := start(s, sequence)
+		s.Finish(runs[0].ID, &messenger.Result{Status: 200})
+	}
+	require.Equal(t, 1, s.grants.Idle(testOwner), "the slot freed last is not granted again")
+	s.Receive(testOwner, messenger.Message{Close: &messenger.Close{Owner: testOwner, Below: 3}})
+	require.Equal(t, 2, s.grants.Idle(testOwner))
+}
