--- a/messenger/dial.go
+++ b/messenger/dial.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"time"
 )
 
@@ -59,8 +58,7 @@
 // dial opens a connection to address and its session. It returns when the
 // connection has ended; false means that no session came about.
 func (h *Hub) dial(address string) bool {
-	d := net.Dialer{Timeout: dialTimeout}
-	c, err := d.DialContext(h.ctx, "tcp", address)
+	c, err := h.Dial(h.ctx, address)
 	if err != nil {
 		return false
 	}
--- a/messenger/hub.go
+++ b/messenger/hub.go
@@ -42,10 +42,11 @@
 	Deliver  func(from Identity, m Message)
 	Up       func(peer Identity)
 	Lost     func(peer Identity)
-	Learn    func(addresses []string) // entry addresses heard of in a hello
-	Known    func() []string          // entry addresses to pass on
-	Clock    func() int64             // hybrid logical clock to send
-	Witness  func(clock int64)        // hybrid logical clock received
+	Learn    func(addresses []string)                                    // entry addresses heard of in a hello
+	Known    func() []string                                             // entry addresses to pass on
+	Dial     func(ctx context.Context, address string) (net.Conn, error) // default: TCP
+	Clock    func() int64                                                // hybrid logical clock to send
+	Witness  func(clock int64)                                           // hybrid logical clock received
 	Traffic  Traffic
 
 	changes  sync.Mutex // orders Up and Lost; taken before every other lock
@@ -70,6 +71,12 @@
 	h.behind = make(map[string]string)
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.listener = l
+	if h.Dial == nil {
+		d := &net.Dialer{Timeout: dialTimeout}
+		h.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return d.DialContext(ctx, "tcp", address)
+		}
+	}
 	if l != nil {
 		h.done.Go(func() { h.accept(l) })
 	}
--- a/server/route.go
+++ b/server/route.go
@@ -67,7 +67,7 @@
 
 func (r *route) tryOwner(ctx context.Context) (Response, bool) {
 	if r.ticket.Owner == r.self() {
-		return r.local(ctx, r.decide)
+		return r.local(ctx, r.decide((*keeper.Keeper).Submit))
 	}
 	if !r.entry.hub.Reachable(r.ticket.Owner, silentAfter) {
 		return Response{}, false
@@ -83,7 +83,7 @@
 		if !r.takenOver() && r.entry.ownerAlive(ctx, r.ticket.Owner) {
 			return Response{}, false
 		}
-		return r.local(ctx, r.takeOver)
+		return r.local(ctx, r.decide((*keeper.Keeper).TakeOver))
 	case r.entry.hub.Reachable(r.ticket.Witness, silentAfter):
 		return r.forward(ctx, r.ticket.Witness, true)
 	}
@@ -103,32 +103,26 @@
 	return e.hub.Ping(ctx, owner) == nil
 }
 
-// decide is the operation at the owner.
-func (r *route) decide(k *keeper.Keeper, now time.Time) (*keeper.Answer, error) {
-	switch r.request.Operation {
-	case OperationSubmit:
-		return k.Submit(now, r.ticket.Ticket, r.job)
-	case OperationCancel:
-		return k.Cancel(now, r.ticket.Ticket)
-	default:
-		return k.Find(now, r.ticket.Ticket)
-	}
-}
+// submission is how a job is submitted: to its owner or to its witness.
+type submission func(*keeper.Keeper, time.Time, messenger.Ticket, keeper.Job) (*keeper.Answer, error)
+
+// decision is an operation on an entry's own state.
+type decision func(k *keeper.Keeper, now time.Time) (*keeper.Answer, error)
 
-// takeOver is the operation at the witness.
-func (r *route) takeOver(k *keeper.Keeper, now time.Time) (*keeper.Answer, error) {
-	switch r.request.Operation {
-	case OperationSubmit:
-		return k.TakeOver(now, r.ticket.Ticket, r.job)
-	case OperationCancel:
-		return k.Cancel(now, r.ticket.Ticket)
-	default:
-		return k.Find(now, r.ticket.Ticket)
+// decide returns the operation asked for, with submit for a submission.
+func (r *route) decide(submit submission) decision {
+	return func(k *keeper.Keeper, now time.Time) (*keeper.Answer, error) {
+		switch r.request.Operation {
+		case OperationSubmit:
+			return submit(k, now, r.ticket.Ticket, r.job)
+		case OperationCancel:
+			return k.Cancel(now, r.ticket.Ticket)
+		default:
+			return k.Find(now, r.ticket.Ticket)
+		}
 	}
 }
 
-type decision func(k *keeper.Keeper, now time.Time) (*keeper.Answer, error)
-
 // local runs the operation on this entry's own state and waits for the job's
 // end. It reports false when the witness has taken over.
 func (r *route) local(ctx context.Context, d decision) (Response, bool) {
