--- a/tests/whole_test.go
+++ b/tests/whole_test.go
@@ -1,7 +1,9 @@
 package tests
 
 import (
+	"bytes"
 	"fmt"
+	"net/http"
 	"sync"
 	"syscall"
 	"testing"
@@ -203,20 +205,37 @@
 	}
 }
 
+// put sends one request and returns the answer's status, 0 if there was none.
+func put(address string, body []byte) int {
+	q, err := http.NewRequest(http.MethodPut, address, bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	p, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0
+	}
+	defer p.Body.Close()
+	return p.StatusCode
+}
+
 // TestPlannedStopPassesLongJobsOn stops an entry whose jobs take longer than it
 // may: its callers are passed on to the witness.
 func TestPlannedStopPassesLongJobsOn(t *testing.T) {
 	f := newFleetDraining(t, 3, 3, 3*time.Second)
 	ticket := f.ticket(0)
-	p := f.submit(f.client(), ticket, job("long", 30, 3000))
+	body := job("long", 30, 3000)
+	status := make(chan int, 1)
+	go func() { status <- put(f.entries[0].callers+"/v1/jobs/"+ticket, body) }()
 	require.Eventually(t, func() bool { return f.serving() == 24 }, 5*time.Second, time.Millisecond)
 	f.entries[0].signal(syscall.SIGTERM)
+	require.Equal(t, http.StatusAccepted, <-status, "the caller must be told, not cut off")
+	a := f.submit(f.client(), ticket, body).wait(t)
 	select {
 	case <-f.entries[0].exited:
 	case <-time.After(6 * time.Second):
 		t.Fatal("the entry did not stop in time")
 	}
-	a := p.wait(t)
 	requireTruth(t, a, "long", f.starts())
 	require.Equal(t, caller.StateComplete, a.State, a.Reason)
 }
