--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -90,8 +90,8 @@
 	agents    map[string]*agent
 	gone      map[string]uint64 // agents no longer used: from which ticket on
 	witnesses map[string]*witness
-	wards     map[string]*ward
-	closed    map[string]bool // owners whose wards are closed
+	owners    map[string]*ownerState
+	closed    map[string]bool // owners that are closed
 	forgotten bool            // a closed owner was forgotten for room
 	kept      []*job          // ended jobs with results, oldest first
 	keptBytes int
@@ -123,7 +123,7 @@
 	k.agents = make(map[string]*agent)
 	k.gone = make(map[string]uint64)
 	k.witnesses = make(map[string]*witness)
-	k.wards = make(map[string]*ward)
+	k.owners = make(map[string]*ownerState)
 	k.closed = make(map[string]bool)
 	k.queue.Settings = k.Settings.Dispatcher
 	k.queue.Init(now)
@@ -159,14 +159,14 @@
 	Credits   int `json:"granted-slots"`
 	Agents    int `json:"agents"`
 	Witnessed int `json:"witnessed-agents"` // acknowledged by the witness that has the most
-	Wards     int `json:"wards"`            // owners that this entry witnesses
+	Owners    int `json:"witnessed-owners"` // owners that this entry witnesses
 }
 
 // Counts returns the present sizes.
 func (k *Keeper) Counts() Counts {
 	c := Counts{
 		Jobs: len(k.jobs), Active: len(k.active), Waiting: k.queue.Waiting(),
-		Credits: k.queue.Credits(), Agents: len(k.agents), Wards: len(k.wards),
+		Credits: k.queue.Credits(), Agents: len(k.agents), Owners: len(k.owners),
 	}
 	for _, w := range k.witnesses {
 		if !w.sealed {
--- a/keeper/ward.go
+++ b/keeper/takeover.go
@@ -26,8 +26,8 @@
 	attempt int
 }
 
-// ward is the witness's view of an owner.
-type ward struct {
+// ownerState is the witness's view of an owner.
+type ownerState struct {
 	members  map[string]*member
 	settled  map[uint64]*messenger.Settle
 	below    uint64 // tickets below are closed
@@ -40,11 +40,11 @@
 	marks    map[uint64][]binding // what the owner started
 }
 
-func (k *Keeper) ward(owner string) *ward {
-	w := k.wards[owner]
+func (k *Keeper) ownerState(owner string) *ownerState {
+	w := k.owners[owner]
 	if w == nil {
-		w = &ward{members: make(map[string]*member), settled: make(map[uint64]*messenger.Settle)}
-		k.wards[owner] = w
+		w = &ownerState{members: make(map[string]*member), settled: make(map[uint64]*messenger.Settle)}
+		k.owners[owner] = w
 	}
 	return w
 }
@@ -52,7 +52,7 @@
 // roster carries out rule 3 at the witness: it acknowledges the agents that it
 // can reach itself, and none once it has sealed.
 func (k *Keeper) roster(from string, m *messenger.Roster) {
-	w := k.ward(from)
+	w := k.ownerState(from)
 	if w.sealed || k.closed[from] {
 		k.send(from, messenger.Message{RosterAck: &messenger.RosterAck{Sealed: true}})
 		return
@@ -77,7 +77,7 @@
 
 // ackWaiting acknowledges an agent that was on a roster before it was met.
 func (k *Keeper) ackWaiting(agent string) {
-	for owner, w := range k.wards {
+	for owner, w := range k.owners {
 		p := w.members[agent]
 		if p == nil || p.until != 0 || w.sealed {
 			continue
@@ -89,7 +89,7 @@
 
 // settle carries out rule 6 at the witness.
 func (k *Keeper) settle(from string, m *messenger.Settle) {
-	w := k.ward(from)
+	w := k.ownerState(from)
 	ack := &messenger.SettleAck{Ticket: m.Ticket, Sealed: w.sealed || k.closed[from]}
 	if !ack.Sealed {
 		w.settled[m.Ticket.Sequence] = m
@@ -99,7 +99,7 @@
 
 // close notes that the owner's tickets below a number are closed.
 func (k *Keeper) close(from string, m *messenger.Close) {
-	w := k.wards[from]
+	w := k.owners[from]
 	if w == nil || from != m.Owner || w.sealed {
 		return
 	}
@@ -125,10 +125,10 @@
 		return j.found(in.Digest)
 	}
 	expired := &Error{Op: "take over", Kind: KindExpired, Detail: "the ticket's time is over"}
-	if k.closed[t.Owner] || k.forgotten && k.wards[t.Owner] == nil {
+	if k.closed[t.Owner] || k.forgotten && k.owners[t.Owner] == nil {
 		return nil, expired
 	}
-	w := k.ward(t.Owner)
+	w := k.ownerState(t.Owner)
 	if s := w.settled[t.Sequence]; s != nil {
 		return settledAnswer(s), nil
 	}
@@ -152,7 +152,7 @@
 
 // Sealed reports whether this entry has taken over the owner's tickets.
 func (k *Keeper) Sealed(owner string) bool {
-	w := k.wards[owner]
+	w := k.owners[owner]
 	return k.closed[owner] || w != nil && w.sealed
 }
 
@@ -166,7 +166,7 @@
 
 // seal carries out rule 4: from here on the witness acknowledges nothing to
 // the owner, and every agent it acknowledged is told to refuse the owner.
-func (k *Keeper) seal(now time.Time, owner string, w *ward) {
+func (k *Keeper) seal(now time.Time, owner string, w *ownerState) {
 	w.sealed, w.sealedAt = true, now
 	w.waiting = make(map[string]bool)
 	w.missing = make(map[string]bool)
@@ -186,7 +186,7 @@
 
 // marks takes an agent's answer to a seal.
 func (k *Keeper) marks(now time.Time, from string, m *messenger.Marks) {
-	w := k.wards[m.Owner]
+	w := k.owners[m.Owner]
 	if w == nil || !w.sealed || !w.waiting[from] {
 		return
 	}
@@ -200,7 +200,7 @@
 
 // sealMissing notes that an agent was lost.
 func (k *Keeper) sealMissing(now time.Time, agent string) {
-	for owner, w := range k.wards {
+	for owner, w := range k.owners {
 		if w.sealed && w.waiting[agent] {
 			delete(w.waiting, agent)
 			w.missing[agent] = true
@@ -210,7 +210,7 @@
 }
 
 // sealReady goes on with the owner's jobs once no agent is waited for.
-func (k *Keeper) sealReady(now time.Time, owner string, w *ward) {
+func (k *Keeper) sealReady(now time.Time, owner string, w *ownerState) {
 	if w.ready || len(w.waiting) > 0 {
 		return
 	}
@@ -224,7 +224,7 @@
 
 // adopt carries out rule 5: what an agent reported is fetched from it, and what
 // nobody reported may be started only if every agent has answered.
-func (k *Keeper) adopt(now time.Time, j *job, w *ward) {
+func (k *Keeper) adopt(now time.Time, j *job, w *ownerState) {
 	j.waitsSeal = false
 	if j.key.sequence < w.below {
 		// The agents may have forgotten what they started.
@@ -269,7 +269,7 @@
 
 // anyMissing tells whether an agent that the owner may have used for the
 // ticket could not be sealed.
-func (w *ward) anyMissing(sequence uint64) bool {
+func (w *ownerState) anyMissing(sequence uint64) bool {
 	for name := range w.missing {
 		p := w.members[name]
 		if p == nil || p.until == 0 || sequence < p.until {
--- a/keeper/tick.go
+++ b/keeper/tick.go
@@ -18,8 +18,8 @@
 	for j := range k.active {
 		k.checkJob(now, j)
 	}
-	for owner, w := range k.wards {
-		k.checkWard(now, owner, w)
+	for owner, w := range k.owners {
+		k.checkOwner(now, owner, w)
 	}
 	k.queue.Tick(now)
 	k.expire(now)
@@ -40,14 +40,14 @@
 	}
 }
 
-// checkWard ends the wait for agents that do not answer a seal, and closes a
+// checkOwner ends the wait for agents that do not answer a seal, and closes a
 // sealed owner when its tickets' time is over.
-func (k *Keeper) checkWard(now time.Time, owner string, w *ward) {
+func (k *Keeper) checkOwner(now time.Time, owner string, w *ownerState) {
 	life := k.Settings.TicketLife + k.Settings.Deadline + k.Settings.Retention
 	if !w.sealed {
 		if !w.lost.IsZero() && now.Sub(w.lost) >= lostLives*life {
 			k.closeOwner(owner)
-			delete(k.wards, owner)
+			delete(k.owners, owner)
 		}
 		return
 	}
@@ -65,7 +65,7 @@
 	for name := range w.members {
 		k.send(name, messenger.Message{Close: &messenger.Close{Owner: owner, Witness: k.Self, Below: never}})
 	}
-	delete(k.wards, owner)
+	delete(k.owners, owner)
 }
 
 // closeOwner remembers that nothing of the owner's is taken over any more.
@@ -117,7 +117,7 @@
 // is not closed.
 func (k *Keeper) needed(j *job) bool {
 	if j.adopted {
-		return k.wards[j.key.owner] != nil
+		return k.owners[j.key.owner] != nil
 	}
 	return j.key.sequence >= k.expired
 }
--- a/keeper/witness.go
+++ b/keeper/witness.go
@@ -20,7 +20,7 @@
 
 // WitnessUp notes a session with another entry, which may witness from now on.
 func (k *Keeper) WitnessUp(entry, zone string) {
-	if p := k.wards[entry]; p != nil {
+	if p := k.owners[entry]; p != nil {
 		p.lost = time.Time{}
 	}
 	w := k.witnesses[entry]
@@ -43,7 +43,7 @@
 // WitnessLost notes that the session with another entry was given up. No new
 // ticket names it. It may still take over tickets that do.
 func (k *Keeper) WitnessLost(now time.Time, entry string) {
-	if p := k.wards[entry]; p != nil {
+	if p := k.owners[entry]; p != nil {
 		p.lost = now
 	}
 	delete(k.witnesses, entry)
--- a/messenger/accept.go
+++ b/messenger/accept.go
@@ -101,8 +101,8 @@
 	if err := json.Unmarshal(params, &b); err != nil {
 		return &Error{Op: "batch", Kind: KindFrame, Err: err}
 	}
-	if h.Witness != nil && b.Clock != 0 {
-		h.Witness(b.Clock)
+	if h.Observe != nil && b.Clock != 0 {
+		h.Observe(b.Clock)
 	}
 	s.delivery.Lock()
 	defer s.delivery.Unlock()
--- a/messenger/hub.go
+++ b/messenger/hub.go
@@ -46,7 +46,7 @@
 	Known    func() []string                                             // entry addresses to pass on
 	Dial     func(ctx context.Context, address string) (net.Conn, error) // default: TCP
 	Clock    func() int64                                                // hybrid logical clock to send
-	Witness  func(clock int64)                                           // hybrid logical clock received
+	Observe  func(clock int64)                                           // hybrid logical clock received
 	Traffic  Traffic
 
 	changes  sync.Mutex // orders Up and Lost; taken before every other lock
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -76,8 +76,8 @@
 	return r.clock
 }
 
-// Witness notes a reading received from another process.
-func (r *Recorder) Witness(clock int64) {
+// Observe notes a reading received from another process.
+func (r *Recorder) Observe(clock int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.clock = max(r.clock, clock)
--- a/server/agent.go
+++ b/server/agent.go
@@ -71,7 +71,7 @@
 	a.hub.Up = a.up
 	a.hub.Lost = a.lost
 	a.hub.Learn = a.learn
-	a.hub.Clock, a.hub.Witness = a.Recorder.Now, a.Recorder.Witness
+	a.hub.Clock, a.hub.Observe = a.Recorder.Now, a.Recorder.Observe
 	a.hub.Start(nil)
 	a.learn(a.Settings.Entries)
 	a.done.Go(a.tick)
--- a/server/entry.go
+++ b/server/entry.go
@@ -78,7 +78,7 @@
 	e.hub.Lost = e.lost
 	e.hub.Learn = e.learn
 	e.hub.Known = e.addresses
-	e.hub.Clock, e.hub.Witness = e.Recorder.Now, e.Recorder.Witness
+	e.hub.Clock, e.hub.Observe = e.Recorder.Now, e.Recorder.Observe
 	e.hub.Start(l)
 	e.learn(e.Settings.Entries)
 	e.done.Go(e.tick)
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -332,6 +332,7 @@
 		t.Fatal("no answer in 40 s")
 	}
 	require.NoError(t, p.err)
+	t.Logf("%s after %s", p.answer.State, p.took.Round(time.Millisecond))
 	return p.answer
 }
 
--- a/tests/world_test.go
+++ b/tests/world_test.go
@@ -29,7 +29,7 @@
 
 type link struct{ from, to string }
 
-// process is an entry or an agent of the world, one incarnation.
+// node is an entry or an agent of the world, one incarnation.
 type node struct {
 	name    string
 	keeper  *keeper.Keeper   // entries
