--- a/messenger/message.go
+++ b/messenger/message.go
@@ -210,16 +210,14 @@
 
 // Reasons of failed jobs.
 const (
-	ReasonDeadline   Reason = "deadline"        // not finished in time
-	ReasonCancelled  Reason = "cancelled"       // the caller cancelled it
-	ReasonAgentLost  Reason = "agent-lost"      // an agent was lost with a task of it
-	ReasonNoResult   Reason = "no-result"       // a task was sent and not answered
-	ReasonOwnerLost  Reason = "owner-lost"      // what the owner did cannot be known
-	ReasonOverload   Reason = "overload"        // the queue is full
-	ReasonImpossible Reason = "cannot-run"      // no backend server can ever run it
-	ReasonMismatch   Reason = "ticket-in-use"   // the ticket holds another job
-	ReasonExpired    Reason = "ticket-expired"  // the ticket's time is over
-	ReasonDropped    Reason = "results-dropped" // it ran, but its results were dropped for room
+	ReasonDeadline  Reason = "deadline"        // not finished in time
+	ReasonCancelled Reason = "cancelled"       // the caller cancelled it
+	ReasonAgentLost Reason = "agent-lost"      // an agent was lost with a task of it
+	ReasonNoResult  Reason = "no-result"       // a task was sent and not answered
+	ReasonOwnerLost Reason = "owner-lost"      // what the owner did cannot be known
+	ReasonOverload  Reason = "overload"        // the queue is full
+	ReasonExpired   Reason = "ticket-expired"  // the ticket's time is over
+	ReasonDropped   Reason = "results-dropped" // it ran, but its results were dropped for room
 )
 
 // SettleAck (witness to owner) answers Settle; Sealed means the witness has
