End the writer of a replaced connection; say shared steps once

Found on reading the change again: when a connection was replaced just as its writer's timer fired, the writer found nothing due and a wait that had passed, and went round for ever without looking at whether the connection was closed: a core spent, and a Hub that could not stop. Ruled out: a wrong batch being written (writeDue checks the connection). Change: the writer looks at that in each round and always waits in the select. TestWriterOfAReplacedConnectionEnds failed before ('the writer spins') and passes.

--- a/keeper/ending.go
+++ b/keeper/ending.go
@@ -49,10 +49,8 @@
 		k.end(now, j, j.newAnswer(StateFailed, j.stopping))
 		return
 	}
-	w := k.witnesses[j.witness]
-	if w == nil {
-		j.mark(pending, unknown)
-		k.end(now, j, j.newAnswer(StateFailed, j.stopping))
+	if k.witnesses[j.witness] == nil {
+		k.endUnsettled(now, j)
 		return
 	}
 	j.settling = now
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -116,3 +116,22 @@
 	_, _, err := newStream(server, new(Traffic)).Read(t.Context())
 	require.ErrorContains(t, err, "too large")
 }
+
+// TestWriterOfAReplacedConnectionEnds runs the writer of a connection that is
+// not the session's and has been silent for longer than a heartbeat.
+func TestWriterOfAReplacedConnectionEnds(t *testing.T) {
+	p := newPair(t, Settings{})
+	s := p.a.find(p.b.Self.Incarnation)
+	old := &wire{closed: make(chan struct{}), wrote: time.Now().Add(-time.Hour)}
+	close(old.closed)
+	ended := make(chan struct{})
+	go func() {
+		p.a.write(s, old)
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the writer spins")
+	}
+}
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -48,6 +48,16 @@
 	})
 }
 
+// isClosed tells whether close was called.
+func (w *wire) isClosed() bool {
+	select {
+	case <-w.closed:
+		return true
+	default:
+		return false
+	}
+}
+
 // codec is encoding/json for jsonrpc2, whose own default treats omitempty
 // otherwise.
 type codec struct{}
--- a/messenger/write.go
+++ b/messenger/write.go
@@ -1,15 +1,13 @@
 package messenger
 
-import (
-	"time"
-)
+import "time"
 
 // write sends what is queued on w: messages at once, acknowledgements alone
 // after AckDelay, and an empty batch after Heartbeat.
 func (h *Hub) write(s *session, w *wire) {
 	timer := time.NewTimer(h.Settings.AckDelay)
 	defer timer.Stop()
-	for {
+	for !w.isClosed() {
 		w.writing.Lock()
 		rest, err := h.writeDue(s, w)
 		w.writing.Unlock()
@@ -17,10 +15,7 @@
 			h.dropped(s, w)
 			return
 		}
-		if rest <= 0 {
-			continue
-		}
-		timer.Reset(rest)
+		timer.Reset(max(rest, 0))
 		select {
 		case <-w.closed:
 			return
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -252,6 +252,12 @@
 	return n
 }
 
+// awaitServing waits until exactly n tasks run.
+func (f *fleet) awaitServing(n int64) {
+	f.t.Helper()
+	require.Eventually(f.t, func() bool { return f.serving() == n }, 5*time.Second, time.Millisecond)
+}
+
 // client returns a client of the entries numbered, all if none is.
 func (f *fleet) client(numbers ...int) *submitter.Client {
 	c := &submitter.Client{Ahead: 1, HTTP: &http.Client{Transport: new(http.Transport)}}
