--- a/cmd/mustardctl/operate.go
+++ b/cmd/mustardctl/operate.go
@@ -100,8 +100,8 @@
 
 func printServices(views []server.ServiceView) {
 	for _, v := range views {
-		fmt.Printf("%-20s agents %d, jobs %d, unfinished %d, waiting tasks %d, granted slots %d\n",
-			v.Service, v.Counts.Agents, v.Counts.Jobs, v.Counts.Active, v.Counts.Waiting, v.Counts.Credits)
+		fmt.Printf("%-20s agents %d, jobs %d, unfinished %d, waiting tasks %d, free cores %.1f\n",
+			v.Service, v.Counts.Agents, v.Counts.Jobs, v.Counts.Active, v.Counts.Waiting, float64(v.Counts.RoomCPU)/1000)
 		for _, a := range v.Agents {
 			fmt.Printf("  %-28s %-22s running %-4d leaving %t\n", a.Agent, a.Address, a.Running, a.Leaving)
 		}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -1,65 +1,63 @@
 package dispatcher
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"github.com/google/btree"
+
+	"mustardlever.dev/mustardlever/sizer"
 )
 
 const (
-	defaultAgeing   = 0.05 // seconds of remaining work forgiven for each second of waiting and slot
+	defaultAgeing   = 0.05 // seconds of remaining work forgiven for each second of waiting and agent
 	defaultEstimate = 300 * time.Millisecond
-	estimateWeight  = 0.1 // weight of a new sample in the moving estimate
+	meanWeight      = 0.1 // weight of a new sample in the mean time of a task
 	treeDegree      = 16
-	idlePreference  = 0.3                    // how much faster an agent with all slots free counts than a busy one
-	minPause        = 500 * time.Millisecond // first pause of an agent that fails
-	maxPause        = 10 * time.Second
+	maxScan         = 32   // jobs looked at for one that fits, so that a long queue costs no more
+	lateOffset      = 1e6  // seconds; puts jobs that can no longer be in time behind all others
+	untimedOffset   = 1e3  // seconds; puts jobs without a due time behind those with one
+	lateMargin      = 0.15 // part of its expected time by which a job may run over and still be tried in time
 )
 
 // Settings tunes a Dispatcher. Zero fields take the defaults.
 type Settings struct {
-	Ageing float64 // seconds of remaining work forgiven for each second waited and slot; default 0.05
+	Ageing float64 // seconds of remaining work forgiven for each second waited and agent; default 0.05
 }
 
-// Job is a job's place in the queue. J is the caller's own job.
+// Job is a job's place in the queue: tasks of one size. Value is the caller's
+// own job.
 type Job[J any] struct {
-	Value   J
-	Arrived time.Time
-	Waiting int // tasks not started yet
-	Left    int // tasks not finished yet
+	Value    J
+	Arrived  time.Time
+	Due      time.Time     // when it should be done; zero: no such time
+	Need     sizer.Size    // of each task
+	Estimate time.Duration // of each task; zero: unknown
+	Label    string        // an agent must have it; empty: any agent
+	Near     string        // an agent with this label needs less time; empty: none
+	Waiting  int           // tasks not started yet
+	Left     int           // tasks not finished yet
 
 	number uint64
 	key    float64
+	late   bool
 	queued bool
 }
 
-// agent is a source of granted slots.
-type agent struct {
-	name     string
-	slots    int
-	credits  int
-	estimate float64 // seconds a task, zero before the first sample
-	paused   time.Time
-	pause    time.Duration
-	inTree   bool
-	key      float64
-}
-
-// Dispatcher holds the queue and the granted slots of one service. Init must
-// be called first. It is not safe for concurrent use.
+// Dispatcher holds the queue of one service and the room of its agents. Init
+// must be called first. It is not safe for concurrent use.
 type Dispatcher[J any] struct {
 	Settings Settings
 
-	epoch    time.Time
-	jobs     *btree.BTreeG[*Job[J]]
-	free     *btree.BTreeG[*agent]
-	agents   map[string]*agent
-	paused   map[string]*agent
-	numbers  uint64
-	slots    int
-	waiting  int
-	credits  int
-	estimate float64 // seconds a task, over all agents
+	epoch   time.Time
+	jobs    *btree.BTreeG[*Job[J]]
+	agents  map[string]*agent
+	order   []*agent
+	numbers uint64
+	waiting int
+	work    float64 // seconds of thousandths of a core that wait
+	mean    float64 // seconds a task, over all agents
 }
 
 // Init prepares the Dispatcher.
@@ -69,134 +67,69 @@
 	}
 	d.epoch = now
 	d.agents = make(map[string]*agent)
-	d.paused = make(map[string]*agent)
 	d.jobs = btree.NewG(treeDegree, func(a, b *Job[J]) bool {
 		return a.key < b.key || a.key == b.key && a.number < b.number
 	})
-	d.free = btree.NewG(treeDegree, func(a, b *agent) bool {
-		return a.key < b.key || a.key == b.key && a.name < b.name
-	})
 }
 
 // Waiting returns the number of tasks in the queue.
 func (d *Dispatcher[J]) Waiting() int { return d.waiting }
 
-// Credits returns the number of granted slots not used yet.
-func (d *Dispatcher[J]) Credits() int { return d.credits }
-
 // Agents returns the number of agents known.
 func (d *Dispatcher[J]) Agents() int { return len(d.agents) }
 
-// AddAgent adds an agent without granted slots.
-func (d *Dispatcher[J]) AddAgent(name string, slots int) {
-	if a := d.agents[name]; a != nil {
-		d.slots += slots - a.slots
-		a.slots = slots
-		return
-	}
-	d.agents[name] = &agent{name: name, slots: slots}
-	d.slots += slots
-}
-
-// RemoveAgent removes an agent with its granted slots.
-func (d *Dispatcher[J]) RemoveAgent(name string) {
-	a := d.agents[name]
-	if a == nil {
-		return
-	}
-	d.take(a, a.credits)
-	d.slots -= a.slots
-	delete(d.agents, name)
-	delete(d.paused, name)
-}
-
-// Credit adds n granted slots of an agent.
-func (d *Dispatcher[J]) Credit(name string, n int) {
-	a := d.agents[name]
-	if a == nil {
-		return
-	}
-	a.credits += n
-	d.credits += n
-	d.place(a)
-}
-
-// TakeBack removes up to n unused grants of an agent and returns how many.
-func (d *Dispatcher[J]) TakeBack(name string, n int) int {
-	a := d.agents[name]
-	if a == nil {
-		return 0
-	}
-	n = min(n, a.credits)
-	d.take(a, n)
-	return n
-}
-
-// take uses n credits of a.
-func (d *Dispatcher[J]) take(a *agent, n int) {
-	a.credits -= n
-	d.credits -= n
-	d.place(a)
-}
-
-// place puts a where its credits and its estimate belong.
-func (d *Dispatcher[J]) place(a *agent) {
-	if a.inTree {
-		d.free.Delete(a)
-		a.inTree = false
-	}
-	if a.credits == 0 || !a.paused.IsZero() {
-		return
-	}
-	a.key = a.estimate * (1 - idlePreference*float64(a.credits)/float64(max(a.slots, a.credits)))
-	a.inTree = true
-	d.free.ReplaceOrInsert(a)
-}
-
-// Observe notes that a task took t on the agent.
-func (d *Dispatcher[J]) Observe(name string, t time.Duration) {
-	d.estimate = blend(d.estimate, t.Seconds())
-	a := d.agents[name]
-	if a == nil {
-		return
+// Room returns the free room of all agents that may get tasks.
+func (d *Dispatcher[J]) Room() sizer.Size {
+	var sum sizer.Size
+	for _, a := range d.order {
+		if a.open() {
+			sum = sum.Plus(a.room)
+		}
 	}
-	a.pause = 0
-	a.estimate = blend(a.estimate, t.Seconds())
-	d.place(a)
+	return sum
 }
 
 func blend(old, sample float64) float64 {
 	if old == 0 {
 		return sample
 	}
-	return old + estimateWeight*(sample-old)
+	return old + meanWeight*(sample-old)
 }
 
-// Pause takes an agent out for a while after a failure, twice as long at each
-// failure in a row.
-func (d *Dispatcher[J]) Pause(now time.Time, name string) {
-	a := d.agents[name]
-	if a == nil || !a.paused.IsZero() {
-		return
+// expected returns the seconds that a task is expected to take on an agent of
+// ordinary speed.
+func (d *Dispatcher[J]) expected(estimate time.Duration) float64 {
+	switch {
+	case estimate > 0:
+		return estimate.Seconds()
+	case d.mean > 0:
+		return d.mean
 	}
-	a.pause = min(max(2*a.pause, minPause), maxPause)
-	a.paused = now.Add(a.pause)
-	d.paused[name] = a
-	d.place(a)
+	return defaultEstimate.Seconds()
 }
 
-// Tick brings paused agents back whose time is over.
+// Tick brings paused agents back whose time is over, and moves jobs that can
+// no longer be done in time behind the others.
 func (d *Dispatcher[J]) Tick(now time.Time) {
-	for name, a := range d.paused {
-		if now.Before(a.paused) {
-			continue
+	d.resume(now)
+	for {
+		j, ok := d.jobs.Min()
+		if !ok || j.late || j.Due.IsZero() || !now.After(d.latestStart(j)) {
+			return
 		}
-		a.paused = time.Time{}
-		delete(d.paused, name)
-		d.place(a)
+		d.jobs.Delete(j)
+		j.late = true
+		j.key = d.rank(j)
+		d.jobs.ReplaceOrInsert(j)
 	}
 }
 
+// latestStart is when the job's next task has to start to be done in time.
+func (d *Dispatcher[J]) latestStart(j *Job[J]) time.Time {
+	expected := d.expected(j.Estimate) * (1 - lateMargin)
+	return j.Due.Add(-time.Duration(expected * float64(time.Second)))
+}
+
 // Add puts a job with waiting tasks in the queue, or brings its place up to
 // date after Waiting or Left changed.
 func (d *Dispatcher[J]) Add(j *Job[J], waiting, left int) {
@@ -212,6 +145,7 @@
 	j.key = d.rank(j)
 	j.queued = true
 	d.waiting += waiting
+	d.work += d.workOf(j)
 	d.jobs.ReplaceOrInsert(j)
 }
 
@@ -223,46 +157,117 @@
 	d.jobs.Delete(j)
 	j.queued = false
 	d.waiting -= j.Waiting
+	d.work -= d.workOf(j)
+}
+
+// workOf is the work of the job's waiting tasks, in seconds of thousandths of
+// a core. It must not change while the job is queued.
+func (d *Dispatcher[J]) workOf(j *Job[J]) float64 {
+	return float64(j.Waiting) * d.taskWork(j)
+}
+
+func (d *Dispatcher[J]) taskWork(j *Job[J]) float64 {
+	estimate := j.Estimate
+	if estimate <= 0 {
+		estimate = defaultEstimate
+	}
+	return float64(j.Need.CPU) * estimate.Seconds()
+}
+
+// DrainSeconds is how long the waiting tasks keep the agents busy, in seconds,
+// infinite when there is no agent.
+func (d *Dispatcher[J]) DrainSeconds() float64 {
+	capacity := 0.0
+	for _, a := range d.order {
+		if a.open() {
+			capacity += float64(a.capacity.CPU) / a.slowness()
+		}
+	}
+	if capacity == 0 {
+		return math.Inf(1)
+	}
+	return d.work / capacity
 }
 
-// rank is the job's remaining work in seconds, plus the age term: since every
-// job ages at the same rate, adding the arrival time orders jobs as
-// subtracting the time waited does, and needs no update as time passes.
+// rank orders the queue, the smallest first. A job with a due time ranks by
+// its latest start, in seconds. One without ranks by its remaining work, plus
+// the age term: since every job ages at the same rate, adding the arrival time
+// orders jobs as subtracting the time waited does, and needs no update as time
+// passes.
 func (d *Dispatcher[J]) rank(j *Job[J]) float64 {
-	estimate := d.estimate
-	if estimate == 0 {
-		estimate = defaultEstimate.Seconds()
+	if !j.Due.IsZero() {
+		key := d.latestStart(j).Sub(d.epoch).Seconds()
+		if j.late {
+			key += lateOffset
+		}
+		return key
 	}
-	rate := d.Settings.Ageing * float64(max(d.slots, 1))
-	return float64(j.Left)*estimate + rate*j.Arrived.Sub(d.epoch).Seconds()
+	rate := d.Settings.Ageing * float64(max(len(d.agents), 1))
+	return float64(j.Left)*d.expected(j.Estimate) + rate*j.Arrived.Sub(d.epoch).Seconds() + untimedOffset
 }
 
 // Next chooses a job and an agent for one of its waiting tasks, and uses up
-// the grant and the waiting task. Eligible tells whether an agent may be used
+// the room and the waiting task. Eligible tells whether an agent may be used
 // for a job; nil means always.
 func (d *Dispatcher[J]) Next(eligible func(J, string) bool) (j *Job[J], name string, ok bool) {
-	if d.free.Len() == 0 || d.jobs.Len() == 0 {
+	if d.jobs.Len() == 0 {
 		return nil, "", false
 	}
 	var chosen *agent
+	scanned := 0
 	d.jobs.Ascend(func(x *Job[J]) bool {
-		d.free.Ascend(func(a *agent) bool {
-			if eligible == nil || eligible(x.Value, a.name) {
-				j, chosen = x, a
-			}
-			return chosen == nil
-		})
-		return chosen == nil
+		scanned++
+		if a := d.best(x, eligible); a != nil {
+			j, chosen = x, a
+		}
+		return chosen == nil && scanned < maxScan
 	})
 	if chosen == nil {
 		return nil, "", false
 	}
-	d.take(chosen, 1)
+	chosen.take(j.Need)
 	j.Waiting--
 	d.waiting--
+	d.work -= d.taskWork(j)
 	if j.Waiting == 0 {
 		d.jobs.Delete(j)
 		j.queued = false
 	}
 	return j, chosen.name, true
 }
+
+// best returns the agent with room on which the job's next task is expected to
+// end soonest, nil when there is none.
+func (d *Dispatcher[J]) best(j *Job[J], eligible func(J, string) bool) *agent {
+	estimate := d.expected(j.Estimate)
+	var best *agent
+	var least float64
+	for _, a := range d.order {
+		if !a.open() || !a.room.Holds(j.Need) || j.Label != "" && !slices.Contains(a.labels, j.Label) {
+			continue
+		}
+		cost := a.cost(estimate)
+		if j.Near != "" && !slices.Contains(a.labels, j.Near) {
+			cost *= farFactor
+		}
+		if (best == nil || cost < least) && (eligible == nil || eligible(j.Value, a.name)) {
+			best, least = a, cost
+		}
+	}
+	return best
+}
+
+// farFactor is how much longer a task takes away from its data, as the
+// platform states it.
+const farFactor = 1.5
+
+// Fits reports whether any agent is large enough for a task of the size, and
+// has the label, if one is named, however busy it is.
+func (d *Dispatcher[J]) Fits(need sizer.Size, label string) bool {
+	for _, a := range d.order {
+		if a.capacity.Holds(need) && (label == "" || slices.Contains(a.labels, label)) {
+			return true
+		}
+	}
+	return false
+}
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mustardlever.dev/mustardlever/dispatcher"
+	"mustardlever.dev/mustardlever/sizer"
 )
 
 var begin = time.Unix(1_000_000, 0)
@@ -14,64 +15,168 @@
 func newDispatcher() *dispatcher.Dispatcher[string] {
 	d := new(dispatcher.Dispatcher[string])
 	d.Init(begin)
-	d.AddAgent("fast", 8)
-	d.AddAgent("slow", 8)
+	d.AddAgent("fast", sizer.Slots(8), []string{"a"})
+	d.AddAgent("slow", sizer.Slots(8), []string{"b"})
 	for range 50 {
-		d.Observe("fast", 100*time.Millisecond)
-		d.Observe("slow", 400*time.Millisecond)
+		d.Observe("fast", 0, 100*time.Millisecond)
+		d.Observe("slow", 0, 400*time.Millisecond)
 	}
 	return d
 }
 
+// room reports n free slots of an agent that has received every start.
+func room(d *dispatcher.Dispatcher[string], agent string, n int) {
+	d.Report(agent, dispatcher.Load{Free: sizer.Slots(n), Received: 1 << 32})
+}
+
 func add(d *dispatcher.Dispatcher[string], name string, after time.Duration, tasks int) {
-	d.Add(&dispatcher.Job[string]{Value: name, Arrived: begin.Add(after)}, tasks, tasks)
+	d.Add(&dispatcher.Job[string]{Value: name, Arrived: begin.Add(after), Need: sizer.Slots(1)}, tasks, tasks)
+}
+
+func addDue(d *dispatcher.Dispatcher[string], name string, due, estimate time.Duration) {
+	j := &dispatcher.Job[string]{Value: name, Arrived: begin, Due: begin.Add(due), Estimate: estimate, Need: sizer.Slots(1)}
+	d.Add(j, 1, 1)
+}
+
+func next(t *testing.T, d *dispatcher.Dispatcher[string]) (job, agent string) {
+	j, agent, ok := d.Next(nil)
+	require.True(t, ok)
+	return j.Value, agent
+}
+
+func none(t *testing.T, d *dispatcher.Dispatcher[string]) {
+	_, _, ok := d.Next(nil)
+	require.False(t, ok)
 }
 
 func TestLeastRemainingWorkComesFirst(t *testing.T) {
 	d := newDispatcher()
-	d.Credit("fast", 2)
+	room(d, "fast", 2)
 	add(d, "large", 0, 100)
 	add(d, "small", time.Second, 1)
-	j, _, ok := d.Next(nil)
-	require.True(t, ok)
-	require.Equal(t, "small", j.Value)
-	j, _, ok = d.Next(nil)
-	require.True(t, ok)
-	require.Equal(t, "large", j.Value)
-	_, _, ok = d.Next(nil)
-	require.False(t, ok, "no granted slot is left")
+	job, _ := next(t, d)
+	require.Equal(t, "small", job)
+	job, _ = next(t, d)
+	require.Equal(t, "large", job)
+	none(t, d)
 }
 
 func TestWaitingMakesUrgent(t *testing.T) {
 	d := newDispatcher()
-	d.Credit("fast", 1)
+	room(d, "fast", 1)
 	add(d, "large", 0, 100)
-	add(d, "small", time.Minute, 1)
-	j, _, _ := d.Next(nil)
-	require.Equal(t, "large", j.Value, "it has waited a minute longer")
+	add(d, "small", 10*time.Minute, 1)
+	job, _ := next(t, d)
+	require.Equal(t, "large", job, "it has waited ten minutes longer")
 }
 
 func TestFastestEligibleAgent(t *testing.T) {
 	d := newDispatcher()
-	d.Credit("slow", 8)
-	d.Credit("fast", 1)
+	room(d, "slow", 8)
+	room(d, "fast", 1)
 	add(d, "job", 0, 3)
-	_, agent, _ := d.Next(nil)
+	_, agent := next(t, d)
 	require.Equal(t, "fast", agent)
-	_, agent, _ = d.Next(nil)
+	_, agent = next(t, d)
 	require.Equal(t, "slow", agent)
 	_, _, ok := d.Next(func(string, string) bool { return false })
 	require.False(t, ok)
 }
 
-func TestPausedAgentComesBack(t *testing.T) {
+func TestStartsCountBeforeTheyAreReported(t *testing.T) {
 	d := newDispatcher()
-	d.Credit("fast", 1)
-	d.Pause(begin, "fast")
-	add(d, "job", 0, 1)
-	_, _, ok := d.Next(nil)
-	require.False(t, ok)
+	d.Report("fast", dispatcher.Load{Free: sizer.Slots(2)})
+	add(d, "job", 0, 9)
+	next(t, d)
+	next(t, d)
+	none(t, d)
+	d.Report("fast", dispatcher.Load{Free: sizer.Slots(2), Received: 1}) // another task has ended there
+	next(t, d)
+	none(t, d)
+}
+
+func TestSmallTaskPassesOneThatDoesNotFit(t *testing.T) {
+	d := newDispatcher()
+	room(d, "fast", 2)
+	d.Add(&dispatcher.Job[string]{Value: "large", Arrived: begin, Need: sizer.Slots(3)}, 1, 1)
+	add(d, "small", time.Minute, 1)
+	job, _ := next(t, d)
+	require.Equal(t, "small", job)
+}
+
+func TestMostUrgentComesFirst(t *testing.T) {
+	d := newDispatcher()
+	room(d, "fast", 3)
+	addDue(d, "short", 300*time.Millisecond, 100*time.Millisecond)
+	addDue(d, "long", 900*time.Millisecond, 850*time.Millisecond)
+	job, _ := next(t, d)
+	require.Equal(t, "long", job, "it has to start by 50 ms, the other one by 200 ms")
+}
+
+// A burst leaves jobs in the queue that can no longer be in time; those that
+// still can go first.
+func TestLateJobComesLast(t *testing.T) {
+	d := newDispatcher()
+	addDue(d, "late", 200*time.Millisecond, 100*time.Millisecond)
+	addDue(d, "possible", 900*time.Millisecond, 100*time.Millisecond)
+	d.Tick(begin.Add(150 * time.Millisecond))
+	room(d, "fast", 2)
+	job, _ := next(t, d)
+	require.Equal(t, "possible", job)
+	job, _ = next(t, d)
+	require.Equal(t, "late", job)
+}
+
+func TestLabelIsRequired(t *testing.T) {
+	d := newDispatcher()
+	room(d, "fast", 8)
+	room(d, "slow", 8)
+	d.Add(&dispatcher.Job[string]{Value: "job", Arrived: begin, Need: sizer.Slots(1), Label: "b"}, 1, 1)
+	_, agent := next(t, d)
+	require.Equal(t, "slow", agent)
+	require.False(t, d.Fits(sizer.Slots(1), "c"))
+	require.False(t, d.Fits(sizer.Slots(9), "b"))
+}
+
+func TestPausedAgentComesBackOnTrial(t *testing.T) {
+	d := newDispatcher()
+	room(d, "fast", 4)
+	for range 3 {
+		d.Fail(begin, "fast")
+	}
+	add(d, "job", 0, 4)
+	none(t, d)
 	d.Tick(begin.Add(time.Second))
-	_, agent, _ := d.Next(nil)
+	_, agent := next(t, d)
 	require.Equal(t, "fast", agent)
+	none(t, d) // until the one on trial has ended
+	d.Ended("fast")
+	d.Observe("fast", 0, 100*time.Millisecond)
+	next(t, d)
+	next(t, d)
+}
+
+// When every task fails everywhere the fault is not the agents': at least half
+// of them stay in use.
+func TestNotAllAgentsArePaused(t *testing.T) {
+	d := newDispatcher()
+	for _, agent := range []string{"fast", "slow"} {
+		room(d, agent, 4)
+		for range 3 {
+			d.Fail(begin, agent)
+		}
+	}
+	add(d, "job", 0, 1)
+	next(t, d)
+}
+
+func TestDrainTime(t *testing.T) {
+	d := newDispatcher()
+	require.Zero(t, d.DrainSeconds())
+	add(d, "job", 0, 100)
+	waiting := d.DrainSeconds()
+	require.Greater(t, waiting, 0.0)
+	room(d, "slow", 8)
+	next(t, d)
+	require.Less(t, d.DrainSeconds(), waiting)
 }
--- a/keeper/agent.go
+++ b/keeper/agent.go
@@ -6,27 +6,31 @@
 	"mustardlever.dev/mustardlever/messenger"
 )
 
-// announce takes an agent's offer of its backend server.
+// announce takes an agent's offer of its backend server. A new incarnation
+// announces itself when nothing of an earlier one runs any more, so that tasks
+// bound to that one can start elsewhere at once.
 func (k *Keeper) announce(now time.Time, from string, m *messenger.Announce) {
 	a := k.agents[from]
 	if a == nil {
 		a = &agent{name: from, inflight: make(map[*job]map[int]bool)}
 		k.agents[from] = a
-		k.untold = true
 		delete(k.gone, from)
 		k.tellRoster(from)
 		k.ackWaiting(from)
+		k.endLapses(now, func(t *task) bool { return messenger.NameOf(t.agent) == messenger.NameOf(from) })
 	}
 	a.address, a.leaving = m.Address, m.Leaving
 	if m.Leaving {
 		k.queue.RemoveAgent(from)
 		return
 	}
-	k.queue.AddAgent(from, m.Slots)
+	k.queue.AddAgent(from, m.Capacity, m.Labels)
+	k.queue.Report(from, m.Load)
+	k.dispatch()
 }
 
 // AgentLost notes that the session with an agent was given up: what it was
-// sent and did not answer may have run.
+// sent and did not answer may have run, and may run on for a while.
 func (k *Keeper) AgentLost(now time.Time, name string) {
 	a := k.agents[name]
 	if a == nil {
@@ -38,8 +42,7 @@
 	k.tellRoster(name)
 	for j, tasks := range a.inflight {
 		for i := range tasks {
-			j.tasks[i].state, j.doubt = unknown, messenger.ReasonAgentLost
-			k.decide("task-unknown", j, i, name, "agent lost")
+			k.loseTask(now, j, i)
 		}
 		k.advance(now, j)
 	}
@@ -47,6 +50,37 @@
 	k.dispatch()
 }
 
+// loseTask notes that a task's agent is lost.
+func (k *Keeper) loseTask(now time.Time, j *job, i int) {
+	t := &j.tasks[i]
+	if j.restarts {
+		t.state, t.lapses = lapsing, now.Add(k.Settings.LapseWait)
+		k.lapsing[j] = true
+		k.decide("task-lapsing", j, i, t.agent, "agent lost")
+		return
+	}
+	t.state, j.doubt = unknown, messenger.ReasonAgentLost
+	k.decide("task-unknown", j, i, t.agent, "agent lost")
+}
+
+// endLapses makes tasks pending again whose earlier start surely does not run
+// any more.
+func (k *Keeper) endLapses(now time.Time, over func(*task) bool) {
+	for j := range k.lapsing {
+		for i := range j.tasks {
+			t := &j.tasks[i]
+			if t.state == lapsing && over(t) {
+				j.rebind(i)
+				k.decide("task-restarts", j, i, t.agent, "its earlier start has ended")
+			}
+		}
+		if j.count(lapsing) == 0 {
+			delete(k.lapsing, j)
+		}
+		k.advance(now, j)
+	}
+}
+
 // AgentView is what operators see of an agent.
 type AgentView struct {
 	Agent   string `json:"agent"`
--- a/keeper/bench_test.go
+++ b/keeper/bench_test.go
@@ -8,10 +8,15 @@
 	"time"
 
 	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/sizer"
 )
 
 const benchSlots = 8
 
+// benchLoad is the load of an agent with free slots that has received every
+// start.
+var benchLoad = messenger.Load{Free: sizer.Slots(benchSlots), Received: 1 << 32}
+
 // loaded returns a Keeper with agents whose slots are all in use, and about
 // waiting tasks in the queue, in jobs of 50.
 func loaded(b *testing.B, agents, waiting int) (*Keeper, []*messenger.Start) {
@@ -19,8 +24,9 @@
 	k.Init(testStart)
 	for i := range agents {
 		name := fmt.Sprintf("agent-%d.1", i)
-		k.Receive(testStart, name, messenger.Message{Announce: &messenger.Announce{Slots: benchSlots}})
-		k.Receive(testStart, name, messenger.Message{Credit: &messenger.Credit{Slots: benchSlots}})
+		k.Receive(testStart, name, messenger.Message{Announce: &messenger.Announce{
+			Capacity: sizer.Slots(benchSlots), Load: benchLoad,
+		}})
 	}
 	for k.queue.Waiting() < waiting {
 		submitBench(b, k, 50)
@@ -52,7 +58,7 @@
 					s := running[0]
 					running = running[1:]
 					k.Receive(testStart, s.Agent, messenger.Message{Outcome: &messenger.Outcome{
-						Ticket: s.Ticket, Task: s.Task, Result: result, Grant: 1,
+						Ticket: s.Ticket, Task: s.Task, Result: result, Load: benchLoad,
 					}})
 					if i%50 == 49 {
 						submitBench(b, k, 50)
@@ -90,7 +96,7 @@
 						for _, s := range list {
 							body := []byte(strings.Repeat("x", 100))
 							k.Receive(testStart, s.Agent, messenger.Message{Outcome: &messenger.Outcome{
-								Ticket: s.Ticket, Task: s.Task, Result: &messenger.Result{Status: 200, Body: body}, Grant: 1,
+								Ticket: s.Ticket, Task: s.Task, Result: &messenger.Result{Status: 200, Body: body}, Load: benchLoad,
 							}})
 						}
 					}
--- /dev/null
+++ b/keeper/direct.go
@@ -0,0 +1,66 @@
+package keeper
+
+import (
+	"math"
+	"time"
+
+	"mustardlever.dev/mustardlever/messenger"
+)
+
+// minComeBack and maxComeBack bound the time after which a caller is asked to
+// come back.
+const (
+	minComeBack = 200 * time.Millisecond
+	maxComeBack = 5 * time.Second
+)
+
+// Run takes a job whose caller waits for its answer and has no ticket: nobody
+// asks for it again, and its tasks end with this entry. It returns the number
+// under which Drain reports the job's end, or the answer if there is one at
+// once. Nothing of a refused job was or will be started.
+func (k *Keeper) Run(now time.Time, in Job) (uint64, *Answer, error) {
+	switch {
+	case k.draining:
+		return 0, nil, &Error{Op: "run", Kind: KindDraining, Detail: "the entry is leaving"}
+	case len(k.agents) == 0:
+		return 0, nil, &Error{Op: "run", Kind: KindNoAgents, Detail: "no backend server of " + k.Service + " is there"}
+	case k.full():
+		return 0, nil, &Error{Op: "run", Kind: KindOverload, Detail: "the queue is full"}
+	}
+	number := k.next
+	k.next++
+	j := k.newJob(now, key{k.Self, number}, in)
+	if !k.queue.Fits(j.place.Need, j.place.Label) {
+		k.stop(now, j, messenger.ReasonNoFit)
+	} else {
+		k.enqueue(j)
+		k.dispatch()
+	}
+	return number, j.answer, nil
+}
+
+// CancelRun ends a job that Run took, because its caller has left.
+func (k *Keeper) CancelRun(now time.Time, number uint64) {
+	if j := k.jobs[key{k.Self, number}]; j != nil {
+		k.stop(now, j, messenger.ReasonCancelled)
+	}
+}
+
+// AbandonRuns ends all jobs that Run took, for one reason.
+func (k *Keeper) AbandonRuns(now time.Time, r messenger.Reason) {
+	for j := range k.active {
+		if j.restarts {
+			k.stop(now, j, r)
+		}
+	}
+}
+
+// comeBack is when a job that is refused now would find room: the time in
+// which the queue drains at the rate that the agents have.
+func (k *Keeper) comeBack() time.Duration {
+	seconds := k.queue.DrainSeconds()
+	if math.IsInf(seconds, 1) {
+		return maxComeBack
+	}
+	return min(max(time.Duration(seconds*float64(time.Second)), minComeBack), maxComeBack)
+}
--- a/keeper/ending.go
+++ b/keeper/ending.go
@@ -17,6 +17,10 @@
 		k.queue.Remove(&j.place)
 		k.decide("job-stopped", j, -1, "", string(r))
 	}
+	if j.restarts {
+		k.abandon(now, j)
+		return
+	}
 	if r == messenger.ReasonDeadline {
 		k.release(j)
 		j.mark(sent, unknown)
@@ -26,6 +30,24 @@
 	}
 }
 
+// abandon ends a job whose tasks are bound to this entry: it is answered at
+// once, and what runs is stopped.
+func (k *Keeper) abandon(now time.Time, j *job) {
+	tasks := make(map[string][]int)
+	for i := range j.tasks {
+		if j.tasks[i].state == sent {
+			tasks[j.tasks[i].agent] = append(tasks[j.tasks[i].agent], i)
+		}
+	}
+	for agent, list := range tasks {
+		k.send(agent, messenger.Message{Stop: &messenger.Stop{Ticket: j.ticket(k.Self), Tasks: list}})
+	}
+	k.release(j)
+	j.mark(sent, unknown)
+	j.mark(lapsing, unknown)
+	k.end(now, j, j.newAnswer(StateFailed, j.stopping))
+}
+
 // release forgets all starts of a job that are not answered.
 func (k *Keeper) release(j *job) {
 	for i := range j.tasks {
@@ -85,6 +107,11 @@
 	k.release(j)
 	j.requests, j.ended = nil, now
 	delete(k.active, j)
+	delete(k.lapsing, j)
+	if j.restarts {
+		delete(k.jobs, j.key) // nobody can ask for it again
+		return
+	}
 	k.ended = append(k.ended, j)
 	k.keep(j)
 }
--- a/keeper/job.go
+++ b/keeper/job.go
@@ -13,6 +13,18 @@
 	Tasks          []messenger.Request
 	DeadlineMillis int64  // zero: Settings.Deadline
 	Digest         string // of the submission, to tell a resubmission from another job
+	Name           string // caller's own id, for the record
+	Restarts       Restarts
+	Due            time.Duration // when it should be done, from its arrival; zero: no such time
+	Label          string        // an agent must have it; empty: any agent
+	Near           string        // label of agents near the job's data; empty: none
+}
+
+// Restarts says whether and how tasks may be started again. The zero value
+// starts no task twice.
+type Restarts struct {
+	Attempts int // how often a task may fail before its job does; zero: nothing is started again
+	First    int // number of the first start; later ones have higher numbers
 }
 
 // State is the state of a job.
@@ -38,6 +50,7 @@
 	State  State
 	Reason messenger.Reason
 	Tasks  []TaskAnswer
+	Wait   time.Duration // when to come back after an answer that nothing ran; zero: nothing is known
 }
 
 // MayHaveRun reports whether any task ran or may have run.
@@ -58,13 +71,23 @@
 	sent                     // a start was sent and not answered
 	ran                      // the result is here
 	unknown                  // it may have run
+	lapsing                  // it may run on a lost agent, and may be started again later
 )
 
 type task struct {
-	state   taskState
-	agent   string
-	attempt int // grows with each refusal
-	result  *messenger.Result
+	state    taskState
+	agent    string
+	attempt  int // grows each time the task is bound anew
+	failures int // starts that ended as failed
+	lapses   time.Time
+	result   *messenger.Result
+}
+
+// rebind makes a task pending again, whose last start does not run.
+func (j *job) rebind(i int) {
+	t := &j.tasks[i]
+	t.state, t.agent, t.result = pending, "", nil
+	t.attempt++
 }
 
 // key names a job over all owners.
@@ -85,6 +108,10 @@
 	submitted time.Time
 	deadline  time.Time
 
+	name     string // caller's own id
+	restarts bool   // tasks are bound to this entry and may be started again
+	attempts int    // how often a task may fail
+
 	waitsSeal   bool             // taken over, the seal is not complete
 	stopping    messenger.Reason // no further task is started
 	doubt       messenger.Reason // why a task is unknown
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -17,6 +17,7 @@
 	QueueTasks int           // tasks that may wait; default 50,000
 	KeptJobs   int           // jobs kept, ended ones included; default 200,000
 	KeptBytes  int           // bytes of ended jobs' results kept; default 48 MiB
+	LapseWait  time.Duration // from an agent's loss until its bound tasks surely do not run; default 2 s
 	Dispatcher dispatcher.Settings
 }
 
@@ -29,6 +30,7 @@
 	setDefault(&s.QueueTasks, 50_000)
 	setDefault(&s.KeptJobs, 200_000)
 	setDefault(&s.KeptBytes, 48<<20)
+	setDefault(&s.LapseWait, 2*time.Second)
 	return s
 }
 
@@ -61,6 +63,7 @@
 	Task     int // -1 for the whole job
 	Peer     string
 	Reason   string
+	Name     string // caller's own id of the job, if it has one
 }
 
 // agent is an agent incarnation with which there is a session.
@@ -69,7 +72,6 @@
 	address  string
 	leaving  bool
 	inflight map[*job]map[int]bool
-	told     int // demand last told
 }
 
 // Keeper is the decision state. Set Self and Service, call Init.
@@ -96,8 +98,7 @@
 	kept      []*job          // ended jobs with results, oldest first
 	keptBytes int
 	queue     dispatcher.Dispatcher[*job]
-	demand    int  // waiting tasks when agents were last told
-	untold    bool // an agent has to hear of the demand
+	lapsing   map[*job]bool // wait for tasks on lost agents to end
 	draining  bool
 	yielded   bool // unfinished jobs were given up to their witnesses
 	lastClose time.Time
@@ -125,6 +126,7 @@
 	k.witnesses = make(map[string]*witness)
 	k.owners = make(map[string]*ownerState)
 	k.closed = make(map[string]bool)
+	k.lapsing = make(map[*job]bool)
 	k.queue.Settings = k.Settings.Dispatcher
 	k.queue.Init(now)
 }
@@ -142,7 +144,7 @@
 }
 
 func (k *Keeper) decide(kind string, j *job, task int, peer, reason string) {
-	k.decisions = append(k.decisions, Decision{kind, j.key.owner, j.key.sequence, task, peer, reason})
+	k.decisions = append(k.decisions, Decision{kind, j.key.owner, j.key.sequence, task, peer, reason, j.name})
 }
 
 // Drained reports whether no job is left unfinished.
@@ -156,7 +158,8 @@
 	Jobs      int `json:"jobs"`       // kept, ended ones included
 	Active    int `json:"unfinished"` // not ended
 	Waiting   int `json:"waiting-tasks"`
-	Credits   int `json:"granted-slots"`
+	RoomCPU   int `json:"room-cpu"`       // thousandths of a core that are free
+	Suspect   int `json:"suspect-agents"` // paused or on trial
 	Agents    int `json:"agents"`
 	Witnessed int `json:"witnessed-agents"` // acknowledged by the witness that has the most
 	Owners    int `json:"witnessed-owners"` // owners that this entry witnesses
@@ -166,7 +169,7 @@
 func (k *Keeper) Counts() Counts {
 	c := Counts{
 		Jobs: len(k.jobs), Active: len(k.active), Waiting: k.queue.Waiting(),
-		Credits: k.queue.Credits(), Agents: len(k.agents), Owners: len(k.owners),
+		RoomCPU: k.queue.Room().CPU, Suspect: k.queue.Suspect(), Agents: len(k.agents), Owners: len(k.owners),
 	}
 	for _, w := range k.witnesses {
 		if !w.sealed {
@@ -181,12 +184,9 @@
 	switch {
 	case m.Outcome != nil:
 		k.outcome(now, from, m.Outcome)
-	case m.Credit != nil:
-		k.queue.Credit(from, m.Credit.Slots)
+	case m.Load != nil:
+		k.queue.Report(from, *m.Load)
 		k.dispatch()
-	case m.Recall != nil:
-		n := k.queue.TakeBack(from, m.Recall.Slots)
-		k.send(from, messenger.Message{Return: &messenger.Return{Slots: n, Demand: k.queue.Waiting()}})
 	case m.Announce != nil:
 		k.announce(now, from, m.Announce)
 	case m.Roster != nil:
@@ -198,7 +198,7 @@
 	case m.SettleAck != nil:
 		k.settleAck(now, from, m.SettleAck)
 	case m.Sealed != nil:
-		k.sealedBy(now, from, m.Sealed.Witness)
+		k.sealedBy(now, m.Sealed.Witness)
 	case m.Marks != nil:
 		k.marks(now, from, m.Marks)
 	case m.Close != nil:
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -8,6 +8,7 @@
 
 	"mustardlever.dev/mustardlever/internal/fault"
 	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/sizer"
 )
 
 const (
@@ -17,12 +18,17 @@
 
 var testStart = time.Unix(1_000_000, 0)
 
-// newKeeper returns a Keeper with one agent that granted four slots.
+// roomy is the load of an agent with four free slots that has received every
+// start.
+var roomy = messenger.Load{Free: sizer.Slots(4), Received: 1 << 32}
+
+// newKeeper returns a Keeper with one agent that has four free slots.
 func newKeeper() *Keeper {
 	k := &Keeper{Self: "self.1", Zone: "zone-1", Service: "s"}
 	k.Init(testStart)
-	k.Receive(testStart, testAgent, messenger.Message{Announce: &messenger.Announce{Slots: 4}})
-	k.Receive(testStart, testAgent, messenger.Message{Credit: &messenger.Credit{Slots: 4}})
+	k.Receive(testStart, testAgent, messenger.Message{Announce: &messenger.Announce{
+		Capacity: sizer.Slots(4), Load: roomy,
+	}})
 	k.Drain()
 	return k
 }
@@ -43,7 +49,7 @@
 
 func finish(k *Keeper, now time.Time, s *messenger.Start) {
 	k.Receive(now, testAgent, messenger.Message{Outcome: &messenger.Outcome{
-		Ticket: s.Ticket, Task: s.Task, Attempt: s.Attempt, Result: &messenger.Result{Status: 200}, Grant: 1,
+		Ticket: s.Ticket, Task: s.Task, Attempt: s.Attempt, Result: &messenger.Result{Status: 200}, Load: roomy,
 	}})
 }
 
@@ -132,7 +138,7 @@
 		require.NoError(t, err)
 		s := starts(k)[0]
 		k.Receive(testStart, testAgent, messenger.Message{Outcome: &messenger.Outcome{
-			Ticket: s.Ticket, Task: 0, Result: &messenger.Result{Status: 200, Body: []byte(`"123456"`)}, Grant: 1,
+			Ticket: s.Ticket, Task: 0, Result: &messenger.Result{Status: 200, Body: []byte(`"123456"`)}, Load: roomy,
 		}})
 	}
 	first, err := k.Find(testStart, tickets[0].Ticket)
--- a/keeper/owner.go
+++ b/keeper/owner.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"mustardlever.dev/mustardlever/dispatcher"
 	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/sizer"
 	"mustardlever.dev/mustardlever/ticketer"
 )
 
@@ -103,6 +105,24 @@
 	return j.answer, nil
 }
 
+// place returns the job's place in the queue. Its tasks count as large and as
+// long as the largest and the longest of them.
+func (in *Job) place(now time.Time, j *job) dispatcher.Job[*job] {
+	p := dispatcher.Job[*job]{Value: j, Arrived: now, Label: in.Label, Near: in.Near}
+	if in.Due > 0 {
+		p.Due = now.Add(in.Due)
+	}
+	for i := range in.Tasks {
+		need := in.Tasks[i].Need
+		if need == (sizer.Size{}) {
+			need = sizer.Slots(1)
+		}
+		p.Need = p.Need.Max(need)
+		p.Estimate = max(p.Estimate, time.Duration(in.Tasks[i].EstimateMillis)*time.Millisecond)
+	}
+	return p
+}
+
 func (k *Keeper) newJob(now time.Time, id key, in Job) *job {
 	deadline := k.Settings.Deadline
 	if in.DeadlineMillis > 0 {
@@ -112,8 +132,11 @@
 		key: id, digest: in.Digest, requests: in.Tasks, tasks: make([]task, len(in.Tasks)),
 		submitted: now, deadline: now.Add(deadline),
 	}
-	j.place.Value = j
-	j.place.Arrived = now
+	j.name, j.restarts, j.attempts = in.Name, in.Restarts.Attempts > 0, in.Restarts.Attempts
+	for i := range j.tasks {
+		j.tasks[i].attempt = in.Restarts.First
+	}
+	j.place = in.place(now, j)
 	k.jobs[id] = j
 	k.active[j] = true
 	k.decide("job-submitted", j, -1, "", "")
--- a/keeper/progress.go
+++ b/keeper/progress.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"net/http"
 	"time"
 
 	"mustardlever.dev/mustardlever/messenger"
@@ -20,7 +21,6 @@
 		}
 		k.startTask(j.Value, k.agents[name])
 	}
-	k.tellDemand()
 }
 
 // eligible carries out rule 3: the owner uses an agent for a ticket only after
@@ -40,10 +40,9 @@
 		a.inflight[j] = make(map[int]bool)
 	}
 	a.inflight[j][i] = true
-	a.told = k.queue.Waiting()
 	k.send(a.name, messenger.Message{Start: &messenger.Start{
 		Agent: a.name, Ticket: j.ticket(k.Self), Task: i, Attempt: j.tasks[i].attempt,
-		Request: j.requests[i], Demand: a.told,
+		Request: j.requests[i], Bound: j.restarts,
 	}})
 }
 
@@ -56,33 +55,10 @@
 	return -1
 }
 
-// tellDemand tells agents that tasks wait, unless they know about as much. It
-// looks at the agents only when the number has changed much since the last look
-// or an agent has to hear of it.
-func (k *Keeper) tellDemand() {
-	n := k.queue.Waiting()
-	if n == 0 || !k.untold && alike(n, k.demand) {
-		k.demand = min(k.demand, n)
-		return
-	}
-	k.demand, k.untold = n, false
-	for _, a := range k.agents {
-		if a.leaving || alike(n, a.told) {
-			continue
-		}
-		a.told = n
-		k.send(a.name, messenger.Message{Demand: &messenger.Demand{Tasks: n}})
-	}
-}
-
-// alike tells whether two demands differ by less than a factor of four.
-func alike(a, b int) bool { return a > 0 && b > 0 && a < 4*b && b < 4*a }
-
 // outcome takes what an agent says of a task.
 func (k *Keeper) outcome(now time.Time, from string, m *messenger.Outcome) {
-	if m.Grant > 0 {
-		k.queue.Credit(from, m.Grant)
-	}
+	k.queue.Report(from, m.Load)
+	k.queue.Ended(from)
 	if m.Ticket.Owner == "" {
 		m.Ticket.Owner = k.Self
 	}
@@ -118,7 +94,11 @@
 
 // settleTask carries out rule 2: only a refused task may be bound again.
 func (k *Keeper) settleTask(now time.Time, j *job, m *messenger.Outcome, from string) {
-	if m.Result != nil {
+	switch {
+	case m.Result != nil && j.restarts:
+		k.takeRestartable(now, j, m, from)
+		return
+	case m.Result != nil:
 		k.takeResult(j, m, from)
 		return
 	}
@@ -128,7 +108,7 @@
 		j.tasks[m.Task].state, j.doubt = unknown, messenger.ReasonExpired
 		return
 	}
-	j.tasks[m.Task] = task{state: pending, attempt: m.Attempt + 1}
+	j.rebind(m.Task)
 	switch m.Refusal {
 	case messenger.RefusalSealed:
 		k.surrenderPair(now, j.witness)
@@ -142,13 +122,33 @@
 func (k *Keeper) takeResult(j *job, m *messenger.Outcome, from string) {
 	t := &j.tasks[m.Task]
 	t.state, t.result = ran, m.Result
-	k.queue.Observe(from, time.Duration(m.Result.ServeMicros)*time.Microsecond)
+	k.queue.Observe(from, j.place.Estimate, time.Duration(m.Result.ServeMicros)*time.Microsecond)
 	if m.Result.Status == 0 {
 		t.state, j.doubt = unknown, messenger.ReasonNoResult
 		k.decide("task-unknown", j, m.Task, from, m.Result.Error)
 	}
 }
 
+// takeRestartable notes that a start of a task that may be started again has
+// ended, done or failed.
+func (k *Keeper) takeRestartable(now time.Time, j *job, m *messenger.Outcome, from string) {
+	t := &j.tasks[m.Task]
+	if m.Result.Status < http.StatusBadRequest {
+		t.state, t.result = ran, m.Result
+		k.queue.Observe(from, j.place.Estimate, time.Duration(m.Result.ServeMicros)*time.Microsecond)
+		return
+	}
+	t.failures++
+	k.decide("task-failed", j, m.Task, from, m.Result.Error)
+	k.queue.Fail(now, from)
+	if t.failures < j.attempts {
+		j.rebind(m.Task)
+		return
+	}
+	t.state, t.result = ran, m.Result
+	k.stop(now, j, messenger.ReasonTask)
+}
+
 // advance moves a job on after one of its tasks changed.
 func (k *Keeper) advance(now time.Time, j *job) {
 	if j.answer != nil || j.surrendered || j.waitsSeal {
@@ -161,7 +161,7 @@
 		}
 		k.enqueue(j)
 	}
-	if j.count(sent) == 0 && (j.stopping != "" || j.count(pending) == 0) {
+	if j.count(sent) == 0 && j.count(lapsing) == 0 && (j.stopping != "" || j.count(pending) == 0) {
 		k.conclude(now, j)
 	}
 }
--- a/keeper/tick.go
+++ b/keeper/tick.go
@@ -21,6 +21,9 @@
 	for owner, w := range k.owners {
 		k.checkOwner(now, owner, w)
 	}
+	if len(k.lapsing) > 0 {
+		k.endLapses(now, func(t *task) bool { return !now.Before(t.lapses) })
+	}
 	k.queue.Tick(now)
 	k.expire(now)
 	k.forgetEnded(now)
--- a/keeper/witness.go
+++ b/keeper/witness.go
@@ -8,9 +8,6 @@
 	"mustardlever.dev/mustardlever/messenger"
 )
 
-// maxSlots is more than any backend server has.
-const maxSlots = 1 << 20
-
 // witness is the owner's view of an entry that may witness its tickets.
 type witness struct {
 	zone   string
@@ -116,14 +113,8 @@
 	k.dispatch()
 }
 
-// sealedBy takes an agent's word that a witness has taken over. The agent has
-// voided this entry's grants and hears of its demand anew.
-func (k *Keeper) sealedBy(now time.Time, agent, witness string) {
-	if a := k.agents[agent]; a != nil {
-		a.told = 0
-		k.untold = true
-	}
-	k.queue.TakeBack(agent, maxSlots)
+// sealedBy takes an agent's word that a witness has taken over.
+func (k *Keeper) sealedBy(now time.Time, witness string) {
 	k.surrenderPair(now, witness)
 	k.dispatch()
 }
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -1,6 +1,11 @@
 package messenger
 
-import "encoding/json"
+import (
+	"encoding/json"
+
+	"mustardlever.dev/mustardlever/dispatcher"
+	"mustardlever.dev/mustardlever/sizer"
+)
 
 // Ticket names one job of one service: the entry incarnation that owns it, the
 // entry incarnation that witnesses it (empty for none) and its number among the
@@ -12,11 +17,16 @@
 }
 
 // Request is what a task sends to its backend server: one HTTP POST of Body to
-// Path. TimeoutMillis bounds it; zero means the service's default.
+// Path. TimeoutMillis bounds it; zero means the service's default. Need is the
+// room it takes, one slot when it is nothing; EstimateMillis is how long it may
+// take, zero if nobody said. Name is set for tasks whose caller names them.
 type Request struct {
-	Path          string          `json:"path,omitempty"`
-	Body          json.RawMessage `json:"body,omitempty"`
-	TimeoutMillis int64           `json:"timeout-ms,omitempty"`
+	Name           string          `json:"name,omitempty"`
+	Path           string          `json:"path,omitempty"`
+	Body           json.RawMessage `json:"body,omitempty"`
+	TimeoutMillis  int64           `json:"timeout-ms,omitempty"`
+	Need           sizer.Size      `json:"need,omitzero"`
+	EstimateMillis int64           `json:"estimate-ms,omitempty"`
 }
 
 // Result is what a backend server answered, or the error met after the request
@@ -37,10 +47,8 @@
 	Announce  *Announce  `json:"announce,omitempty"`
 	Start     *Start     `json:"start,omitempty"`
 	Outcome   *Outcome   `json:"outcome,omitempty"`
-	Credit    *Credit    `json:"credit,omitempty"`
-	Demand    *Demand    `json:"demand,omitempty"`
-	Recall    *Recall    `json:"recall,omitempty"`
-	Return    *Return    `json:"return,omitempty"`
+	Stop      *Stop      `json:"stop,omitempty"`
+	Load      *Load      `json:"load,omitempty"`
 	Close     *Close     `json:"close,omitempty"`
 	Seal      *Seal      `json:"seal,omitempty"`
 	Sealed    *Sealed    `json:"sealed,omitempty"`
@@ -57,23 +65,27 @@
 
 // Announce (agent to entry) offers a backend server of a service. A leaving
 // agent announces itself once more with Leaving set and accepts no start of a
-// new task from then on.
+// new task from then on. An agent announces itself only when nothing that an
+// earlier incarnation of it started runs any more.
 type Announce struct {
-	Slots   int    `json:"slots"`
-	Address string `json:"address"`
-	Leaving bool   `json:"leaving,omitempty"`
+	Capacity sizer.Size `json:"capacity"`
+	Labels   []string   `json:"labels,omitempty"`
+	Address  string     `json:"address"`
+	Leaving  bool       `json:"leaving,omitempty"`
+	Load     Load       `json:"load"`
 }
 
-// Start (entry to agent) asks for one task to be started. It uses up one grant.
-// Agent is the agent incarnation meant. Ticket.Owner is empty when the sender
-// owns the ticket.
+// Start (entry to agent) asks for one task to be started. Agent is the agent
+// incarnation meant. Ticket.Owner is empty when the sender owns the ticket. A
+// bound task ends with its owner: the agent stops it when the session with the
+// sender is given up, so that it can be started elsewhere.
 type Start struct {
 	Agent   string  `json:"agent"`
 	Ticket  Ticket  `json:"ticket"`
 	Task    int     `json:"task"`
 	Attempt int     `json:"attempt,omitempty"` // grows each time the task is bound again
 	Request Request `json:"request"`
-	Demand  int     `json:"demand"` // the sender's demand after this start
+	Bound   bool    `json:"bound,omitempty"`
 }
 
 // Refusal says why an agent did not start a task and never will.
@@ -86,42 +98,36 @@
 	RefusalIncarnation Refusal = "incarnation"
 	RefusalLeaving     Refusal = "leaving"
 	RefusalClosed      Refusal = "closed"
-	RefusalNoGrant     Refusal = "no-grant"
+	RefusalNoRoom      Refusal = "no-room"
 	RefusalUnreachable Refusal = "unreachable"
 )
 
+// Refusals of bound tasks that may have run for a while, and do not run any
+// more.
+const (
+	RefusalStopped Refusal = "stopped" // its owner asked for it
+	RefusalLapsed  Refusal = "lapsed"  // the backend server ended it before it was done
+)
+
 // Outcome (agent to entry) answers a start: Result when the task ran, Refusal
-// when it did not and never will on this agent. Grant hands the freed slot
-// back to the receiver.
+// when it did not and never will on this agent.
 type Outcome struct {
 	Ticket  Ticket  `json:"ticket"`
 	Task    int     `json:"task"`
 	Attempt int     `json:"attempt,omitempty"`
 	Result  *Result `json:"result,omitempty"`
 	Refusal Refusal `json:"refusal,omitempty"`
-	Grant   int     `json:"grant,omitempty"`
+	Load    Load    `json:"load"`
 }
 
-// Credit (agent to entry) grants further slots.
-type Credit struct {
-	Slots int `json:"slots"`
-}
+// Load (agent to entry) tells the backend server's room.
+type Load = dispatcher.Load
 
-// Demand (entry to agent) tells how many tasks wait for a grant.
-type Demand struct {
-	Tasks int `json:"tasks"`
-}
-
-// Recall (agent to entry) asks for up to Slots unused grants back.
-type Recall struct {
-	Slots int `json:"slots"`
-}
-
-// Return (entry to agent) gives unused grants back; it answers Recall, with
-// zero when all are in use. Demand is the sender's present demand.
-type Return struct {
-	Slots  int `json:"slots"`
-	Demand int `json:"demand"`
+// Stop (entry to agent) ends bound tasks of a ticket of the sender: those that
+// wait are refused, those that run are stopped.
+type Stop struct {
+	Ticket Ticket `json:"ticket"`
+	Tasks  []int  `json:"tasks"`
 }
 
 // Close (entry to agent and to witness) says that no ticket of Owner below
@@ -139,8 +145,7 @@
 	Owner string `json:"owner"`
 }
 
-// Sealed (agent to owner) tells that a witness has sealed it here, and that
-// its unused grants are void.
+// Sealed (agent to owner) tells that a witness has sealed it here.
 type Sealed struct {
 	Witness string `json:"witness"`
 }
@@ -218,6 +223,11 @@
 	ReasonOverload  Reason = "overload"        // the queue is full
 	ReasonExpired   Reason = "ticket-expired"  // the ticket's time is over
 	ReasonDropped   Reason = "results-dropped" // it ran, but its results were dropped for room
+	ReasonTask      Reason = "task-failed"     // a task failed as often as it may
+	ReasonNoFit     Reason = "no-fit"          // no backend server is large enough
+	ReasonHopeless  Reason = "hopeless"        // it cannot be done in its time
+	ReasonSuspended Reason = "suspended"       // the entry did not run for a while
+	ReasonStopping  Reason = "stopping"        // the entry stops
 )
 
 // SettleAck (witness to owner) answers Settle; Sealed means the witness has
--- a/server/agent.go
+++ b/server/agent.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,12 +14,18 @@
 	"mustardlever.dev/mustardlever/executor"
 	"mustardlever.dev/mustardlever/messenger"
 	"mustardlever.dev/mustardlever/recorder"
+	"mustardlever.dev/mustardlever/sizer"
 	"mustardlever.dev/mustardlever/starter"
 )
 
-// tickInterval is the time between two ticks of a shard.
+// tickInterval is the time between two ticks of a shard. An agent tells its
+// room as often at most.
 const tickInterval = 20 * time.Millisecond
 
+// forgetInterval is the time between two looks of an agent at what it may
+// forget.
+const forgetInterval = time.Second
+
 // BackendServer is a backend server that an agent runs beside.
 type BackendServer struct {
 	Service     string
@@ -27,6 +35,14 @@
 	Timeout     time.Duration
 }
 
+// Backend carries out the decisions on one backend server. Start and Stop must
+// not block; the end of each run is told to Agent.Finish or FinishStopped.
+type Backend struct {
+	Start func(starter.Run)
+	Stop  func(starter.Run) // nil: runs cannot be stopped
+	Close func()
+}
+
 // AgentSettings are the settings of an Agent.
 type AgentSettings struct {
 	Identity       messenger.Identity // without incarnation
@@ -43,6 +59,7 @@
 	Recorder *recorder.Recorder
 
 	hub     messenger.Hub
+	mu      sync.RWMutex
 	shards  map[string]*agentShard
 	leaving atomic.Bool
 	ctx     context.Context
@@ -52,9 +69,9 @@
 
 // agentShard is one service's decisions, under a lock.
 type agentShard struct {
-	mu       sync.Mutex
-	starter  starter.Starter
-	executor executor.Executor
+	mu      sync.Mutex
+	starter starter.Starter
+	backend Backend
 }
 
 // Start connects to the entries and offers the backend servers.
@@ -65,7 +82,9 @@
 	a.Recorder.Process, a.Recorder.Zone = a.hub.Self.Incarnation, a.hub.Self.Zone
 	a.shards = make(map[string]*agentShard)
 	for _, b := range a.Settings.BackendServers {
-		a.shards[b.Service] = a.newShard(b)
+		a.shards[b.Service] = a.newShard(Offer{
+			Service: b.Service, Address: b.Address, Capacity: sizer.Slots(b.Slots), Backend: a.newExecutor(b),
+		})
 	}
 	a.hub.Deliver = a.deliver
 	a.hub.Up = a.up
@@ -79,17 +98,77 @@
 	a.Log.Infof("Agent %s runs.", a.hub.Self.Incarnation)
 }
 
-func (a *Agent) newShard(b BackendServer) *agentShard {
-	s := &agentShard{}
+// Offer is a backend server that an agent offers to the entries.
+type Offer struct {
+	Service  string
+	Address  string // host:port
+	Capacity sizer.Size
+	Labels   []string
+	Backend  Backend
+}
+
+func (a *Agent) newShard(o Offer) *agentShard {
+	s := &agentShard{backend: o.Backend}
 	s.starter.Settings = a.Settings.Starter
-	s.starter.Self, s.starter.Service = a.hub.Self.Incarnation, b.Service
-	s.starter.Address, s.starter.Slots = b.Address, b.Slots
+	s.starter.Self, s.starter.Service = a.hub.Self.Incarnation, o.Service
+	s.starter.Address, s.starter.Capacity, s.starter.Labels = o.Address, o.Capacity, o.Labels
 	s.starter.Init()
-	s.executor.Address, s.executor.Connections, s.executor.Timeout = b.Address, b.Connections, b.Timeout
-	s.executor.Init()
 	return s
 }
 
+// Offer offers a backend server that was found after Start, or changes what is
+// offered of it.
+func (a *Agent) Offer(o Offer) {
+	a.mu.Lock()
+	s := a.shards[o.Service]
+	known := s != nil
+	if !known {
+		s = a.newShard(o)
+		a.shards[o.Service] = s
+	}
+	a.mu.Unlock()
+	to := a.act(s, func(x *starter.Starter) {
+		if known {
+			x.Offer(o.Address, o.Capacity, o.Labels)
+			return
+		}
+		for _, p := range a.hub.Peers() {
+			x.Up(p.Incarnation)
+		}
+	})
+	to.wake(&a.hub)
+}
+
+// Withdraw offers the service's backend server no more: it gets no new task.
+func (a *Agent) Withdraw(service string) {
+	if s := a.shard(service); s != nil {
+		to := a.act(s, (*starter.Starter).LeaveService)
+		to.wake(&a.hub)
+	}
+}
+
+func (a *Agent) shard(service string) *agentShard {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.shards[service]
+}
+
+func (a *Agent) list() []*agentShard {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return slices.Collect(maps.Values(a.shards))
+}
+
+// newExecutor returns the Backend that sends tasks by HTTP.
+func (a *Agent) newExecutor(b BackendServer) Backend {
+	e := &executor.Executor{Address: b.Address, Connections: b.Connections, Timeout: b.Timeout}
+	e.Init()
+	return Backend{
+		Start: func(r starter.Run) { a.done.Go(func() { a.run(e, b.Service, r) }) },
+		Close: e.Close,
+	}
+}
+
 // Identity returns the agent's identity.
 func (a *Agent) Identity() messenger.Identity { return a.hub.Self }
 
@@ -110,23 +189,28 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	decide(&s.starter)
-	out, runs := s.starter.Drain()
+	d := s.starter.Drain()
 	var to recipients
-	for _, o := range out {
+	for _, o := range d.Messages {
 		a.hub.Queue(o.To, o.Message)
 		to.add(o.To)
 	}
-	for _, r := range runs {
-		a.done.Go(func() { a.run(s, r) })
+	for _, r := range d.Starts {
+		s.backend.Start(r)
+	}
+	if s.backend.Stop != nil {
+		for _, r := range d.Stops {
+			s.backend.Stop(r)
+		}
 	}
 	return to
 }
 
 // run executes one task and reports its result.
-func (a *Agent) run(s *agentShard, r starter.Run) {
-	result := s.executor.Run(a.ctx, r.Request)
+func (a *Agent) run(x *executor.Executor, service string, r starter.Run) {
+	result := x.Run(a.ctx, r.Request)
 	e := recorder.Event{
-		Kind: "task-ran", Service: s.starter.Service, Task: r.Task, Peer: s.executor.Address,
+		Kind: "task-ran", Service: service, Task: r.Task, Peer: x.Address,
 		Owner: r.Ticket.Owner, Number: r.Ticket.Sequence,
 	}
 	switch {
@@ -136,8 +220,25 @@
 		e.Kind, e.Reason = "task-unanswered", result.Error
 	}
 	a.Recorder.Add(e)
-	to := a.act(s, func(x *starter.Starter) { x.Finish(r.ID, result) })
-	to.flush(&a.hub)
+	a.Finish(service, r.ID, result)
+}
+
+// Finish tells that a run of the service has ended; a nil result means that it
+// did not start.
+func (a *Agent) Finish(service string, id uint64, result *messenger.Result) {
+	if s := a.shard(service); s != nil {
+		to := a.act(s, func(x *starter.Starter) { x.Finish(id, result) })
+		to.flush(&a.hub)
+	}
+}
+
+// FinishStopped tells that the backend server has ended a run of the service
+// before it was done.
+func (a *Agent) FinishStopped(service string, id uint64) {
+	if s := a.shard(service); s != nil {
+		to := a.act(s, func(x *starter.Starter) { x.FinishStopped(id) })
+		to.flush(&a.hub)
+	}
 }
 
 func (a *Agent) deliver(from messenger.Identity, m messenger.Message) {
@@ -145,7 +246,7 @@
 		a.learn(m.Entries.Addresses)
 		return
 	}
-	s := a.shards[m.Service]
+	s := a.shard(m.Service)
 	if s == nil {
 		return
 	}
@@ -155,7 +256,7 @@
 
 func (a *Agent) up(peer messenger.Identity) {
 	a.Log.Infof("Entry %s is connected.", peer.Incarnation)
-	for _, s := range a.shards {
+	for _, s := range a.list() {
 		to := a.act(s, func(x *starter.Starter) { x.Up(peer.Incarnation) })
 		to.wake(&a.hub)
 	}
@@ -164,23 +265,34 @@
 func (a *Agent) lost(peer messenger.Identity) {
 	a.Log.Warnf("Entry %s is lost.", peer.Incarnation)
 	a.Recorder.Add(recorder.Event{Kind: "peer-lost", Peer: peer.Incarnation, Task: -1})
-	for _, s := range a.shards {
+	for _, s := range a.list() {
 		to := a.act(s, func(x *starter.Starter) { x.Lost(time.Now(), peer.Incarnation) })
 		to.wake(&a.hub)
 	}
 }
 
 func (a *Agent) tick() {
-	ticker := time.NewTicker(time.Second)
+	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	forgot := time.Now()
 	for {
 		select {
 		case <-a.ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		for _, s := range a.shards {
-			to := a.act(s, func(x *starter.Starter) { x.Tick(time.Now()) })
+		now := time.Now()
+		forget := now.Sub(forgot) >= forgetInterval
+		if forget {
+			forgot = now
+		}
+		for _, s := range a.list() {
+			to := a.act(s, func(x *starter.Starter) {
+				if forget {
+					x.Tick(now)
+				}
+				x.TellLoad()
+			})
 			to.wake(&a.hub)
 		}
 	}
@@ -189,7 +301,7 @@
 // Running returns the number of tasks that run.
 func (a *Agent) Running() int {
 	n := 0
-	for _, s := range a.shards {
+	for _, s := range a.list() {
 		s.mu.Lock()
 		n += s.starter.Running()
 		s.mu.Unlock()
@@ -209,7 +321,7 @@
 	a.leaving.Store(true)
 	a.Log.Info("Agent leaves.")
 	a.Recorder.Add(recorder.Event{Kind: "process-draining", Task: -1})
-	for _, s := range a.shards {
+	for _, s := range a.list() {
 		to := a.act(s, (*starter.Starter).LeaveService)
 		to.wake(&a.hub)
 	}
@@ -224,8 +336,10 @@
 	a.cancel()
 	a.hub.Stop()
 	a.done.Wait()
-	for _, s := range a.shards {
-		s.executor.Close()
+	for _, s := range a.list() {
+		if s.backend.Close != nil {
+			s.backend.Close()
+		}
 	}
 }
 
--- a/server/entry.go
+++ b/server/entry.go
@@ -21,18 +21,24 @@
 	Entries   []string           // link addresses of other entries
 	TicketKey []byte
 	Services  map[string]keeper.Settings
+	Open      bool            // services that agents announce are added; Keeper settles them
+	Keeper    keeper.Settings // of services that were added
 	Messenger messenger.Settings
 }
 
+// maxServices bounds the services that agents may add.
+const maxServices = 1000
+
 // Entry serves callers' operations. Set the fields before Start.
 type Entry struct {
 	Settings EntrySettings
 	Log      *logrus.Entry
 	Recorder *recorder.Recorder
+	Decided  func(service string, d keeper.Decision) // told of each decision, under the shard's lock; may be nil
 
 	hub    messenger.Hub
 	coder  ticketer.Coder
-	shards map[string]*entryShard
+	shards shards
 	calls  calls
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -50,14 +56,6 @@
 	sequence uint64
 }
 
-// entryShard is one service's decisions, under a lock.
-type entryShard struct {
-	service string
-	mu      sync.Mutex
-	keeper  keeper.Keeper
-	waiters map[jobName][]chan *keeper.Answer
-}
-
 // Start listens for other processes on l and connects to the other entries.
 func (e *Entry) Start(l net.Listener) {
 	e.ctx, e.cancel = context.WithCancel(context.Background())
@@ -69,9 +67,8 @@
 	e.coder.Key = e.Settings.TicketKey
 	e.known = map[string]bool{e.hub.Self.Address: true}
 	e.Recorder.Process, e.Recorder.Zone = e.hub.Self.Incarnation, e.hub.Self.Zone
-	e.shards = make(map[string]*entryShard)
 	for name, s := range e.Settings.Services {
-		e.shards[name] = e.newShard(name, s)
+		e.shards.add(name, e.newShard(name, s))
 	}
 	e.hub.Deliver = e.deliver
 	e.hub.Up = e.up
@@ -86,14 +83,6 @@
 	e.Log.Infof("Entry %s runs.", e.hub.Self.Incarnation)
 }
 
-func (e *Entry) newShard(name string, s keeper.Settings) *entryShard {
-	x := &entryShard{service: name, waiters: make(map[jobName][]chan *keeper.Answer)}
-	x.keeper.Settings = s
-	x.keeper.Self, x.keeper.Zone, x.keeper.Service = e.hub.Self.Incarnation, e.hub.Self.Zone, name
-	x.keeper.Init(time.Now())
-	return x
-}
-
 // Identity returns the entry's identity.
 func (e *Entry) Identity() messenger.Identity { return e.hub.Self }
 
@@ -136,41 +125,6 @@
 	return list
 }
 
-// act runs one decision of a shard and carries out what it decided. It must be
-// used where nothing may block.
-func (e *Entry) act(s *entryShard, decide func(k *keeper.Keeper, now time.Time)) {
-	to := e.decide(s, decide)
-	to.wake(&e.hub)
-}
-
-// decide runs one decision of a shard and queues what it decided. It returns
-// to whom messages were queued.
-func (e *Entry) decide(s *entryShard, decide func(k *keeper.Keeper, now time.Time)) recipients {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	decide(&s.keeper, time.Now())
-	out, endings, decisions := s.keeper.Drain()
-	var to recipients
-	for _, o := range out {
-		e.hub.Queue(o.To, o.Message)
-		to.add(o.To)
-	}
-	for _, d := range decisions {
-		e.Recorder.Add(recorder.Event{
-			Kind: d.Kind, Service: s.service, Owner: d.Owner, Number: d.Sequence,
-			Task: d.Task, Peer: d.Peer, Reason: d.Reason,
-		})
-	}
-	for _, x := range endings {
-		name := jobName{x.Owner, x.Sequence}
-		for _, c := range s.waiters[name] {
-			c <- x.Answer // has room for one
-		}
-		delete(s.waiters, name)
-	}
-	return to
-}
-
 func (e *Entry) deliver(from messenger.Identity, m messenger.Message) {
 	switch {
 	case m.Entries != nil:
@@ -181,7 +135,7 @@
 	case m.Reply != nil:
 		e.calls.finish(m.Reply)
 	default:
-		if s := e.shards[m.Service]; s != nil {
+		if s := e.open(m); s != nil {
 			e.act(s, func(k *keeper.Keeper, now time.Time) { k.Receive(now, from.Incarnation, m) })
 		}
 	}
@@ -193,7 +147,7 @@
 		return
 	}
 	e.learn([]string{peer.Address})
-	for _, s := range e.shards {
+	for _, s := range e.shards.list() {
 		e.act(s, func(k *keeper.Keeper, _ time.Time) { k.WitnessUp(peer.Incarnation, peer.Zone) })
 	}
 }
@@ -202,7 +156,7 @@
 	e.Log.Warnf("Peer %s is lost.", peer.Incarnation)
 	e.Recorder.Add(recorder.Event{Kind: "peer-lost", Peer: peer.Incarnation, Task: -1})
 	e.calls.lose(peer.Incarnation)
-	for _, s := range e.shards {
+	for _, s := range e.shards.list() {
 		e.act(s, func(k *keeper.Keeper, now time.Time) {
 			if peer.Role == messenger.RoleEntry {
 				k.WitnessLost(now, peer.Incarnation)
@@ -222,7 +176,7 @@
 			return
 		case <-ticker.C:
 		}
-		for _, s := range e.shards {
+		for _, s := range e.shards.list() {
 			e.act(s, func(k *keeper.Keeper, now time.Time) { k.Tick(now) })
 		}
 	}
@@ -238,9 +192,9 @@
 // Services returns what operators see of each service, by name.
 func (e *Entry) Services() []ServiceView {
 	var views []ServiceView
-	for name, s := range e.shards {
+	for _, s := range e.shards.list() {
 		s.mu.Lock()
-		views = append(views, ServiceView{name, s.keeper.Counts(), s.keeper.Agents()})
+		views = append(views, ServiceView{s.service, s.keeper.Counts(), s.keeper.Agents()})
 		s.mu.Unlock()
 	}
 	slices.SortFunc(views, func(a, b ServiceView) int {
@@ -266,7 +220,7 @@
 	e.mu.Lock()
 	e.draining = true
 	e.mu.Unlock()
-	for _, s := range e.shards {
+	for _, s := range e.shards.list() {
 		e.act(s, func(k *keeper.Keeper, _ time.Time) { k.BeginDrain() })
 	}
 }
@@ -277,7 +231,7 @@
 	e.mu.Lock()
 	e.yielded = true
 	e.mu.Unlock()
-	for _, s := range e.shards {
+	for _, s := range e.shards.list() {
 		e.act(s, (*keeper.Keeper).Yield)
 	}
 }
@@ -299,7 +253,7 @@
 }
 
 func (e *Entry) drained() bool {
-	for _, s := range e.shards {
+	for _, s := range e.shards.list() {
 		s.mu.Lock()
 		d := s.keeper.Drained()
 		s.mu.Unlock()
--- a/server/operate.go
+++ b/server/operate.go
@@ -55,7 +55,7 @@
 // IssueTickets returns count tickets of a service and their life. It errors
 // with KindUnknownService or with a kind of keeper.
 func (e *Entry) IssueTickets(service string, count int) ([]string, time.Duration, error) {
-	s := e.shards[service]
+	s := e.shards.find(service)
 	if s == nil {
 		return nil, 0, &Error{Op: "issue", Kind: KindUnknownService, Detail: "there is no service " + service}
 	}
@@ -79,7 +79,7 @@
 	if err != nil {
 		return failure(http.StatusBadRequest, caller.Failure{Kind: "forged-ticket", Message: "this is no ticket of this system"})
 	}
-	s := e.shards[t.Service]
+	s := e.shards.find(t.Service)
 	if s == nil {
 		return failure(http.StatusNotFound, caller.Failure{Kind: string(KindUnknownService), Message: "there is no service " + t.Service})
 	}
@@ -136,7 +136,7 @@
 		case t.TimeoutMillis < 0:
 			return keeper.Job{}, bad("timeout-ms is negative")
 		}
-		job.Tasks = append(job.Tasks, messenger.Request(t))
+		job.Tasks = append(job.Tasks, messenger.Request{Path: t.Path, Body: t.Body, TimeoutMillis: t.TimeoutMillis})
 	}
 	return job, nil
 }
--- a/server/route.go
+++ b/server/route.go
@@ -248,7 +248,7 @@
 
 func (e *Entry) answerForward(q Request, takeOver bool) (Response, messenger.Redirect) {
 	t, err := e.coder.Decode(q.Ticket)
-	s := e.shards[t.Service]
+	s := e.shards.find(t.Service)
 	if err != nil || s == nil {
 		return failure(http.StatusBadRequest, caller.Failure{Kind: string(KindBadRequest), Message: "not a ticket of a service here"}), ""
 	}
--- /dev/null
+++ b/starter/room.go
@@ -0,0 +1,73 @@
+package starter
+
+import (
+	"slices"
+
+	"mustardlever.dev/mustardlever/sizer"
+)
+
+// waitShare is the part of the capacity whose worth of starts may wait for
+// room. Entries place tasks by reports that are some milliseconds old; a short
+// queue takes what two of them send at once, and keeps the backend server busy
+// for the round trip in which an entry hears of freed room. Beyond it a start
+// is refused, so that the entry can place the task elsewhere.
+const waitShare = 0.2
+
+// room counts what runs and what waits on a backend server.
+type room struct {
+	used    sizer.Size
+	queued  sizer.Size
+	waiting []*run // oldest first
+}
+
+// taken is the room of all that runs or waits.
+func (m *room) taken() sizer.Size { return m.used.Plus(m.queued) }
+
+// fits tells whether a task can start at once.
+func (m *room) fits(capacity, need sizer.Size) bool {
+	return len(m.waiting) == 0 && capacity.Minus(m.used).Holds(need)
+}
+
+// mayWait tells whether a task may wait for room.
+func (m *room) mayWait(capacity, need sizer.Size) bool {
+	return capacity.Holds(need) && m.queued.Plus(need).Share(capacity) <= waitShare
+}
+
+// wait puts a run at the end of the queue.
+func (m *room) wait(r *run) {
+	m.waiting = append(m.waiting, r)
+	m.queued = m.queued.Plus(r.need)
+}
+
+// leave takes a run out of the queue. It reports false when it is not there.
+func (m *room) leave(r *run) bool {
+	i := slices.Index(m.waiting, r)
+	if i < 0 {
+		return false
+	}
+	m.waiting = slices.Delete(m.waiting, i, i+1)
+	m.queued = m.queued.Minus(r.need)
+	return true
+}
+
+// next returns the oldest waiting run if it can start now, and counts it as
+// running.
+func (m *room) next(capacity sizer.Size) *run {
+	if len(m.waiting) == 0 || !capacity.Minus(m.used).Holds(m.waiting[0].need) {
+		return nil
+	}
+	r := m.waiting[0]
+	m.leave(r)
+	m.use(r)
+	return r
+}
+
+func (m *room) use(r *run)  { m.used = m.used.Plus(r.need) }
+func (m *room) free(r *run) { m.used = m.used.Minus(r.need) }
+
+// clear empties the queue and returns what waited.
+func (m *room) clear() []*run {
+	rs := m.waiting
+	m.waiting, m.queued = nil, sizer.Size{}
+	return rs
+}
--- a/starter/seal.go
+++ b/starter/seal.go
@@ -25,11 +25,9 @@
 		}
 	}
 	s.send(witness, messenger.Message{Marks: reply})
-	s.grants.Void(m.Owner)
 	if s.entries[m.Owner] {
 		s.send(m.Owner, messenger.Message{Sealed: &messenger.Sealed{Witness: witness}})
 	}
-	s.rebalance()
 }
 
 // fetch reports a ticket's outcomes to its witness, those of running tasks
@@ -44,7 +42,7 @@
 		case running:
 			k.notify = appendNew(k.notify, witness)
 		case done:
-			s.report(witness, m.Ticket, task, k, 0)
+			s.report(witness, m.Ticket, task, k)
 		}
 	}
 }
@@ -59,7 +57,6 @@
 				s.forget(l, m.Below)
 			}
 		}
-		s.rebalance()
 		return
 	}
 	l := s.ledgers[pair{m.Owner, from}]
@@ -68,7 +65,6 @@
 	}
 	l.below = max(l.below, m.Below)
 	s.forget(l, m.Below)
-	s.rebalance()
 }
 
 // forget drops the marks of tickets below the watermark. A task that still
--- a/starter/start.go
+++ b/starter/start.go
@@ -1,8 +1,10 @@
 package starter
 
 import (
-	"mustardlever.dev/mustardlever/granter"
+	"slices"
+
 	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/sizer"
 )
 
 // superseded tells whether a start of this attempt may be carried out although
@@ -13,40 +15,92 @@
 
 // start carries out rule 1 and rule 2: one start a task, refusals remembered.
 func (s *Starter) start(from string, m *messenger.Start) {
+	s.received[from]++
 	if m.Ticket.Owner == "" {
 		m.Ticket.Owner = from
 	}
 	p := pair{m.Ticket.Owner, m.Ticket.Witness}
-	granted := s.grants.Use(from, m.Demand)
 	known := s.find(p, m.Ticket.Sequence, m.Task)
 	if known != nil && !known.superseded(m.Attempt) {
-		s.unuse(granted)
 		s.repeat(from, m, known)
 		return
 	}
-	if r := s.refusal(from, p, m, granted); r != "" {
-		s.unuse(granted)
+	need := m.Request.Need
+	if need == (sizer.Size{}) {
+		need = sizer.Slots(1)
+	}
+	if r := s.refusal(from, p, m, need); r != "" {
 		s.refuse(from, p, m, r)
 		return
 	}
 	k := &mark{attempt: m.Attempt, notify: []string{from}}
 	s.put(p, m.Ticket.Sequence, m.Task, k)
 	s.nextRun++
-	s.runs[s.nextRun] = run{p, m.Ticket, m.Task, k}
-	s.started = append(s.started, Run{s.nextRun, m.Ticket, m.Task, m.Request})
+	r := &run{
+		Run: Run{s.nextRun, from, m.Ticket, m.Task, m.Attempt, m.Request}, pair: p, mark: k, need: need, bound: m.Bound,
+	}
+	s.runs[r.ID] = r
+	if !s.room.fits(s.Capacity, need) {
+		s.room.wait(r)
+		return
+	}
+	s.room.use(r)
+	s.decided.Starts = append(s.decided.Starts, r.Run)
 }
 
-// unuse frees the slot of a start that was not carried out.
-func (s *Starter) unuse(granted bool) {
-	if !granted {
-		return
+// admit starts what waits and has room now.
+func (s *Starter) admit() {
+	for r := s.room.next(s.Capacity); r != nil; r = s.room.next(s.Capacity) {
+		s.decided.Starts = append(s.decided.Starts, r.Run)
+	}
+}
+
+// stopTasks ends bound tasks at their owner's word.
+func (s *Starter) stopTasks(from string, m *messenger.Stop) {
+	if m.Ticket.Owner == "" {
+		m.Ticket.Owner = from
+	}
+	for _, r := range s.runs {
+		if r.bound && r.Owner == from && r.pair.owner == m.Ticket.Owner &&
+			r.Ticket.Sequence == m.Ticket.Sequence && slices.Contains(m.Tasks, r.Task) {
+			s.stop(r)
+		}
+	}
+	s.admit()
+}
+
+// stop ends a run. One that runs takes room until Finish.
+func (s *Starter) stop(r *run) {
+	switch {
+	case s.room.leave(r):
+		s.turnAway(r, messenger.RefusalStopped)
+	case !r.stopping:
+		r.stopping = true
+		s.decided.Stops = append(s.decided.Stops, r.Run)
+	}
+}
+
+// turnAway refuses a run that has left the queue.
+func (s *Starter) turnAway(r *run, why messenger.Refusal) {
+	delete(s.runs, r.ID)
+	r.mark.state, r.mark.refusal = refused, why
+	s.tellMark(r)
+}
+
+// tellMark tells those who asked what became of a run. A bound task's mark is
+// not needed any more.
+func (s *Starter) tellMark(r *run) {
+	for _, to := range r.mark.notify {
+		s.report(to, r.Ticket, r.Task, r.mark)
+	}
+	r.mark.notify = nil
+	if r.bound {
+		s.remove(r.pair, r.Ticket.Sequence, r.Task)
 	}
-	s.grants.Free()
-	s.rebalance()
 }
 
 // refusal returns why a start must not be carried out, empty if it may.
-func (s *Starter) refusal(from string, p pair, m *messenger.Start, granted bool) messenger.Refusal {
+func (s *Starter) refusal(from string, p pair, m *messenger.Start, need sizer.Size) messenger.Refusal {
 	l := s.ledgers[p]
 	switch {
 	case m.Agent != s.Self:
@@ -59,19 +113,20 @@
 		return messenger.RefusalSealed
 	case s.leaving:
 		return messenger.RefusalLeaving
-	case !granted:
-		return messenger.RefusalNoGrant
+	case s.marks >= s.Settings.MaxMarks, !s.room.fits(s.Capacity, need) && !s.room.mayWait(s.Capacity, need):
+		return messenger.RefusalNoRoom
 	}
 	return ""
 }
 
 // refuse answers with a refusal and remembers it. Closed and sealed tickets
-// need no mark: their watermark and seal refuse every copy.
+// need no mark: their watermark and seal refuse every copy. Nor do bound tasks:
+// only their owner starts them, and a session delivers each start once.
 func (s *Starter) refuse(from string, p pair, m *messenger.Start, r messenger.Refusal) {
-	if r != messenger.RefusalClosed && r != messenger.RefusalSealed {
+	if r != messenger.RefusalClosed && r != messenger.RefusalSealed && !m.Bound {
 		s.put(p, m.Ticket.Sequence, m.Task, &mark{state: refused, attempt: m.Attempt, refusal: r})
 	}
-	o := &messenger.Outcome{Ticket: wireTicket(from, m.Ticket), Task: m.Task, Attempt: m.Attempt, Refusal: r}
+	o := &messenger.Outcome{Ticket: wireTicket(from, m.Ticket), Task: m.Task, Attempt: m.Attempt, Refusal: r, Load: s.load(from)}
 	s.send(from, messenger.Message{Outcome: o})
 }
 
@@ -81,7 +136,7 @@
 		k.notify = appendNew(k.notify, from)
 		return
 	}
-	s.report(from, m.Ticket, m.Task, k, 0)
+	s.report(from, m.Ticket, m.Task, k)
 }
 
 // wireTicket leaves the owner out when it is the receiver.
@@ -92,8 +147,8 @@
 	return t
 }
 
-func (s *Starter) report(to string, t messenger.Ticket, task int, k *mark, grant int) {
-	o := &messenger.Outcome{Ticket: wireTicket(to, t), Task: task, Attempt: k.attempt, Grant: grant}
+func (s *Starter) report(to string, t messenger.Ticket, task int, k *mark) {
+	o := &messenger.Outcome{Ticket: wireTicket(to, t), Task: task, Attempt: k.attempt, Load: s.load(to)}
 	switch {
 	case k.state == refused:
 		o.Refusal = k.refusal
@@ -108,38 +163,49 @@
 // Finish ends a run. A nil result means that the backend server refused the
 // connection, so that the task did not start.
 func (s *Starter) Finish(id uint64, result *messenger.Result) {
-	r, ok := s.runs[id]
-	if !ok {
+	if result == nil {
+		s.end(id, messenger.RefusalUnreachable)
 		return
 	}
-	delete(s.runs, id)
-	s.grants.Free()
-	if result == nil {
-		r.mark.state, r.mark.refusal = refused, messenger.RefusalUnreachable
-	} else {
-		r.mark.state, r.mark.result = done, result
-	}
-	grants, recalls := s.divide()
-	for i, to := range r.mark.notify {
-		grant := 0
-		if i == 0 {
-			grant, grants = takeGrant(grants, to)
-		}
-		s.report(to, r.ticket, r.task, r.mark, grant)
+	r := s.take(id)
+	if r == nil {
+		return
 	}
-	r.mark.notify = nil
-	s.tell(grants, recalls)
-	if result != nil {
+	r.mark.state, r.mark.result = done, result
+	s.tellMark(r)
+	if !r.bound {
 		s.keep(r.mark)
 	}
 }
 
-// takeGrant removes the grant for entry from grants.
-func takeGrant(grants []granter.Grant, entry string) (int, []granter.Grant) {
-	for i, g := range grants {
-		if g.Entry == entry {
-			return g.Slots, append(grants[:i], grants[i+1:]...)
-		}
+// FinishStopped ends a run that the backend server has ended before it was
+// done: it was stopped, or its lease lapsed.
+func (s *Starter) FinishStopped(id uint64) {
+	why := messenger.RefusalLapsed
+	if r := s.runs[id]; r != nil && r.stopping {
+		why = messenger.RefusalStopped
+	}
+	s.end(id, why)
+}
+
+// end ends a run that has no result.
+func (s *Starter) end(id uint64, why messenger.Refusal) {
+	if r := s.take(id); r != nil {
+		r.mark.state, r.mark.refusal = refused, why
+		s.tellMark(r)
+	}
+}
+
+// take removes a run, gives its room to what waits and returns it.
+func (s *Starter) take(id uint64) *run {
+	r := s.runs[id]
+	if r == nil {
+		return nil
+	}
+	delete(s.runs, id)
+	if !s.room.leave(r) {
+		s.room.free(r)
 	}
-	return 0, grants
+	s.admit()
+	return r
 }
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -4,8 +4,9 @@
 	"math"
 	"time"
 
-	"mustardlever.dev/mustardlever/granter"
+	"mustardlever.dev/mustardlever/dispatcher"
 	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/sizer"
 )
 
 // Defaults of Settings.
@@ -22,7 +23,7 @@
 // Settings bounds a Starter. Zero fields take the defaults.
 type Settings struct {
 	KeptBytes      int           // result bytes kept for witnesses; default 16 MiB
-	MaxMarks       int           // marks kept; beyond it no slot is granted; default 200,000
+	MaxMarks       int           // marks kept; beyond it no task is started; default 200,000
 	OwnerRetention time.Duration // how long a lost owner's marks are kept; default 10 min
 }
 
@@ -32,14 +33,25 @@
 	Message messenger.Message
 }
 
-// Run is a task to execute. Finish takes its ID back.
+// Run is a task to execute. Finish takes its ID back. Attempt grows with each
+// start of the task.
 type Run struct {
 	ID      uint64
+	Owner   string // entry incarnation that asked for it
 	Ticket  messenger.Ticket
 	Task    int
+	Attempt int
 	Request messenger.Request
 }
 
+// Decisions are what a Starter has decided: messages to send, tasks to start
+// and runs to stop. Finish is expected for a stopped run too.
+type Decisions struct {
+	Messages []Output
+	Starts   []Run
+	Stops    []Run
+}
+
 type pair struct{ owner, witness string }
 
 type state int
@@ -68,11 +80,15 @@
 	below   uint64 // tickets below are closed, by the witness
 }
 
+// run is a start that was accepted: it waits for room, runs or is being
+// stopped, and takes room until Finish.
 type run struct {
-	pair   pair
-	ticket messenger.Ticket
-	task   int
-	mark   *mark
+	Run
+	pair     pair
+	mark     *mark
+	need     sizer.Size
+	bound    bool
+	stopping bool
 }
 
 // Starter is the decision state of one backend server of one service at one
@@ -83,22 +99,24 @@
 	Self     string // agent incarnation
 	Service  string
 	Address  string // backend server, host:port
-	Slots    int
+	Capacity sizer.Size
+	Labels   []string
 
-	grants    granter.Granter
+	room      room
+	received  map[string]uint64     // starts received from each entry
+	told      map[string]sizer.Size // room that each entry last heard of
 	ledgers   map[pair]*ledger
 	below     map[string]uint64 // tickets of the owner below are closed
 	lost      map[string]time.Time
 	forgotten bool // a watermark was dropped for room
 	entries   map[string]bool
 	leaving   bool
-	runs      map[uint64]run
+	runs      map[uint64]*run
 	nextRun   uint64
 	results   []*mark // done marks, oldest first
 	bytes     int
 	marks     int
-	out       []Output
-	started   []Run
+	decided   Decisions
 }
 
 // Init prepares the Starter.
@@ -112,54 +130,76 @@
 	if s.Settings.OwnerRetention == 0 {
 		s.Settings.OwnerRetention = defaultOwnerRetention
 	}
-	s.grants.Slots = s.Slots
+	s.received = make(map[string]uint64)
+	s.told = make(map[string]sizer.Size)
 	s.ledgers = make(map[pair]*ledger)
 	s.below = make(map[string]uint64)
 	s.lost = make(map[string]time.Time)
 	s.entries = make(map[string]bool)
-	s.runs = make(map[uint64]run)
+	s.runs = make(map[uint64]*run)
 }
 
-// Drain returns and clears the messages and runs decided since the last call.
-func (s *Starter) Drain() ([]Output, []Run) {
-	out, started := s.out, s.started
-	s.out, s.started = nil, nil
-	return out, started
+// Drain returns and clears what was decided since the last call.
+func (s *Starter) Drain() Decisions {
+	d := s.decided
+	s.decided = Decisions{}
+	return d
 }
 
-// Running returns the number of tasks that run.
+// Running returns the number of tasks that wait or run.
 func (s *Starter) Running() int { return len(s.runs) }
 
 // Up notes a new session with an entry.
 func (s *Starter) Up(entry string) {
 	s.entries[entry] = true
 	delete(s.lost, entry)
-	s.grants.Join(entry)
-	s.send(entry, messenger.Message{Announce: s.announce()})
-	s.rebalance()
+	delete(s.received, entry)
+	s.announce(entry)
 }
 
-func (s *Starter) announce() *messenger.Announce {
-	return &messenger.Announce{Slots: s.Slots, Address: s.Address, Leaving: s.leaving}
+func (s *Starter) announce(entry string) {
+	s.send(entry, messenger.Message{Announce: &messenger.Announce{
+		Capacity: s.Capacity, Labels: s.Labels, Address: s.Address, Leaving: s.leaving, Load: s.load(entry),
+	}})
+}
+
+// Offer changes the capacity, as when the backend server began anew, and tells
+// the entries. What ran there before has to be finished by the caller.
+func (s *Starter) Offer(address string, capacity sizer.Size, labels []string) {
+	s.Address, s.Capacity, s.Labels = address, capacity, labels
+	s.leaving = false
+	for e := range s.entries {
+		s.announce(e)
+	}
 }
 
-// Lost notes that the session with an entry was given up.
+// Lost notes that the session with an entry was given up. Its bound tasks are
+// stopped.
 func (s *Starter) Lost(now time.Time, entry string) {
 	delete(s.entries, entry)
+	delete(s.received, entry)
+	delete(s.told, entry)
 	s.lost[entry] = now
-	s.grants.Leave(entry)
-	s.rebalance()
+	for _, r := range s.runs {
+		if r.bound && r.Owner == entry {
+			s.stop(r)
+		}
+	}
+	s.admit()
 }
 
-// LeaveService makes the agent refuse every further start, and tells entries.
+// LeaveService makes the agent refuse every further start and those that wait
+// for room, and tells entries.
 func (s *Starter) LeaveService() {
 	if s.leaving {
 		return
 	}
 	s.leaving = true
-	s.grants.Close()
+	for _, r := range s.room.clear() {
+		s.turnAway(r, messenger.RefusalLeaving)
+	}
 	for e := range s.entries {
-		s.send(e, messenger.Message{Announce: s.announce()})
+		s.announce(e)
 	}
 }
 
@@ -168,12 +208,8 @@
 	switch {
 	case m.Start != nil:
 		s.start(from, m.Start)
-	case m.Demand != nil:
-		s.grants.SetDemand(from, m.Demand.Tasks)
-		s.rebalance()
-	case m.Return != nil:
-		s.grants.Returned(from, m.Return.Slots, m.Return.Demand)
-		s.rebalance()
+	case m.Stop != nil:
+		s.stopTasks(from, m.Stop)
 	case m.Seal != nil:
 		s.seal(from, m.Seal)
 	case m.Fetch != nil:
@@ -204,26 +240,31 @@
 
 func size(r *messenger.Result) int { return len(r.Body) + len(r.Error) }
 
-func (s *Starter) rebalance() { s.tell(s.divide()) }
-
-// divide grants free slots, unless MaxMarks are kept already.
-func (s *Starter) divide() (grants, recalls []granter.Grant) {
-	s.grants.Held = s.marks >= s.Settings.MaxMarks
-	return s.grants.Rebalance()
+// load returns the room to tell an entry, and notes that it was told.
+func (s *Starter) load(entry string) dispatcher.Load {
+	free := s.Capacity.Minus(s.room.taken())
+	s.told[entry] = free
+	return dispatcher.Load{Free: free, Received: s.received[entry]}
 }
 
-func (s *Starter) tell(grants, recalls []granter.Grant) {
-	for _, g := range grants {
-		s.send(g.Entry, messenger.Message{Credit: &messenger.Credit{Slots: g.Slots}})
+// TellLoad tells the room to the entries that heard of another last. It is to
+// be called at intervals, which bounds the messages.
+func (s *Starter) TellLoad() {
+	if s.leaving {
+		return
 	}
-	for _, r := range recalls {
-		s.send(r.Entry, messenger.Message{Recall: &messenger.Recall{Slots: r.Slots}})
+	free := s.Capacity.Minus(s.room.taken())
+	for e := range s.entries {
+		if s.told[e] != free {
+			l := s.load(e)
+			s.send(e, messenger.Message{Load: &l})
+		}
 	}
 }
 
 func (s *Starter) send(to string, m messenger.Message) {
 	m.Service = s.Service
-	s.out = append(s.out, Output{to, m})
+	s.decided.Messages = append(s.decided.Messages, Output{to, m})
 }
 
 func (s *Starter) find(p pair, sequence uint64, task int) *mark {
@@ -254,6 +295,19 @@
 	l.tickets[sequence][task] = k
 }
 
+// remove forgets a mark.
+func (s *Starter) remove(p pair, sequence uint64, task int) {
+	l := s.ledgers[p]
+	if l == nil || l.tickets[sequence][task] == nil {
+		return
+	}
+	s.marks--
+	delete(l.tickets[sequence], task)
+	if len(l.tickets[sequence]) == 0 {
+		delete(l.tickets, sequence)
+	}
+}
+
 func appendNew(list []string, s string) []string {
 	for _, x := range list {
 		if x == s {
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/sizer"
 )
 
 const (
@@ -13,9 +15,11 @@
 	testWitness = "witness.1"
 )
 
-// newStarter returns a Starter whose two slots are granted to testOwner.
+var testTime = time.Unix(1_000_000, 0)
+
+// newStarter returns a Starter with two slots and a session with testOwner.
 func newStarter() *Starter {
-	s := &Starter{Self: "agent.1", Service: "s", Slots: 2}
+	s := &Starter{Self: "agent.1", Service: "s", Capacity: sizer.Slots(2)}
 	s.Init()
 	s.Up(testOwner)
 	s.Drain()
@@ -26,7 +30,8 @@
 	s.Receive(testOwner, messenger.Message{Start: &messenger.Start{
 		Agent: s.Self, Ticket: messenger.Ticket{Witness: testWitness, Sequence: sequence},
 	}})
-	return s.Drain()
+	d := s.Drain()
+	return d.Messages, d.Starts
 }
 
 func outcome(out []Output) *messenger.Outcome {
@@ -40,8 +45,7 @@
 
 func seal(s *Starter) *messenger.Marks {
 	s.Receive(testWitness, messenger.Message{Seal: &messenger.Seal{Owner: testOwner}})
-	out, _ := s.Drain()
-	for _, o := range out {
+	for _, o := range s.Drain().Messages {
 		if o.Message.Marks != nil {
 			return o.Message.Marks
 		}
@@ -91,8 +95,7 @@
 	s.Receive(testOwner, messenger.Message{Start: &messenger.Start{
 		Agent: s.Self, Attempt: 1, Ticket: messenger.Ticket{Witness: testWitness, Sequence: 1},
 	}})
-	_, runs = s.Drain()
-	require.Len(t, runs, 1, "the task bound anew")
+	require.Len(t, s.Drain().Starts, 1, "the task bound anew")
 }
 
 func TestResultsBeyondTheirRoomAreDropped(t *testing.T) {
@@ -107,14 +110,83 @@
 	require.Len(t, seal(s).Marks, 3, "the marks stay")
 }
 
-func TestFullAgentGrantsNothingUntilTicketsClose(t *testing.T) {
+func TestFullAgentStartsNothingUntilTicketsClose(t *testing.T) {
 	s := newStarter()
 	s.Settings.MaxMarks = 2
 	for sequence := uint64(1); sequence <= 2; sequence++ {
 		_, runs := start(s, sequence)
 		s.Finish(runs[0].ID, &messenger.Result{Status: 200})
 	}
-	require.Equal(t, 1, s.grants.Idle(testOwner), "the slot freed last is not granted again")
+	s.Drain()
+	out, runs := start(s, 3)
+	require.Empty(t, runs)
+	require.Equal(t, messenger.RefusalNoRoom, outcome(out).Refusal)
 	s.Receive(testOwner, messenger.Message{Close: &messenger.Close{Owner: testOwner, Below: 3}})
-	require.Equal(t, 2, s.grants.Idle(testOwner))
+	_, runs = start(s, 4)
+	require.Len(t, runs, 1)
+}
+
+// startSized asks for a bound task of a size.
+func startSized(s *Starter, sequence uint64, attempt int, need sizer.Size) Decisions {
+	s.Receive(testOwner, messenger.Message{Start: &messenger.Start{
+		Agent: s.Self, Ticket: messenger.Ticket{Sequence: sequence}, Attempt: attempt,
+		Request: messenger.Request{Need: need}, Bound: true,
+	}})
+	return s.Drain()
+}
+
+// newRoomy returns a Starter of a backend server of 32 cores.
+func newRoomy() *Starter {
+	s := &Starter{Self: "agent.1", Service: "s", Capacity: sizer.Size{CPU: 32_000, Memory: 1000}}
+	s.Init()
+	s.Up(testOwner)
+	s.Drain()
+	return s
+}
+
+// Two entries place tasks of half a backend server at the same time: the
+// first starts, a small one waits, a large one is sent elsewhere.
+func TestStartsBeyondTheRoomWaitOrAreRefused(t *testing.T) {
+	s := newRoomy()
+	first := startSized(s, 1, 0, sizer.Size{CPU: 30_000})
+	require.Len(t, first.Starts, 1)
+	waits := startSized(s, 2, 0, sizer.Size{CPU: 4_000})
+	require.Empty(t, waits.Starts)
+	require.Nil(t, outcome(waits.Messages))
+	refused := startSized(s, 3, 0, sizer.Size{CPU: 4_000})
+	require.Equal(t, messenger.RefusalNoRoom, outcome(refused.Messages).Refusal)
+	require.Equal(t, -2_000, outcome(refused.Messages).Load.Free.CPU, "what waits is counted")
+	s.Finish(first.Starts[0].ID, &messenger.Result{Status: 200})
+	d := s.Drain()
+	require.Len(t, d.Starts, 1, "the one that waited starts")
+	require.Equal(t, 28_000, outcome(d.Messages).Load.Free.CPU)
+}
+
+// A task that is being stopped takes its room until it has ended.
+func TestStoppingTaskKeepsItsRoom(t *testing.T) {
+	s := newRoomy()
+	startSized(s, 1, 0, sizer.Size{CPU: 30_000})
+	startSized(s, 2, 0, sizer.Size{CPU: 4_000})
+	s.Receive(testOwner, messenger.Message{Stop: &messenger.Stop{Ticket: messenger.Ticket{Sequence: 1}, Tasks: []int{0}}})
+	d := s.Drain()
+	require.Len(t, d.Stops, 1)
+	require.Empty(t, d.Starts)
+	s.FinishStopped(d.Stops[0].ID)
+	d = s.Drain()
+	require.Len(t, d.Starts, 1)
+	require.Equal(t, messenger.RefusalStopped, outcome(d.Messages).Refusal)
+}
+
+func TestBoundTasksEndWithTheirOwner(t *testing.T) {
+	s := newRoomy()
+	startSized(s, 1, 0, sizer.Size{CPU: 30_000})
+	startSized(s, 2, 0, sizer.Size{CPU: 4_000})
+	s.Lost(testTime, testOwner)
+	d := s.Drain()
+	require.Len(t, d.Stops, 1)
+	require.Empty(t, d.Starts, "the one that waited never starts")
+	require.Equal(t, 1, s.Running())
+	s.FinishStopped(d.Stops[0].ID)
+	require.Zero(t, s.Running())
+	require.Zero(t, s.marks)
 }
--- a/tests/world_test.go
+++ b/tests/world_test.go
@@ -12,6 +12,7 @@
 
 	"mustardlever.dev/mustardlever/keeper"
 	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/sizer"
 	"mustardlever.dev/mustardlever/starter"
 	"mustardlever.dev/mustardlever/ticketer"
 )
@@ -85,7 +86,7 @@
 		n.keeper.Init(w.now)
 	} else {
 		n.starter.Self = n.name
-		n.starter.Slots = worldSlots
+		n.starter.Capacity = sizer.Slots(worldSlots)
 		n.starter.Service = service
 		n.starter.Init()
 	}
@@ -174,11 +175,11 @@
 // flush takes in what a process has decided.
 func (w *world) flush(n *node) {
 	if n.starter != nil {
-		out, runs := n.starter.Drain()
-		for _, o := range out {
+		d := n.starter.Drain()
+		for _, o := range d.Messages {
 			w.post(link{n.name, o.To}, o.Message)
 		}
-		for _, r := range runs {
+		for _, r := range d.Starts {
 			n.runs[r.ID] = r
 			w.started(r)
 		}
@@ -346,6 +347,7 @@
 			n.keeper.Tick(w.now)
 		} else {
 			n.starter.Tick(w.now)
+			n.starter.TellLoad()
 		}
 		w.flush(n)
 	}
