Serve the users' platform: leases, routes, direct jobs, the adapter

Cause: the platform's clients bring their own ids and wait for the end of a job; its executors start what they are told under short leases. None of it was spoken.

--- /dev/null
+++ b/cmd/mustardleverd/hosted.go
@@ -0,0 +1,251 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"mustardlever.dev/mustardlever/configurer"
+	"mustardlever.dev/mustardlever/executor"
+	"mustardlever.dev/mustardlever/keeper"
+	"mustardlever.dev/mustardlever/leaser"
+	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/operator"
+	"mustardlever.dev/mustardlever/platform"
+	"mustardlever.dev/mustardlever/recorder"
+	"mustardlever.dev/mustardlever/router"
+	"mustardlever.dev/mustardlever/server"
+)
+
+// Timing on the platform. A caller that gets no answer sends its job again
+// after 1.3 s, at any entry, and nothing of the first copy may run then: an
+// agent stops the tasks of an entry that has been silent for hostedLost, and
+// all tasks end by themselves hostedLease after the agent held them last.
+const (
+	hostedHeartbeat = 100 * time.Millisecond
+	hostedDead      = 300 * time.Millisecond
+	hostedLost      = 600 * time.Millisecond
+	hostedLease     = 900 * time.Millisecond
+	hostedStopping  = 200 * time.Millisecond // an agent's look at its sessions and the stop of what runs
+	hostedDeadline  = 30 * time.Second       // of a job whose caller names none
+	stopAnswers     = 500 * time.Millisecond // before the end of a planned stop: what is unfinished is told so
+
+	headerTimeout  = 3 * time.Second
+	bodyTimeout    = 10 * time.Second
+	idleTimeout    = 60 * time.Second
+	maxHeaderBytes = 16 << 10
+)
+
+func hostedTiming() messenger.Settings {
+	t := messenger.Timing{Heartbeat: hostedHeartbeat, DeadAfter: hostedDead, LostAfter: hostedLost}
+	return messenger.Settings{Agents: t, Entries: t}
+}
+
+// serveHostedEntry runs an entry on the users' platform.
+func serveHostedEntry(l fx.Lifecycle, p configurer.Process, log *logrus.Entry, r *recorder.Recorder) error {
+	links, err := net.Listen("tcp", p.LinkAddress)
+	if err != nil {
+		return err
+	}
+	e := newHostedEntry(p, log, r)
+	front := callersServer(hostedFront(e))
+	ready := &http.Server{Handler: readiness(e), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	operators := operator.New(entrySource(e, r))
+	ctx, cancel := context.WithCancel(context.Background())
+	l.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			log.WithField("settings", p.Platform).Info("Entry starts.")
+			e.Start(links)
+			publish(e.Traffic(), r)
+			go hostedFollower(p, e, log).Run(ctx)
+			for s, address := range map[*http.Server]string{front: p.CallerAddress, ready: p.Platform.Ready, operators: p.OperatorAddress} {
+				if err := serve(s, address); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			defer cancel()
+			log.Info("Entry stops as planned.")
+			stopHostedEntry(time.Duration(p.Platform.StopSeconds)*time.Second, e, front)
+			log.Info("Entry has stopped.")
+			return nil
+		},
+	})
+	return nil
+}
+
+func newHostedEntry(p configurer.Process, log *logrus.Entry, r *recorder.Recorder) *server.Entry {
+	return &server.Entry{
+		Settings: server.EntrySettings{
+			Identity: identity(p), Entries: p.Entries, Open: true, Messenger: hostedTiming(),
+			Keeper: keeper.Settings{Deadline: hostedDeadline, LapseWait: hostedLost + hostedStopping + hostedLease},
+		},
+		Log: log, Recorder: r,
+		ReadRoutes: func(document []byte) (*router.Table, error) { return platform.DecodeTable(document, time.Now()) },
+		Decided:    decisionLog(log),
+	}
+}
+
+// decisionLog logs the decisions that touch a job and are not routine.
+func decisionLog(log *logrus.Entry) func(string, keeper.Decision) {
+	return func(service string, d keeper.Decision) {
+		switch d.Kind {
+		case "job-submitted", "job-complete", "job-failed", "job-stopped":
+			return // told by the answer
+		}
+		log.WithFields(logrus.Fields{
+			"service": service, "job": d.Name, "task": d.Task, "peer": d.Peer, "cause": d.Reason,
+		}).Info("Entry decides: " + d.Kind + ".")
+	}
+}
+
+func callersServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+func hostedFront(e *server.Entry) http.Handler {
+	return &platform.Front{
+		Submit: e.Submit,
+		Cancel: func(host, path string) bool {
+			route, id := find(e, host, path)
+			return route != nil && e.CancelName(route.Service, id)
+		},
+		Pending: func(host, path string) (int, bool) {
+			route, id := find(e, host, path)
+			switch {
+			case route == nil:
+				return 0, false
+			case id != "":
+				return -1, true
+			}
+			return e.Pending(route.Service), true
+		},
+	}
+}
+
+func find(e *server.Entry, host, path string) (*router.Route, string) {
+	t := e.Routes.Table()
+	if t == nil {
+		return nil, ""
+	}
+	return t.Find(host, path)
+}
+
+// readiness answers the balancer: 200 while the entry takes callers.
+func readiness(e *server.Entry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !e.Ready() || e.Routes.Table() == nil || !e.Serves() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+func hostedFollower(p configurer.Process, e *server.Entry, log *logrus.Entry) *configurer.Follower {
+	store := platform.NewStore(p.Platform.Store)
+	return &configurer.Follower{
+		Read: store.ReadConfiguration, Await: store.AwaitConfiguration, Log: log,
+		Take: func(document []byte) {
+			t, err := platform.DecodeTable(document, time.Now())
+			if err != nil {
+				log.WithError(err).Warn("Entry cannot read the configuration in the store.")
+				return
+			}
+			e.AdoptRoutes(t, "store")
+		},
+	}
+}
+
+// stopHostedEntry ends an entry within limit. Callers that are here are served
+// to their end; what cannot end in time is told so shortly before.
+func stopHostedEntry(limit time.Duration, e *server.Entry, front *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit-stopAnswers/2)
+	defer cancel()
+	e.LeaveBalancer()
+	give := time.AfterFunc(limit-stopAnswers, func() { e.Abandon(messenger.ReasonStopping) })
+	defer give.Stop()
+	pauseFor(ctx, balancerLeaves)
+	front.SetKeepAlivesEnabled(false)
+	front.Shutdown(ctx)
+	e.Drain(ctx)
+	e.Stop()
+}
+
+// balancerLeaves is how long the balancer may send new connections after it
+// was told that the entry leaves: it asks once a second and believes the second
+// answer.
+const balancerLeaves = 2200 * time.Millisecond
+
+func pauseFor(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// serveHostedAgent runs an agent on the users' platform.
+func serveHostedAgent(l fx.Lifecycle, p configurer.Process, log *logrus.Entry, r *recorder.Recorder) error {
+	a := &server.Agent{
+		Settings: server.AgentSettings{Identity: identity(p), Entries: p.Entries, Messenger: hostedTiming()},
+		Log:      log, Recorder: r,
+	}
+	x := newLeased(p, a, log)
+	reports := &http.Server{
+		Handler:           platform.ReportsHandler(log, func(r executor.Report) { x.Heard(r) }, x.Left),
+		ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout,
+	}
+	operators := operator.New(agentSource(a, r))
+	ctx, cancel := context.WithCancel(context.Background())
+	l.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			log.WithField("settings", p.Platform).Info("Agent starts.")
+			a.Start()
+			publish(a.Traffic(), r)
+			x.Start(ctx)
+			if err := serve(reports, p.Platform.Reports); err != nil {
+				return err
+			}
+			return serve(operators, p.OperatorAddress)
+		},
+		OnStop: func(context.Context) error {
+			defer cancel()
+			log.Info("Agent stops as planned.")
+			stop, end := context.WithTimeout(context.Background(), time.Duration(p.Platform.StopSeconds)*time.Second-stopAnswers)
+			defer end()
+			a.Drain(stop)
+			a.Stop()
+			log.Info("Agent has stopped.")
+			return nil
+		},
+	})
+	return nil
+}
+
+func newLeased(p configurer.Process, a *server.Agent, log *logrus.Entry) *executor.Leased {
+	backends := platform.NewBackends()
+	service := p.Platform.Service
+	x := &executor.Leased{
+		Settings: leaser.Settings{Lease: min(hostedLease, time.Duration(p.Platform.LeaseMillis)*time.Millisecond)},
+		Interval: time.Duration(p.Platform.ReportMillis) * time.Millisecond,
+		Log:      log, Call: backends.Call,
+		Withdraw:      func(executor.Report) { a.Withdraw(service) },
+		Finish:        func(id uint64, result *messenger.Result) { a.Finish(service, id, result) },
+		FinishStopped: func(id uint64) { a.FinishStopped(service, id) },
+	}
+	x.Offer = func(r executor.Report) {
+		a.Offer(server.Offer{
+			Service: service, Address: r.Address, Capacity: r.Capacity, Labels: r.Labels,
+			Backend: server.Backend{Start: x.Run, Stop: x.Stop},
+		})
+	}
+	return x
+}
--- a/cmd/mustardleverd/main.go
+++ b/cmd/mustardleverd/main.go
@@ -26,7 +26,8 @@
 Exit codes: 0 stopped as planned, 1 failed, 2 wrong settings.`
 
 func main() {
-	settings := &cli.StringFlag{Name: "settings", Usage: "settings `FILE`, JSON with comments", Required: true}
+	settings := &cli.StringFlag{Name: "settings", Usage: "settings `FILE`, JSON with comments", Required: true,
+		Sources: cli.EnvVars("MUSTARDLEVER_SETTINGS")}
 	command := &cli.Command{
 		Name:        "mustardleverd",
 		Usage:       "dispatch short tasks to backend servers",
@@ -48,6 +49,9 @@
 	if err != nil {
 		return p, configurer.Configuration{}, cli.Exit(err, exitSettings)
 	}
+	if p.Platform != nil {
+		return p, configurer.Configuration{}, nil
+	}
 	c, err := configurer.ReadConfiguration(p.Configuration)
 	if err != nil {
 		return p, c, cli.Exit(err, exitSettings)
--- a/cmd/mustardleverd/run.go
+++ b/cmd/mustardleverd/run.go
@@ -39,7 +39,12 @@
 		return err
 	}
 	role := fx.Options(fx.Provide(newEntry), fx.Invoke(serveEntry))
-	if p.Role == configurer.RoleAgent {
+	switch {
+	case p.Platform != nil && p.Role == configurer.RoleAgent:
+		role = fx.Invoke(serveHostedAgent)
+	case p.Platform != nil:
+		role = fx.Invoke(serveHostedEntry)
+	case p.Role == configurer.RoleAgent:
 		role = fx.Options(fx.Provide(newAgent), fx.Invoke(serveAgent))
 	}
 	app := fx.New(
@@ -67,12 +72,19 @@
 func newLog(p configurer.Process) *logrus.Entry {
 	l := logrus.New()
 	l.SetOutput(os.Stderr)
+	if p.Platform != nil {
+		l.SetOutput(os.Stdout)
+		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: logTime})
+	}
 	if level, err := logrus.ParseLevel(p.LogLevel); err == nil {
 		l.SetLevel(level)
 	}
 	return l.WithField("part", p.Role).WithField("process", p.Name)
 }
 
+// logTime is the format of times in structured logs.
+const logTime = "2006-01-02T15:04:05.000000Z07:00"
+
 func newRecorder() *recorder.Recorder { return new(recorder.Recorder) }
 
 func identity(p configurer.Process) messenger.Identity {
--- a/configurer/process.go
+++ b/configurer/process.go
@@ -1,6 +1,7 @@
 package configurer
 
 import (
+	"cmp"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -18,6 +19,18 @@
 	Address string `json:"address"` // IP number and port
 }
 
+// Platform is how a process meets the users' platform. Addresses are IP numbers
+// with ports.
+type Platform struct {
+	Store        string `json:"store-address"`   // the metadata store
+	Ready        string `json:"ready-address"`   // where the balancer asks whether to send callers; entries
+	Reports      string `json:"reports-address"` // where the backend server reports; agents
+	Service      string `json:"service"`         // of the backend server; agents
+	ReportMillis int    `json:"report-ms"`       // between two reports; default 1500
+	LeaseMillis  int    `json:"lease-ms"`        // longest lease of what runs; default 1000
+	StopSeconds  int    `json:"stop-s"`          // a planned stop may take that long; default 6
+}
+
 // Process is the settings of one process. Addresses are IP numbers with ports.
 type Process struct {
 	Name            string          `json:"name"`
@@ -33,6 +46,7 @@
 	BackendServers  []BackendServer `json:"backend-servers"` // agents
 	DrainMillis     int             `json:"drain-ms"`        // longest planned stop; default 60000
 	LogLevel        string          `json:"log-level"`       // default "info"
+	Platform        *Platform       `json:"platform"`        // set where the process runs on the users' platform
 }
 
 // Roles of processes.
@@ -46,6 +60,10 @@
 	MinKeyCharacters   = 32
 	MaxNameCharacters  = 64
 	defaultDrainMillis = 60_000
+
+	defaultReportMillis = 1500
+	defaultLeaseMillis  = 1000
+	defaultStopSeconds  = 6
 )
 
 // ReadProcess reads and checks a settings file.
@@ -82,6 +100,9 @@
 	if p.DrainMillis == 0 {
 		p.DrainMillis = defaultDrainMillis
 	}
+	if p.Platform != nil {
+		p.Platform.fill()
+	}
 	return p, mistakes(f.mistakes)
 }
 
@@ -107,7 +128,9 @@
 	if p.DrainMillis < 0 {
 		f.reject("drain-ms", "found %d, expected 0 or more", p.DrainMillis)
 	}
-	if p.Configuration.Base == "" {
+	if p.Platform != nil {
+		p.checkPlatform(f)
+	} else if p.Configuration.Base == "" {
 		f.reject("configuration/base", "expected the name of the base file")
 	}
 }
@@ -118,7 +141,7 @@
 		f.address("link-advertised", p.LinkAdvertised)
 	}
 	f.address("caller-address", p.CallerAddress)
-	if len(p.TicketKey) < MinKeyCharacters {
+	if len(p.TicketKey) < MinKeyCharacters && p.Platform == nil {
 		f.reject("ticket-key", "expected at least %d characters, the same at every entry", MinKeyCharacters)
 	}
 	if len(p.BackendServers) > 0 {
@@ -127,6 +150,9 @@
 }
 
 func (p *Process) checkAgent(f *file) {
+	if p.Platform != nil {
+		return
+	}
 	if len(p.Entries) == 0 {
 		f.reject("entries", "expected the link address of at least one entry")
 	}
@@ -142,6 +168,28 @@
 	}
 }
 
+// fill sets what was left out.
+func (h *Platform) fill() {
+	h.ReportMillis = cmp.Or(h.ReportMillis, defaultReportMillis)
+	h.LeaseMillis = cmp.Or(h.LeaseMillis, defaultLeaseMillis)
+	h.StopSeconds = cmp.Or(h.StopSeconds, defaultStopSeconds)
+}
+
+func (p *Process) checkPlatform(f *file) {
+	f.address("platform/store-address", p.Platform.Store)
+	if p.Role == RoleAgent {
+		f.address("platform/reports-address", p.Platform.Reports)
+		if p.Platform.Service == "" {
+			f.reject("platform/service", "expected the name of a service")
+		}
+	} else {
+		f.address("platform/ready-address", p.Platform.Ready)
+	}
+	if p.Platform.ReportMillis < 0 || p.Platform.LeaseMillis < 0 || p.Platform.StopSeconds < 0 {
+		f.reject("platform", "a time is negative")
+	}
+}
+
 // address checks that text is an IP number and a port.
 func (f *file) address(path, text string) {
 	if _, err := netip.ParseAddrPort(text); err != nil {
--- /dev/null
+++ b/executor/leased.go
@@ -0,0 +1,227 @@
+package executor
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mustardlever.dev/mustardlever/leaser"
+	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/sizer"
+	"mustardlever.dev/mustardlever/starter"
+)
+
+const (
+	leasedTick     = 20 * time.Millisecond  // between two looks at what is due
+	callTimeout    = 150 * time.Millisecond // of a start or a stop: some hundred times what one takes
+	holdSlack      = 150 * time.Millisecond // of a hold beyond the time it may wait
+	reportsMissed  = 3                      // reports without which a backend server is taken as gone
+	runSucceeded   = 200                    // status of a task that was done
+	runFailed      = 500                    // status of a task that failed
+)
+
+// Report is what a backend server says of itself.
+type Report struct {
+	ID       string // names one life of it, as a rule
+	Service  string
+	Address  string // host:port
+	Born     int64  // Unix ms of its start
+	Number   int64  // rises with each report of one life
+	Ready    bool   // it takes work; not when it is leaving
+	Capacity sizer.Size
+	Labels   []string
+	Zone     string
+}
+
+// Leased runs the tasks of one backend server under leases. Set the fields,
+// then call Start.
+type Leased struct {
+	Settings leaser.Settings
+	Interval time.Duration // between two reports of the backend server
+	Log      *logrus.Entry
+
+	// Call carries out one call to the backend server of a report.
+	Call func(ctx context.Context, to Report, c leaser.Call) leaser.Answer
+	// Offer tells that the backend server may get tasks.
+	Offer func(Report)
+	// Withdraw tells that it must not get any more.
+	Withdraw func(Report)
+	// Finish tells the end of a run; a nil result means that it did not start.
+	Finish func(id uint64, result *messenger.Result)
+	// FinishStopped tells that a run ended before it was done.
+	FinishStopped func(id uint64)
+
+	mu      sync.Mutex
+	leaser  leaser.Leaser
+	report  Report
+	heard   time.Time // of the last report
+	offered bool
+	ctx     context.Context
+	done    sync.WaitGroup
+}
+
+// Start begins to keep leases until ctx ends.
+func (x *Leased) Start(ctx context.Context) {
+	x.ctx = ctx
+	x.leaser.Settings = x.Settings
+	x.leaser.Init(time.Now())
+	x.done.Go(x.tick)
+}
+
+// Wait returns when no call is on its way, after ctx has ended.
+func (x *Leased) Wait() { x.done.Wait() }
+
+func (x *Leased) tick() {
+	ticker := time.NewTicker(leasedTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-x.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		x.act(func(l *leaser.Leaser, now time.Time) {
+			if x.report.Address != "" && (l.Running() > 0 || !l.Clean()) {
+				l.Tick(now)
+			}
+		})
+	}
+}
+
+// act runs one decision and carries out what it decided.
+func (x *Leased) act(decide func(l *leaser.Leaser, now time.Time)) {
+	ends, change := x.decide(decide)
+	for _, e := range ends {
+		x.finish(e)
+	}
+	if change != nil {
+		change()
+	}
+}
+
+// decide runs one decision and sends its calls. It returns what remains to be
+// told, which must not be told under the lock of the caller of Run and Stop.
+func (x *Leased) decide(decide func(l *leaser.Leaser, now time.Time)) ([]leaser.End, func()) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	decide(&x.leaser, time.Now())
+	calls, ends := x.leaser.Drain()
+	report := x.report
+	for _, c := range calls {
+		x.done.Go(func() { x.carryOut(report, c) })
+	}
+	return ends, x.offer(time.Now())
+}
+
+// offer returns what to tell when the backend server begins or ceases to take
+// tasks. The caller holds mu.
+func (x *Leased) offer(now time.Time) func() {
+	alive := x.report.Address != "" && now.Sub(x.heard) < reportsMissed*x.Interval
+	wanted := alive && x.report.Ready && x.leaser.Clean()
+	if wanted == x.offered {
+		return nil
+	}
+	x.offered = wanted
+	report := x.report
+	if !wanted {
+		x.Log.WithFields(fields(report)).WithField("heard-ms", now.Sub(x.heard).Milliseconds()).
+			Info("Backend server takes no more work.")
+		return func() { x.Withdraw(report) }
+	}
+	x.Log.WithFields(fields(report)).Info("Backend server takes work.")
+	return func() { x.Offer(report) }
+}
+
+func fields(r Report) logrus.Fields {
+	return logrus.Fields{"backend-server": r.ID, "born-ms": r.Born, "ready": r.Ready, "cpu": r.Capacity.CPU}
+}
+
+func (x *Leased) carryOut(to Report, c leaser.Call) {
+	timeout := callTimeout
+	if c.Kind == leaser.KindHold {
+		timeout = c.Wait + holdSlack
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, timeout)
+	defer cancel()
+	a := x.Call(ctx, to, c)
+	if a.Verdict != leaser.VerdictDone {
+		x.Log.WithFields(logrus.Fields{
+			"call": int(c.Kind), "task": c.Task, "run": c.Number, "fence": c.Fence, "verdict": int(a.Verdict),
+		}).Warn("Backend server did not carry out a call.")
+	}
+	x.act(func(l *leaser.Leaser, now time.Time) { l.Answered(now, c, a) })
+}
+
+func (x *Leased) finish(e leaser.End) {
+	switch {
+	case !e.Started:
+		x.FinishStopped(e.ID)
+	case e.How == leaser.HowDone:
+		x.Finish(e.ID, &messenger.Result{Status: runSucceeded, ServeMicros: e.Took.Microseconds()})
+	case e.How == leaser.HowFailed:
+		x.Finish(e.ID, &messenger.Result{Status: runFailed, Error: "the task failed", ServeMicros: e.Took.Microseconds()})
+	default:
+		x.FinishStopped(e.ID)
+	}
+}
+
+// Run starts a task. It does not block.
+func (x *Leased) Run(r starter.Run) {
+	x.later(func(l *leaser.Leaser, now time.Time) {
+		l.Start(now, r.ID, r.Request.Name, r.Attempt, r.Request.Body)
+		l.Tick(now)
+	})
+}
+
+// Stop stops a task. It does not block.
+func (x *Leased) Stop(r starter.Run) {
+	x.later(func(l *leaser.Leaser, now time.Time) { l.Stop(now, r.ID) })
+}
+
+// later runs a decision now, and tells what follows from it on a goroutine of
+// its own, since the caller holds the lock that the end of a run takes.
+func (x *Leased) later(decide func(l *leaser.Leaser, now time.Time)) {
+	ends, change := x.decide(decide)
+	if len(ends) == 0 && change == nil {
+		return
+	}
+	x.done.Go(func() {
+		for _, e := range ends {
+			x.finish(e)
+		}
+		if change != nil {
+			change()
+		}
+	})
+}
+
+// Heard takes a report of the backend server. It reports false for one that is
+// older than what is known.
+func (x *Leased) Heard(r Report) bool {
+	x.mu.Lock()
+	known := x.report
+	x.mu.Unlock()
+	if r.Born < known.Born || r.Born == known.Born && r.ID == known.ID && r.Number <= known.Number {
+		return false
+	}
+	x.act(func(l *leaser.Leaser, now time.Time) {
+		fresh := known.Address == "" || r.Born != known.Born || r.ID != known.ID || r.Address != known.Address
+		x.report, x.heard = r, now
+		if fresh {
+			x.Log.WithFields(fields(r)).Info("Backend server is new.")
+			l.Reborn(now, r.Born)
+		}
+	})
+	return true
+}
+
+// Left notes that the backend server of the id has ended as planned.
+func (x *Leased) Left(id string) {
+	x.act(func(l *leaser.Leaser, _ time.Time) {
+		if x.report.ID == id {
+			x.report.Ready = false
+		}
+	})
+}
--- a/keeper/agent.go
+++ b/keeper/agent.go
@@ -70,7 +70,7 @@
 		for i := range j.tasks {
 			t := &j.tasks[i]
 			if t.state == lapsing && over(t) {
-				j.rebind(i)
+				j.rebind(i, true)
 				k.decide("task-restarts", j, i, t.agent, "its earlier start has ended")
 			}
 		}
--- a/keeper/direct.go
+++ b/keeper/direct.go
@@ -14,8 +14,9 @@
 	maxComeBack = 5 * time.Second
 )
 
-// Run takes a job whose caller waits for its answer and has no ticket: nobody
-// asks for it again, and its tasks end with this entry. It returns the number
+// Run takes a job whose caller waits for its answer and has no ticket: its
+// answer is not kept, and its tasks end with this entry. A job of a name that
+// runs here already is that job. It returns the number
 // under which Drain reports the job's end, or the answer if there is one at
 // once. Nothing of a refused job was or will be started.
 func (k *Keeper) Run(now time.Time, in Job) (uint64, *Answer, error) {
@@ -27,6 +28,9 @@
 	case k.full():
 		return 0, nil, &Error{Op: "run", Kind: KindOverload, Detail: "the queue is full"}
 	}
+	if j := k.names[in.Name]; j != nil {
+		return j.key.sequence, nil, nil // the same job again
+	}
 	number := k.next
 	k.next++
 	j := k.newJob(now, key{k.Self, number}, in)
@@ -46,6 +50,27 @@
 	}
 }
 
+// CancelName ends the job of the name that Run took, and reports whether it was
+// there.
+func (k *Keeper) CancelName(now time.Time, name string) bool {
+	j := k.names[name]
+	if j != nil {
+		k.stop(now, j, messenger.ReasonCancelled)
+	}
+	return j != nil
+}
+
+// Unbegun returns how many jobs that Run took have no task started.
+func (k *Keeper) Unbegun() int {
+	n := 0
+	for _, j := range k.names {
+		if j.count(pending) == len(j.tasks) {
+			n++
+		}
+	}
+	return n
+}
+
 // AbandonRuns ends all jobs that Run took, for one reason.
 func (k *Keeper) AbandonRuns(now time.Time, r messenger.Reason) {
 	for j := range k.active {
--- a/keeper/ending.go
+++ b/keeper/ending.go
@@ -45,7 +45,11 @@
 	k.release(j)
 	j.mark(sent, unknown)
 	j.mark(lapsing, unknown)
-	k.end(now, j, j.newAnswer(StateFailed, j.stopping))
+	a := j.newAnswer(StateFailed, j.stopping)
+	if !a.MayHaveRun() {
+		a.Wait = k.comeBack()
+	}
+	k.end(now, j, a)
 }
 
 // release forgets all starts of a job that are not answered.
@@ -108,6 +112,9 @@
 	j.requests, j.ended = nil, now
 	delete(k.active, j)
 	delete(k.lapsing, j)
+	if j.name != "" {
+		delete(k.names, j.name)
+	}
 	if j.restarts {
 		delete(k.jobs, j.key) // nobody can ask for it again
 		return
--- a/keeper/job.go
+++ b/keeper/job.go
@@ -20,6 +20,15 @@
 	Near           string        // label of agents near the job's data; empty: none
 }
 
+// Longest returns the longest estimate of the job's tasks.
+func (in *Job) Longest() time.Duration {
+	longest := int64(0)
+	for i := range in.Tasks {
+		longest = max(longest, in.Tasks[i].EstimateMillis)
+	}
+	return time.Duration(longest) * time.Millisecond
+}
+
 // Restarts says whether and how tasks may be started again. The zero value
 // starts no task twice.
 type Restarts struct {
@@ -77,15 +86,18 @@
 type task struct {
 	state    taskState
 	agent    string
-	attempt  int // grows each time the task is bound anew
-	failures int // starts that ended as failed
+	attempt  int  // grows each time the task is bound anew
+	failures int  // starts that ended as failed
+	begun    bool // an earlier start may have run
 	lapses   time.Time
 	result   *messenger.Result
 }
 
-// rebind makes a task pending again, whose last start does not run.
-func (j *job) rebind(i int) {
+// rebind makes a task pending again, whose last start does not run. Begun
+// tells whether it may have run.
+func (j *job) rebind(i int, begun bool) {
 	t := &j.tasks[i]
+	t.begun = t.begun || begun
 	t.state, t.agent, t.result = pending, "", nil
 	t.attempt++
 }
@@ -167,27 +179,27 @@
 func (j *job) states() []messenger.TaskState {
 	states := make([]messenger.TaskState, len(j.tasks))
 	for i := range j.tasks {
-		states[i] = told(j.tasks[i].state)
+		states[i] = j.tasks[i].told()
 	}
 	return states
 }
 
-func told(s taskState) messenger.TaskState {
-	switch s {
-	case ran:
+func (t *task) told() messenger.TaskState {
+	switch {
+	case t.state == ran:
 		return messenger.TaskRan
-	case pending:
+	case t.state == pending && !t.begun:
 		return messenger.TaskNotRun
-	default:
-		return messenger.TaskUnknown
 	}
+	return messenger.TaskUnknown
 }
 
 // newAnswer builds the final answer of a job.
 func (j *job) newAnswer(s State, r messenger.Reason) *Answer {
 	a := &Answer{State: s, Reason: r, Tasks: make([]TaskAnswer, len(j.tasks))}
-	for i, t := range j.tasks {
-		a.Tasks[i] = TaskAnswer{State: told(t.state), Agent: t.agent, Result: t.result}
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		a.Tasks[i] = TaskAnswer{State: t.told(), Agent: t.agent, Result: t.result}
 	}
 	return a
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -87,8 +87,9 @@
 	expired   uint64 // tickets below have expired
 	below     uint64 // tickets below are closed
 	jobs      map[key]*job
-	active    map[*job]bool // not ended
-	ended     []*job        // oldest first
+	active    map[*job]bool   // not ended
+	names     map[string]*job // not ended, by their callers' own ids
+	ended     []*job          // oldest first
 	agents    map[string]*agent
 	gone      map[string]uint64 // agents no longer used: from which ticket on
 	witnesses map[string]*witness
@@ -121,6 +122,7 @@
 	k.next, k.expired, k.below = 1, 1, 1
 	k.jobs = make(map[key]*job)
 	k.active = make(map[*job]bool)
+	k.names = make(map[string]*job)
 	k.agents = make(map[string]*agent)
 	k.gone = make(map[string]uint64)
 	k.witnesses = make(map[string]*witness)
--- a/keeper/owner.go
+++ b/keeper/owner.go
@@ -118,8 +118,8 @@
 			need = sizer.Slots(1)
 		}
 		p.Need = p.Need.Max(need)
-		p.Estimate = max(p.Estimate, time.Duration(in.Tasks[i].EstimateMillis)*time.Millisecond)
 	}
+	p.Estimate = in.Longest()
 	return p
 }
 
@@ -139,6 +139,9 @@
 	j.place = in.place(now, j)
 	k.jobs[id] = j
 	k.active[j] = true
+	if j.name != "" {
+		k.names[j.name] = j
+	}
 	k.decide("job-submitted", j, -1, "", "")
 	return j
 }
--- a/keeper/progress.go
+++ b/keeper/progress.go
@@ -108,7 +108,7 @@
 		j.tasks[m.Task].state, j.doubt = unknown, messenger.ReasonExpired
 		return
 	}
-	j.rebind(m.Task)
+	j.rebind(m.Task, m.Refusal == messenger.RefusalStopped || m.Refusal == messenger.RefusalLapsed)
 	switch m.Refusal {
 	case messenger.RefusalSealed:
 		k.surrenderPair(now, j.witness)
@@ -142,7 +142,7 @@
 	k.decide("task-failed", j, m.Task, from, m.Result.Error)
 	k.queue.Fail(now, from)
 	if t.failures < j.attempts {
-		j.rebind(m.Task)
+		j.rebind(m.Task, true)
 		return
 	}
 	t.state, t.result = ran, m.Result
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -61,6 +61,15 @@
 	Forward   *Forward   `json:"forward,omitempty"`
 	Reply     *Reply     `json:"reply,omitempty"`
 	Entries   *Entries   `json:"entries,omitempty"`
+
+	Configuration *Configuration `json:"configuration,omitempty"`
+}
+
+// Configuration (entry to entry) passes a version of the configuration on, as
+// it was read from the platform.
+type Configuration struct {
+	Version  int64  `json:"version"`
+	Document []byte `json:"document"`
 }
 
 // Announce (agent to entry) offers a backend server of a service. A leaving
--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,44 @@
+package router_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mustardlever.dev/mustardlever/router"
+)
+
+func ExampleTable_Find() {
+	t := router.NewTable(7, []router.Route{
+		{Name: "all", Host: "desk.example", Prefix: "/", Service: "general"},
+		{Name: "checks", Host: "Desk.example", Prefix: "/checks/", Service: "fast"},
+	})
+	r, rest := t.Find("desk.example:8161", "/checks/0123456789abcdef")
+	fmt.Println(r.Service, rest)
+	r, rest = t.Find("desk.example", "/other")
+	fmt.Println(r.Service, rest)
+	r, _ = t.Find("other.example", "/checks/")
+	fmt.Println(r)
+	// Output:
+	// fast 0123456789abcdef
+	// general other
+	// <nil>
+}
+
+func TestHolderNeverGoesBack(t *testing.T) {
+	var h router.Holder
+	require.Nil(t, h.Table())
+	require.True(t, h.Adopt(router.NewTable(5, nil)))
+	require.False(t, h.Adopt(router.NewTable(4, nil)))
+	require.False(t, h.Adopt(router.NewTable(5, nil)))
+	require.True(t, h.Adopt(router.NewTable(9, nil)))
+	require.Equal(t, int64(9), h.Version())
+}
+
+func TestDue(t *testing.T) {
+	r := router.Route{Stretch: 1.6, Allowed: 60 * time.Millisecond}
+	require.Equal(t, 220*time.Millisecond, r.Due(100*time.Millisecond))
+	require.Zero(t, (&router.Route{}).Due(time.Second))
+}
--- a/server/direct.go
+++ b/server/direct.go
@@ -4,14 +4,126 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"mustardlever.dev/mustardlever/internal/fault"
 	"mustardlever.dev/mustardlever/keeper"
 	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/router"
+)
+
+// Direct is a job that comes without a ticket: its caller waits for its end.
+type Direct struct {
+	Host      string
+	Path      string
+	RequestID string
+	Deadline  time.Duration                       // how long the caller waits; 0: not said
+	Read      func(id string) (keeper.Job, error) // decodes the job; id is the path without the route's prefix
+}
+
+// Outcome is what became of a direct job.
+type Outcome string
+
+// Outcomes. After the last two the job may have run.
+const (
+	OutcomeComplete Outcome = "complete"
+	OutcomeFailed   Outcome = "failed"   // a task failed as often as it may
+	OutcomeNoRoute  Outcome = "no-route" // not run
+	OutcomeInvalid  Outcome = "invalid"  // not run
+	OutcomeOverload Outcome = "overload" // not run
+	OutcomeNotRun   Outcome = "not-run"
+	OutcomeTimeout  Outcome = "timeout"
+	OutcomeUnknown  Outcome = "unknown"
 )
 
-// Run runs a job whose caller waits here for its answer, and has no ticket.
-// When ctx ends first the job is ended too, since nobody could be told. It
-// errors with KindUnknownService or with a kind of keeper: then nothing was or
-// will be started.
+// Reply answers a direct job. ComeBack is when the caller should come back
+// with a job that has not run; zero says nothing.
+type Reply struct {
+	Outcome  Outcome
+	Cause    string
+	ComeBack time.Duration
+}
+
+// comeBackLater is when to come back to an entry that cannot serve yet.
+const comeBackLater = time.Second
+
+// Submit runs a direct job and returns its answer.
+func (e *Entry) Submit(ctx context.Context, q Direct) Reply {
+	begin := time.Now()
+	table := e.Routes.Table()
+	if table == nil {
+		return e.answered(q, nil, begin, Reply{OutcomeNotRun, "no configuration yet", comeBackLater}, nil)
+	}
+	route, id := table.Find(q.Host, q.Path)
+	if route == nil {
+		return e.answered(q, nil, begin, Reply{Outcome: OutcomeNoRoute, Cause: "no such route"}, nil)
+	}
+	job, err := q.Read(id)
+	if err != nil {
+		return e.answered(q, route, begin, Reply{Outcome: OutcomeInvalid, Cause: err.Error()}, nil)
+	}
+	job.Restarts = keeper.Restarts{Attempts: route.Attempts, First: firstNumber(begin)}
+	job.Due = route.Due(job.Longest())
+	job.DeadlineMillis = q.Deadline.Milliseconds()
+	answer, err := e.Run(ctx, route.Service, job)
+	return e.answered(q, route, begin, reply(answer, err), answer)
+}
+
+// firstNumber is the number of a task's first start: it rises over all entries
+// and their restarts, by a tenth of a second. A step back of the wall clock
+// costs a start that is refused and sent again with a higher number.
+func firstNumber(now time.Time) int {
+	const wrap = 1_000_000_000 // some three years
+	return int(now.UnixMilli()/100) % wrap
+}
+
+// reply says what an answer means to the caller.
+func reply(a *keeper.Answer, err error) Reply {
+	switch {
+	case err != nil && fault.KindOf[keeper.Kind](err) == keeper.KindOverload:
+		return Reply{OutcomeOverload, err.Error(), comeBackLater}
+	case err != nil:
+		return Reply{OutcomeNotRun, err.Error(), comeBackLater}
+	case a.State == keeper.StateComplete:
+		return Reply{Outcome: OutcomeComplete}
+	case a.Reason == messenger.ReasonTask, a.Reason == messenger.ReasonNoFit:
+		return Reply{Outcome: OutcomeFailed, Cause: string(a.Reason)}
+	case !a.MayHaveRun():
+		return Reply{OutcomeNotRun, string(a.Reason), a.Wait}
+	case a.Reason == messenger.ReasonDeadline:
+		return Reply{Outcome: OutcomeTimeout, Cause: string(a.Reason)}
+	}
+	return Reply{Outcome: OutcomeUnknown, Cause: string(a.Reason)}
+}
+
+// answered logs the answer to a direct job, and returns it.
+func (e *Entry) answered(q Direct, route *router.Route, begin time.Time, r Reply, a *keeper.Answer) Reply {
+	f := logrus.Fields{
+		"request-id": q.RequestID, "path": q.Path, "outcome": r.Outcome, "took-ms": time.Since(begin).Milliseconds(),
+		"configuration": e.Routes.Version(),
+	}
+	if route != nil {
+		f["route"], f["service"] = route.Name, route.Service
+	}
+	if r.Cause != "" {
+		f["cause"] = r.Cause
+	}
+	if a != nil {
+		f["tasks"] = len(a.Tasks)
+	}
+	l := e.Log.WithFields(f)
+	if r.Outcome == OutcomeComplete {
+		l.Debug("Entry answered a job.")
+	} else {
+		l.Info("Entry answered a job.")
+	}
+	return r
+}
+
+// Run runs a job whose caller waits here for its answer. When ctx ends and no
+// other caller waits for the job of that name, the job is ended too, since
+// nobody could be told. It errors with KindUnknownService or with a kind of
+// keeper: then nothing was or will be started.
 func (e *Entry) Run(ctx context.Context, service string, job keeper.Job) (*keeper.Answer, error) {
 	s := e.shards.find(service)
 	if s == nil {
@@ -24,7 +136,8 @@
 	to := e.decide(s, func(k *keeper.Keeper, now time.Time) {
 		number, answer, err = k.Run(now, job)
 		if err == nil && answer == nil {
-			s.waiters[jobName{k.Self, number}] = []chan *keeper.Answer{ended}
+			name := jobName{k.Self, number}
+			s.waiters[name] = append(s.waiters[name], ended)
 		}
 	})
 	to.flush(&e.hub)
@@ -36,14 +149,61 @@
 		return answer, nil
 	case <-ctx.Done():
 	}
-	e.act(s, func(k *keeper.Keeper, now time.Time) { k.CancelRun(now, number) })
-	return <-ended, nil
+	return e.leaveRun(s, number, ended), nil
+}
+
+// leaveRun ends a job whose last waiting caller has left.
+func (e *Entry) leaveRun(s *entryShard, number uint64, ended chan *keeper.Answer) *keeper.Answer {
+	e.act(s, func(k *keeper.Keeper, now time.Time) {
+		name := jobName{k.Self, number}
+		if len(s.waiters[name]) > 1 {
+			s.drop(name, ended)
+			ended <- &keeper.Answer{State: keeper.StateFailed, Reason: messenger.ReasonCancelled}
+			return
+		}
+		k.CancelRun(now, number)
+	})
+	return <-ended
+}
+
+// CancelName ends the direct job of a name, and reports whether it ran here.
+func (e *Entry) CancelName(service, name string) bool {
+	s := e.shards.find(service)
+	if s == nil {
+		return false
+	}
+	found := false
+	e.act(s, func(k *keeper.Keeper, now time.Time) { found = k.CancelName(now, name) })
+	return found
+}
+
+// Pending returns how many direct jobs of the service have no task started.
+func (e *Entry) Pending(service string) int {
+	s := e.shards.find(service)
+	if s == nil {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.keeper.Unbegun()
 }
 
-// Abandon ends all jobs that Run took: their tasks are stopped and their
-// callers told.
+// Abandon ends all direct jobs: their tasks are stopped and their callers told.
 func (e *Entry) Abandon(r messenger.Reason) {
 	for _, s := range e.shards.list() {
 		e.act(s, func(k *keeper.Keeper, now time.Time) { k.AbandonRuns(now, r) })
 	}
 }
+
+// Serves reports whether any agent of any service is there.
+func (e *Entry) Serves() bool {
+	for _, s := range e.shards.list() {
+		s.mu.Lock()
+		n := s.keeper.Counts().Agents
+		s.mu.Unlock()
+		if n > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/server/entry.go
+++ b/server/entry.go
@@ -12,6 +12,7 @@
 	"mustardlever.dev/mustardlever/keeper"
 	"mustardlever.dev/mustardlever/messenger"
 	"mustardlever.dev/mustardlever/recorder"
+	"mustardlever.dev/mustardlever/router"
 	"mustardlever.dev/mustardlever/ticketer"
 )
 
@@ -36,6 +37,11 @@
 	Recorder *recorder.Recorder
 	Decided  func(service string, d keeper.Decision) // told of each decision, under the shard's lock; may be nil
 
+	// Routes is the configuration in force; ReadRoutes reads one that another
+	// entry has sent, nil where there is none.
+	Routes     router.Holder
+	ReadRoutes func(document []byte) (*router.Table, error)
+
 	hub    messenger.Hub
 	coder  ticketer.Coder
 	shards shards
@@ -129,6 +135,9 @@
 	switch {
 	case m.Entries != nil:
 		e.learn(m.Entries.Addresses)
+	case m.Configuration != nil:
+		c := *m.Configuration
+		e.done.Go(func() { e.takeRoutes(from.Incarnation, &c) })
 	case m.Forward != nil:
 		f := *m.Forward
 		e.done.Go(func() { e.serveForward(from.Incarnation, f) })
@@ -147,6 +156,7 @@
 		return
 	}
 	e.learn([]string{peer.Address})
+	e.offerRoutes(peer.Incarnation)
 	for _, s := range e.shards.list() {
 		e.act(s, func(k *keeper.Keeper, _ time.Time) { k.WitnessUp(peer.Incarnation, peer.Zone) })
 	}
@@ -213,6 +223,14 @@
 	return !e.draining
 }
 
+// LeaveBalancer makes Ready false, and goes on taking jobs from callers that
+// are here or are still sent here.
+func (e *Entry) LeaveBalancer() {
+	e.mu.Lock()
+	e.draining = true
+	e.mu.Unlock()
+}
+
 // BeginDrain stops the issue of tickets. Jobs that hold one are still taken.
 func (e *Entry) BeginDrain() {
 	e.Log.Info("Entry leaves.")
--- a/server/route.go
+++ b/server/route.go
@@ -167,16 +167,7 @@
 func (s *entryShard) leave(name jobName, c chan *keeper.Answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := s.waiters[name]
-	for i := range list {
-		if list[i] == c {
-			s.waiters[name] = append(list[:i], list[i+1:]...)
-			break
-		}
-	}
-	if len(s.waiters[name]) == 0 {
-		delete(s.waiters, name)
-	}
+	s.drop(name, c)
 }
 
 // refused answers an operation that the keeper refused.
--- a/server/shard.go
+++ b/server/shard.go
@@ -118,3 +118,11 @@
 	}
 	delete(s.waiters, name)
 }
+
+// drop removes one of those who wait for a job. The caller holds mu.
+func (s *entryShard) drop(name jobName, c chan *keeper.Answer) {
+	s.waiters[name] = slices.DeleteFunc(s.waiters[name], func(x chan *keeper.Answer) bool { return x == c })
+	if len(s.waiters[name]) == 0 {
+		delete(s.waiters, name)
+	}
+}
