Read settings again on SIGHUP; say nothing of routes before a configuration

Ruled out: a configuration that went back; the version was in the store all the while and the process had read none.

Change: reloader takes seeds and log level on SIGHUP and every 5 s; a look without a configuration is answered 503.

--- a/cmd/mustardleverd/hosted.go
+++ b/cmd/mustardleverd/hosted.go
@@ -46,13 +46,14 @@
 }
 
 // serveHostedEntry runs an entry on the users' platform.
-func serveHostedEntry(l fx.Lifecycle, p configurer.Process, log *logrus.Entry, r *recorder.Recorder) error {
+func serveHostedEntry(l fx.Lifecycle, p configurer.Process, log *logrus.Entry, r *recorder.Recorder, settings *reloader) error {
 	links, err := net.Listen("tcp", p.LinkAddress)
 	if err != nil {
 		return err
 	}
 	e := newHostedEntry(p, log, r)
-	front := callersServer(hostedFront(e))
+	settings.learn = e.Learn
+	front := callersServer(&platform.Front{Submit: e.Submit, Cancel: e.Cancel, Look: e.Look})
 	ready := &http.Server{Handler: readiness(e), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	operators := operator.New(entrySource(e, r))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -111,34 +112,6 @@
 	}
 }
 
-func hostedFront(e *server.Entry) http.Handler {
-	return &platform.Front{
-		Submit: e.Submit,
-		Cancel: func(host, path string) bool {
-			route, id := find(e, host, path)
-			return route != nil && e.CancelName(route.Service, id)
-		},
-		Pending: func(host, path string) (int, bool) {
-			route, id := find(e, host, path)
-			switch {
-			case route == nil:
-				return 0, false
-			case id != "":
-				return -1, true
-			}
-			return e.Pending(route.Service), true
-		},
-	}
-}
-
-func find(e *server.Entry, host, path string) (*router.Route, string) {
-	t := e.Routes.Table()
-	if t == nil {
-		return nil, ""
-	}
-	return t.Find(host, path)
-}
-
 // readiness answers the balancer: 200 while the entry takes callers.
 func readiness(e *server.Entry) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -193,11 +166,12 @@
 }
 
 // serveHostedAgent runs an agent on the users' platform.
-func serveHostedAgent(l fx.Lifecycle, p configurer.Process, log *logrus.Entry, r *recorder.Recorder) error {
+func serveHostedAgent(l fx.Lifecycle, p configurer.Process, log *logrus.Entry, r *recorder.Recorder, settings *reloader) error {
 	a := &server.Agent{
 		Settings: server.AgentSettings{Identity: identity(p), Entries: p.Entries, Messenger: hostedTiming()},
 		Log:      log, Recorder: r,
 	}
+	settings.learn = a.Learn
 	x := newLeased(p, a, log)
 	reports := &http.Server{
 		Handler:           platform.ReportsHandler(log, func(r executor.Report) { x.Heard(r) }, x.Left),
--- a/cmd/mustardleverd/run.go
+++ b/cmd/mustardleverd/run.go
@@ -50,6 +50,8 @@
 	app := fx.New(
 		fx.Supply(p, configuration),
 		fx.Provide(newLog, newRecorder),
+		fx.Provide(func(log *logrus.Entry) *reloader { return &reloader{path: c.String("settings"), log: log, known: p} }),
+		fx.Invoke(watchSettings),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(time.Duration(p.DrainMillis)*time.Millisecond+stopMargin),
@@ -82,6 +84,21 @@
 	return l.WithField("part", p.Role).WithField("process", p.Name)
 }
 
+// watchSettings runs the reloader while the process runs.
+func watchSettings(l fx.Lifecycle, r *reloader) {
+	ctx, cancel := context.WithCancel(context.Background())
+	l.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go r.run(ctx)
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			return nil
+		},
+	})
+}
+
 // logTime is the format of times in structured logs.
 const logTime = "2006-01-02T15:04:05.000000Z07:00"
 
@@ -144,7 +161,8 @@
 
 // serveEntry listens for processes, callers and operators, and drains at the
 // stop: callers first, then jobs, then sessions.
-func serveEntry(l fx.Lifecycle, p configurer.Process, e *server.Entry, r *recorder.Recorder) error {
+func serveEntry(l fx.Lifecycle, p configurer.Process, e *server.Entry, r *recorder.Recorder, settings *reloader) error {
+	settings.learn = e.Learn
 	links, err := net.Listen("tcp", p.LinkAddress)
 	if err != nil {
 		return err
@@ -190,7 +208,8 @@
 	return d
 }
 
-func serveAgent(l fx.Lifecycle, p configurer.Process, a *server.Agent, r *recorder.Recorder) {
+func serveAgent(l fx.Lifecycle, p configurer.Process, a *server.Agent, r *recorder.Recorder, settings *reloader) {
+	settings.learn = a.Learn
 	operators := operator.New(agentSource(a, r))
 	l.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/server/agent.go
+++ b/server/agent.go
@@ -89,10 +89,10 @@
 	a.hub.Deliver = a.deliver
 	a.hub.Up = a.up
 	a.hub.Lost = a.lost
-	a.hub.Learn = a.learn
+	a.hub.Learn = a.Learn
 	a.hub.Clock, a.hub.Observe = a.Recorder.Now, a.Recorder.Observe
 	a.hub.Start(nil)
-	a.learn(a.Settings.Entries)
+	a.Learn(a.Settings.Entries)
 	a.done.Go(a.tick)
 	a.Recorder.Add(recorder.Event{Kind: "process-started", Task: -1})
 	a.Log.Infof("Agent %s runs.", a.hub.Self.Incarnation)
@@ -175,7 +175,8 @@
 // Traffic returns the counters of the agent's connections.
 func (a *Agent) Traffic() *messenger.Traffic { return &a.hub.Traffic }
 
-func (a *Agent) learn(addresses []string) {
+// Learn connects to entries heard of.
+func (a *Agent) Learn(addresses []string) {
 	for _, x := range addresses {
 		if _, _, err := net.SplitHostPort(x); err == nil {
 			a.hub.Keep(x)
@@ -243,7 +244,7 @@
 
 func (a *Agent) deliver(from messenger.Identity, m messenger.Message) {
 	if m.Entries != nil {
-		a.learn(m.Entries.Addresses)
+		a.Learn(m.Entries.Addresses)
 		return
 	}
 	s := a.shard(m.Service)
--- a/server/direct.go
+++ b/server/direct.go
@@ -50,11 +50,10 @@
 // Submit runs a direct job and returns its answer.
 func (e *Entry) Submit(ctx context.Context, q Direct) Reply {
 	begin := time.Now()
-	table := e.Routes.Table()
-	if table == nil {
+	route, id, ready := e.find(q.Host, q.Path)
+	if !ready {
 		return e.answered(q, nil, begin, Reply{OutcomeNotRun, "no configuration yet", comeBackLater}, nil)
 	}
-	route, id := table.Find(q.Host, q.Path)
 	if route == nil {
 		return e.answered(q, nil, begin, Reply{Outcome: OutcomeNoRoute, Cause: "no such route"}, nil)
 	}
@@ -166,26 +165,54 @@
 	return <-ended
 }
 
-// CancelName ends the direct job of a name, and reports whether it ran here.
-func (e *Entry) CancelName(service, name string) bool {
-	s := e.shards.find(service)
+// View is what an entry knows of a path.
+type View struct {
+	Unready bool // there is no configuration yet, so that nothing can be said
+	Route   bool // a route leads there
+	Job     bool // the path names a job
+	Pending int  // direct jobs of the route's service without a started task
+}
+
+// Look returns what the entry knows of a path. Ended direct jobs are not kept.
+func (e *Entry) Look(host, path string) View {
+	route, id, ready := e.find(host, path)
+	if route == nil {
+		return View{Unready: !ready}
+	}
+	v := View{Route: true, Job: id != ""}
+	if s := e.shards.find(route.Service); s != nil {
+		s.mu.Lock()
+		v.Pending = s.keeper.Unbegun()
+		s.mu.Unlock()
+	}
+	return v
+}
+
+// Cancel ends the direct job that the path names and reports whether it ran
+// here.
+func (e *Entry) Cancel(host, path string) bool {
+	route, id, _ := e.find(host, path)
+	if route == nil {
+		return false
+	}
+	s := e.shards.find(route.Service)
 	if s == nil {
 		return false
 	}
 	found := false
-	e.act(s, func(k *keeper.Keeper, now time.Time) { found = k.CancelName(now, name) })
+	e.act(s, func(k *keeper.Keeper, now time.Time) { found = k.CancelName(now, id) })
 	return found
 }
 
-// Pending returns how many direct jobs of the service have no task started.
-func (e *Entry) Pending(service string) int {
-	s := e.shards.find(service)
-	if s == nil {
-		return 0
+// find returns the route of a path and the rest of the path; ready is false
+// while there is no configuration.
+func (e *Entry) find(host, path string) (route *router.Route, id string, ready bool) {
+	t := e.Routes.Table()
+	if t == nil {
+		return nil, "", false
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.keeper.Unbegun()
+	route, id = t.Find(host, path)
+	return route, id, true
 }
 
 // Abandon ends all direct jobs: their tasks are stopped and their callers told.
--- a/server/entry.go
+++ b/server/entry.go
@@ -79,11 +79,11 @@
 	e.hub.Deliver = e.deliver
 	e.hub.Up = e.up
 	e.hub.Lost = e.lost
-	e.hub.Learn = e.learn
+	e.hub.Learn = e.Learn
 	e.hub.Known = e.addresses
 	e.hub.Clock, e.hub.Observe = e.Recorder.Now, e.Recorder.Observe
 	e.hub.Start(l)
-	e.learn(e.Settings.Entries)
+	e.Learn(e.Settings.Entries)
 	e.done.Go(e.tick)
 	e.Recorder.Add(recorder.Event{Kind: "process-started", Task: -1})
 	e.Log.Infof("Entry %s runs.", e.hub.Self.Incarnation)
@@ -98,8 +98,8 @@
 // Peers returns the processes with which there is a session.
 func (e *Entry) Peers() []messenger.Identity { return e.hub.Peers() }
 
-// learn connects to entries heard of, and passes new addresses on.
-func (e *Entry) learn(addresses []string) {
+// Learn connects to entries heard of, and passes new addresses on.
+func (e *Entry) Learn(addresses []string) {
 	e.mu.Lock()
 	var fresh []string
 	for _, x := range addresses {
@@ -134,7 +134,7 @@
 func (e *Entry) deliver(from messenger.Identity, m messenger.Message) {
 	switch {
 	case m.Entries != nil:
-		e.learn(m.Entries.Addresses)
+		e.Learn(m.Entries.Addresses)
 	case m.Configuration != nil:
 		c := *m.Configuration
 		e.done.Go(func() { e.takeRoutes(from.Incarnation, &c) })
@@ -155,7 +155,7 @@
 	if peer.Role != messenger.RoleEntry {
 		return
 	}
-	e.learn([]string{peer.Address})
+	e.Learn([]string{peer.Address})
 	e.offerRoutes(peer.Incarnation)
 	for _, s := range e.shards.list() {
 		e.act(s, func(k *keeper.Keeper, _ time.Time) { k.WitnessUp(peer.Incarnation, peer.Zone) })
