Remember offers and entries in the store; nothing new for a silent backend server

A backend server that crashed got new tasks until its leases had lapsed.

Ruled out: reports sent sooner (they are the platform's); asking entries for the last offer (all are new then).

Holds that get no answer stop renewing leases after 0.5 s (found by a test: they renewed for ever). An agent whose call is unanswered tells no room. An entry's session is announced anew only when none of its tasks runs on. A process that slept (waker) gives its sessions up; an entry's clock counts suspensions.

--- a/cmd/mustardleverd/hosted.go
+++ b/cmd/mustardleverd/hosted.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,6 +18,7 @@
 	"mustardlever.dev/mustardlever/operator"
 	"mustardlever.dev/mustardlever/platform"
 	"mustardlever.dev/mustardlever/recorder"
+	"mustardlever.dev/mustardlever/registrar"
 	"mustardlever.dev/mustardlever/router"
 	"mustardlever.dev/mustardlever/server"
 )
@@ -31,7 +33,9 @@
 	hostedLost      = 600 * time.Millisecond
 	hostedLease     = 900 * time.Millisecond
 	hostedStopping  = 200 * time.Millisecond // an agent's look at its sessions and the stop of what runs
+	hostedRenewing  = 500 * time.Millisecond // an agent renews leases so long without an answer
 	hostedDeadline  = 30 * time.Second       // of a job whose caller names none
+	storeTimeout    = 700 * time.Millisecond // of one call that is not repeated
 	stopAnswers     = 500 * time.Millisecond // before the end of a planned stop: what is unfinished is told so
 
 	headerTimeout  = 3 * time.Second
@@ -62,7 +66,9 @@
 			log.WithField("settings", p.Platform).Info("Entry starts.")
 			e.Start(links)
 			publish(e.Traffic(), r)
-			go hostedFollower(p, e, log).Run(ctx)
+			store := platform.NewStore(p.Platform.Store)
+			go hostedFollower(store, e, log).Run(ctx)
+			go newRegistrar(store, &registrar.Line{Name: p.Name, Address: e.Identity().Address}, e, log).Run(ctx)
 			for s, address := range map[*http.Server]string{front: p.CallerAddress, ready: p.Platform.Ready, operators: p.OperatorAddress} {
 				if err := serve(s, address); err != nil {
 					return err
@@ -85,7 +91,7 @@
 	return &server.Entry{
 		Settings: server.EntrySettings{
 			Identity: identity(p), Entries: p.Entries, Open: true, Messenger: hostedTiming(),
-			Keeper: keeper.Settings{Deadline: hostedDeadline, LapseWait: hostedLost + hostedStopping + hostedLease},
+			Keeper: keeper.Settings{Deadline: hostedDeadline, LapseWait: hostedLost + hostedStopping + hostedRenewing + hostedLease},
 		},
 		Log: log, Recorder: r,
 		ReadRoutes: func(document []byte) (*router.Table, error) { return platform.DecodeTable(document, time.Now()) },
@@ -121,8 +127,24 @@
 	})
 }
 
-func hostedFollower(p configurer.Process, e *server.Entry, log *logrus.Entry) *configurer.Follower {
-	store := platform.NewStore(p.Platform.Store)
+// process is an entry or an agent.
+type process interface {
+	Learn(addresses []string)
+	Peers() []messenger.Identity
+}
+
+// newRegistrar returns what finds entries through the store.
+func newRegistrar(store *platform.Store, self *registrar.Line, p process, log *logrus.Entry) *registrar.Registrar {
+	return &registrar.Registrar{
+		Self: self, List: store.ListEntries, Write: store.WriteEntry, Drop: store.DropEntry,
+		Learn: p.Learn, Log: log,
+		Lonely: func() bool {
+			return !slices.ContainsFunc(p.Peers(), func(i messenger.Identity) bool { return i.Role == messenger.RoleEntry })
+		},
+	}
+}
+
+func hostedFollower(store *platform.Store, e *server.Entry, log *logrus.Entry) *configurer.Follower {
 	return &configurer.Follower{
 		Read: store.ReadConfiguration, Await: store.AwaitConfiguration, Log: log,
 		Take: func(document []byte) {
@@ -172,7 +194,8 @@
 		Log:      log, Recorder: r,
 	}
 	settings.learn = a.Learn
-	x := newLeased(p, a, log)
+	store := platform.NewStore(p.Platform.Store)
+	x := newLeased(p, a, store, log)
 	reports := &http.Server{
 		Handler:           platform.ReportsHandler(log, func(r executor.Report) { x.Heard(r) }, x.Left),
 		ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout,
@@ -185,6 +208,8 @@
 			a.Start()
 			publish(a.Traffic(), r)
 			x.Start(ctx)
+			go remember(ctx, store, p.Name, x, log)
+			go newRegistrar(store, nil, a, log).Run(ctx)
 			if err := serve(reports, p.Platform.Reports); err != nil {
 				return err
 			}
@@ -204,13 +229,14 @@
 	return nil
 }
 
-func newLeased(p configurer.Process, a *server.Agent, log *logrus.Entry) *executor.Leased {
+func newLeased(p configurer.Process, a *server.Agent, store *platform.Store, log *logrus.Entry) *executor.Leased {
 	backends := platform.NewBackends()
 	service := p.Platform.Service
 	x := &executor.Leased{
 		Settings: leaser.Settings{Lease: min(hostedLease, time.Duration(p.Platform.LeaseMillis)*time.Millisecond)},
 		Interval: time.Duration(p.Platform.ReportMillis) * time.Millisecond,
 		Log:      log, Call: backends.Call,
+		Hold:          func(held bool) { a.Hold(service, held) },
 		Withdraw:      func(executor.Report) { a.Withdraw(service) },
 		Finish:        func(id uint64, result *messenger.Result) { a.Finish(service, id, result) },
 		FinishStopped: func(id uint64) { a.FinishStopped(service, id) },
@@ -220,6 +246,31 @@
 			Service: service, Address: r.Address, Capacity: r.Capacity, Labels: r.Labels,
 			Backend: server.Backend{Start: x.Run, Stop: x.Stop},
 		})
+		go keepOffer(store, p.Name, r, log)
 	}
 	return x
 }
+
+// remember looks up what the backend server offered to an earlier process of
+// this agent, so that its next report need not be awaited.
+func remember(ctx context.Context, store *platform.Store, agent string, x *executor.Leased, log *logrus.Entry) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	r, ok, err := store.ReadBackend(ctx, agent)
+	switch {
+	case err != nil:
+		log.WithError(err).Info("Agent waits for a report, since the store does not answer.")
+	case ok:
+		x.Remember(r)
+	}
+}
+
+// keepOffer keeps what the backend server offers. If the store does not take
+// it, the next process of this agent waits for a report.
+func keepOffer(store *platform.Store, agent string, r executor.Report, log *logrus.Entry) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	if err := store.WriteBackend(ctx, agent, r); err != nil {
+		log.WithError(err).Info("Store does not take what the backend server offers.")
+	}
+}
--- a/dispatcher/agent.go
+++ b/dispatcher/agent.go
@@ -98,6 +98,7 @@
 // AddAgent adds an agent, or brings its capacity up to date. It has no room
 // before its first Report.
 func (d *Dispatcher[J]) AddAgent(name string, capacity sizer.Size, labels []string) {
+	d.largest = d.largest.Max(capacity)
 	if a := d.agents[name]; a != nil {
 		a.capacity, a.labels = capacity, labels
 		return
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -56,8 +56,9 @@
 	order   []*agent
 	numbers uint64
 	waiting int
-	work    float64 // seconds of thousandths of a core that wait
-	mean    float64 // seconds a task, over all agents
+	work    float64    // seconds of thousandths of a core that wait
+	mean    float64    // seconds a task, over all agents
+	largest sizer.Size // the most of each resource that any agent ever had
 }
 
 // Init prepares the Dispatcher.
@@ -261,13 +262,8 @@
 // platform states it.
 const farFactor = 1.5
 
-// Fits reports whether any agent is large enough for a task of the size, and
-// has the label, if one is named, however busy it is.
-func (d *Dispatcher[J]) Fits(need sizer.Size, label string) bool {
-	for _, a := range d.order {
-		if a.capacity.Holds(need) && (label == "" || slices.Contains(a.labels, label)) {
-			return true
-		}
-	}
-	return false
+// TooLarge reports whether no agent ever seen was large enough for a task of
+// the size. It is false before the first agent.
+func (d *Dispatcher[J]) TooLarge(need sizer.Size) bool {
+	return d.largest != (sizer.Size{}) && !d.largest.Holds(need)
 }
--- a/executor/leased.go
+++ b/executor/leased.go
@@ -14,25 +14,25 @@
 )
 
 const (
-	leasedTick     = 20 * time.Millisecond  // between two looks at what is due
-	callTimeout    = 150 * time.Millisecond // of a start or a stop: some hundred times what one takes
-	holdSlack      = 150 * time.Millisecond // of a hold beyond the time it may wait
-	reportsMissed  = 3                      // reports without which a backend server is taken as gone
-	runSucceeded   = 200                    // status of a task that was done
-	runFailed      = 500                    // status of a task that failed
+	leasedTick    = 20 * time.Millisecond  // between two looks at what is due
+	callTimeout   = 150 * time.Millisecond // of a start or a stop: some hundred times what one takes
+	holdSlack     = 150 * time.Millisecond // of a hold beyond the time it may wait
+	reportsMissed = 3                      // reports without which a backend server is taken as gone
+	runSucceeded  = 200                    // status of a task that was done
+	runFailed     = 500                    // status of a task that failed
 )
 
 // Report is what a backend server says of itself.
 type Report struct {
-	ID       string // names one life of it, as a rule
-	Service  string
-	Address  string // host:port
-	Born     int64  // Unix ms of its start
-	Number   int64  // rises with each report of one life
-	Ready    bool   // it takes work; not when it is leaving
-	Capacity sizer.Size
-	Labels   []string
-	Zone     string
+	ID       string     `json:"id"` // names one life of it, as a rule
+	Service  string     `json:"service"`
+	Address  string     `json:"address"` // host:port
+	Born     int64      `json:"born-ms"` // Unix ms of its start
+	Number   int64      `json:"-"`       // rises with each report of one life
+	Ready    bool       `json:"ready"`   // it takes work; not when it is leaving
+	Capacity sizer.Size `json:"capacity"`
+	Labels   []string   `json:"labels,omitempty"`
+	Zone     string     `json:"zone,omitempty"`
 }
 
 // Leased runs the tasks of one backend server under leases. Set the fields,
@@ -48,18 +48,24 @@
 	Offer func(Report)
 	// Withdraw tells that it must not get any more.
 	Withdraw func(Report)
+	// Hold tells whether a call was left unanswered; nothing new should be
+	// started meanwhile.
+	Hold func(held bool)
 	// Finish tells the end of a run; a nil result means that it did not start.
 	Finish func(id uint64, result *messenger.Result)
 	// FinishStopped tells that a run ended before it was done.
 	FinishStopped func(id uint64)
 
-	mu      sync.Mutex
-	leaser  leaser.Leaser
-	report  Report
-	heard   time.Time // of the last report
-	offered bool
-	ctx     context.Context
-	done    sync.WaitGroup
+	telling    sync.Mutex // orders Offer, Withdraw and Hold; taken before mu
+	mu         sync.Mutex
+	leaser     leaser.Leaser
+	report     Report
+	heard      time.Time // of the last report
+	remembered bool      // report is one that an earlier process has kept
+	offered    bool      // as told last
+	held       bool      // as told last
+	ctx        context.Context
+	done       sync.WaitGroup
 }
 
 // Start begins to keep leases until ctx ends.
@@ -92,18 +98,15 @@
 
 // act runs one decision and carries out what it decided.
 func (x *Leased) act(decide func(l *leaser.Leaser, now time.Time)) {
-	ends, change := x.decide(decide)
-	for _, e := range ends {
+	for _, e := range x.decide(decide) {
 		x.finish(e)
 	}
-	if change != nil {
-		change()
-	}
+	x.tellChange()
 }
 
-// decide runs one decision and sends its calls. It returns what remains to be
-// told, which must not be told under the lock of the caller of Run and Stop.
-func (x *Leased) decide(decide func(l *leaser.Leaser, now time.Time)) ([]leaser.End, func()) {
+// decide runs one decision and sends its calls. It returns the ends to tell,
+// which must not be told under the lock of the caller of Run and Stop.
+func (x *Leased) decide(decide func(l *leaser.Leaser, now time.Time)) []leaser.End {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	decide(&x.leaser, time.Now())
@@ -112,18 +115,35 @@
 	for _, c := range calls {
 		x.done.Go(func() { x.carryOut(report, c) })
 	}
-	return ends, x.offer(time.Now())
+	return ends
 }
 
-// offer returns what to tell when the backend server begins or ceases to take
-// tasks. The caller holds mu.
-func (x *Leased) offer(now time.Time) func() {
+// tellChange tells what has changed since it was told last. The lock keeps the
+// changes in order.
+func (x *Leased) tellChange() {
+	x.telling.Lock()
+	defer x.telling.Unlock()
+	x.mu.Lock()
+	change := x.change(time.Now())
+	x.mu.Unlock()
+	if change != nil {
+		change()
+	}
+}
+
+// change returns what to tell when the backend server begins or ceases to take
+// tasks or to answer, nil for nothing. The caller holds mu.
+func (x *Leased) change(now time.Time) func() {
+	if held := x.leaser.Unanswered(); x.offered && held != x.held {
+		x.held = held
+		return func() { x.Hold(held) }
+	}
 	alive := x.report.Address != "" && now.Sub(x.heard) < reportsMissed*x.Interval
 	wanted := alive && x.report.Ready && x.leaser.Clean()
 	if wanted == x.offered {
 		return nil
 	}
-	x.offered = wanted
+	x.offered, x.held = wanted, false
 	report := x.report
 	if !wanted {
 		x.Log.WithFields(fields(report)).WithField("heard-ms", now.Sub(x.heard).Milliseconds()).
@@ -151,7 +171,10 @@
 			"call": int(c.Kind), "task": c.Task, "run": c.Number, "fence": c.Fence, "verdict": int(a.Verdict),
 		}).Warn("Backend server did not carry out a call.")
 	}
-	x.act(func(l *leaser.Leaser, now time.Time) { l.Answered(now, c, a) })
+	x.act(func(l *leaser.Leaser, now time.Time) {
+		x.doubt(a)
+		l.Answered(now, c, a)
+	})
 }
 
 func (x *Leased) finish(e leaser.End) {
@@ -183,20 +206,38 @@
 // later runs a decision now, and tells what follows from it on a goroutine of
 // its own, since the caller holds the lock that the end of a run takes.
 func (x *Leased) later(decide func(l *leaser.Leaser, now time.Time)) {
-	ends, change := x.decide(decide)
-	if len(ends) == 0 && change == nil {
+	ends := x.decide(decide)
+	if len(ends) == 0 {
 		return
 	}
 	x.done.Go(func() {
 		for _, e := range ends {
 			x.finish(e)
 		}
-		if change != nil {
-			change()
+	})
+}
+
+// Remember gives a report that an earlier process of this agent has kept, so
+// that the backend server is used before its next report. It is dropped when
+// the backend server turns out to have begun anew since.
+func (x *Leased) Remember(r Report) {
+	x.act(func(l *leaser.Leaser, now time.Time) {
+		if x.report.Address != "" {
+			return
 		}
+		x.report, x.heard, x.remembered = r, now, true
+		l.Reborn(now, r.Born)
 	})
 }
 
+// doubt drops a remembered report that an answer belies. The caller holds mu.
+func (x *Leased) doubt(a leaser.Answer) {
+	if x.remembered && (a.Verdict == leaser.VerdictInstance || a.Born != 0 && a.Born != x.report.Born) {
+		x.Log.WithFields(fields(x.report)).Info("Backend server has begun anew since it was remembered.")
+		x.report, x.remembered = Report{}, false
+	}
+}
+
 // Heard takes a report of the backend server. It reports false for one that is
 // older than what is known.
 func (x *Leased) Heard(r Report) bool {
@@ -208,7 +249,7 @@
 	}
 	x.act(func(l *leaser.Leaser, now time.Time) {
 		fresh := known.Address == "" || r.Born != known.Born || r.ID != known.ID || r.Address != known.Address
-		x.report, x.heard = r, now
+		x.report, x.heard, x.remembered = r, now, false
 		if fresh {
 			x.Log.WithFields(fields(r)).Info("Backend server is new.")
 			l.Reborn(now, r.Born)
--- a/keeper/direct.go
+++ b/keeper/direct.go
@@ -23,8 +23,6 @@
 	switch {
 	case k.draining:
 		return 0, nil, &Error{Op: "run", Kind: KindDraining, Detail: "the entry is leaving"}
-	case len(k.agents) == 0:
-		return 0, nil, &Error{Op: "run", Kind: KindNoAgents, Detail: "no backend server of " + k.Service + " is there"}
 	case k.full():
 		return 0, nil, &Error{Op: "run", Kind: KindOverload, Detail: "the queue is full"}
 	}
@@ -34,7 +32,7 @@
 	number := k.next
 	k.next++
 	j := k.newJob(now, key{k.Self, number}, in)
-	if !k.queue.Fits(j.place.Need, j.place.Label) {
+	if k.queue.TooLarge(j.place.Need) {
 		k.stop(now, j, messenger.ReasonNoFit)
 	} else {
 		k.enqueue(j)
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -12,6 +12,7 @@
 	clockDrift   = 0.02                   // the backend server's clock may be this much slow
 	stopRetry    = 100 * time.Millisecond // between two stops of one run
 	holdRetry    = 30 * time.Millisecond  // after a hold that failed
+	renewFor     = 500 * time.Millisecond // after the last answer; then what runs is left to lapse
 	fullPage     = 500                    // ends in one list; there may be more
 	defaultLease = 900 * time.Millisecond
 	defaultPoll  = 200 * time.Millisecond
@@ -58,6 +59,7 @@
 	looking bool      // a look is on its way
 	holding int       // holds on their way, looks not counted
 	retryAt time.Time // no hold before, since one has failed
+	failing bool      // the last hold to be answered or given up was given up
 	runs    map[uint64]*run
 	byName  map[string]*run
 	seen    int // newest end taken in
@@ -66,6 +68,7 @@
 	clock   int64     // the backend server's, at clockAt
 	clockAt time.Time // by our clock; zero when nothing is known
 	leased  time.Time // what runs has surely ended by then, unless it is held again
+	heard   time.Time // when a hold was answered last
 
 	calls []Call
 	ends  []End
@@ -97,6 +100,9 @@
 // may be started.
 func (l *Leaser) Clean() bool { return l.clean }
 
+// Unanswered reports whether the last hold failed or a start is in doubt.
+func (l *Leaser) Unanswered() bool { return l.failing || l.anyDoubt() }
+
 // Running returns the number of runs that take room.
 func (l *Leaser) Running() int { return len(l.runs) }
 
@@ -123,6 +129,9 @@
 		l.ends = append(l.ends, End{ID: id})
 		return
 	}
+	if len(l.runs) == 0 {
+		l.heard = now // nothing was held meanwhile
+	}
 	r := &run{id: id, task: task, number: max(number, 1), spec: spec, since: now}
 	l.runs[id], l.byName[task] = r, r
 	l.start(now, r)
@@ -217,15 +226,16 @@
 	l.sendHold(now)
 }
 
-// sendHold sends a hold that renews the leases. It waits for an end unless
-// something is in doubt.
+// sendHold sends a hold that renews the leases, unless none was answered for
+// renewFor: each may have been carried out, and the leases would never end. It
+// waits for an end unless something is in doubt.
 func (l *Leaser) sendHold(now time.Time) {
 	c := Call{Kind: KindHold, Through: l.seen}
-	if len(l.runs) > 0 {
+	if len(l.runs) > 0 && now.Sub(l.heard) < renewFor {
 		c.Until = l.until(now)
-		if !l.anyDoubt() {
-			c.Wait = l.Settings.Poll
-		}
+	}
+	if len(l.runs) > 0 && !l.anyDoubt() && !l.failing {
+		c.Wait = l.Settings.Poll
 	}
 	l.holding++
 	l.call(now, c)
--- /dev/null
+++ b/leaser/leaser_test.go
@@ -0,0 +1,238 @@
+package leaser
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var testStart = time.Unix(1_000_000, 0)
+
+const testBorn = 77
+
+// bench is a Leaser with a clock and the calls it made that are not answered.
+type bench struct {
+	*testing.T
+	Leaser
+	now   time.Time
+	open  []Call
+	ended []End
+}
+
+// newBench returns a Leaser whose first look found nothing.
+func newBench(t *testing.T) *bench {
+	b := &bench{T: t, now: testStart}
+	b.Init(b.now)
+	b.Reborn(b.now, testBorn)
+	b.drain()
+	b.answer(b.take(KindHold), Answer{Clock: 5000, Born: testBorn})
+	require.True(t, b.Clean())
+	return b
+}
+
+func (b *bench) drain() {
+	calls, ends := b.Drain()
+	b.open = append(b.open, calls...)
+	b.ended = append(b.ended, ends...)
+}
+
+// take removes and returns the oldest call of the kind.
+func (b *bench) take(k Kind) Call {
+	b.drain()
+	for i, c := range b.open {
+		if c.Kind == k {
+			b.open = append(b.open[:i], b.open[i+1:]...)
+			return c
+		}
+	}
+	require.FailNow(b, "no such call", "kind %d among %v", k, b.open)
+	return Call{}
+}
+
+func (b *bench) answer(c Call, a Answer) {
+	b.Answered(b.now, c, a)
+	b.drain()
+}
+
+func (b *bench) advance(d time.Duration) {
+	b.now = b.now.Add(d)
+	b.Tick(b.now)
+	b.drain()
+}
+
+func (b *bench) start(id uint64, task string) Call {
+	b.Start(b.now, id, task, 1, nil)
+	b.Tick(b.now)
+	return b.take(KindStart)
+}
+
+func (b *bench) count(k Kind) int {
+	n := 0
+	for _, c := range b.open {
+		if c.Kind == k {
+			n++
+		}
+	}
+	return n
+}
+
+func TestRunIsHeldUntilItEnds(t *testing.T) {
+	b := newBench(t)
+	c := b.start(1, "a")
+	require.Equal(t, int64(5900), c.Until, "900 ms by the backend server's clock")
+	b.answer(c, Answer{Clock: 5001, Born: testBorn})
+	h := b.take(KindHold)
+	require.Positive(t, h.Wait)
+	b.now = b.now.Add(60 * time.Millisecond)
+	b.answer(h, Answer{Clock: 5060, Born: testBorn, Ended: []Ended{{1, "a", 1, HowDone}}})
+	require.Equal(t, []End{{ID: 1, How: HowDone, Started: true, Took: 60 * time.Millisecond}}, b.ended)
+	last := b.take(KindHold)
+	require.Equal(t, 1, last.Through, "the backend server may forget the end")
+	b.answer(last, Answer{Clock: 5061, Born: testBorn})
+	b.advance(time.Second)
+	require.Empty(t, b.open, "nothing runs, so nothing is held")
+}
+
+// A start without an answer counts as running until a call with a higher token
+// was answered, which no older call can follow.
+func TestUnansweredStartIsSettledByAHigherToken(t *testing.T) {
+	b := newBench(t)
+	c := b.start(1, "a")
+	old := b.take(KindHold)
+	b.answer(c, Answer{Verdict: VerdictNone})
+	settle := b.take(KindHold)
+	require.Greater(t, settle.Fence, c.Fence)
+	b.answer(old, Answer{Clock: 5150, Born: testBorn})
+	require.Equal(t, 1, b.Running(), "the answer to a call with the old token proves nothing")
+	b.answer(settle, Answer{Clock: 5151, Born: testBorn})
+	require.Zero(t, b.Running())
+	require.Equal(t, []End{{ID: 1, How: HowStopped, Took: 0}}, b.ended)
+}
+
+func TestUnansweredStartThatActedRunsOn(t *testing.T) {
+	b := newBench(t)
+	c := b.start(1, "a")
+	b.answer(c, Answer{Verdict: VerdictNone})
+	b.take(KindHold)
+	b.answer(b.take(KindHold), Answer{Clock: 5150, Born: testBorn, Active: []Active{{"a", 1}}})
+	require.Equal(t, 1, b.Running())
+	require.Empty(t, b.ended)
+}
+
+// Another start that was under way when the token was raised is refused, and
+// sent again with the new one.
+func TestStartFencedByOurOwnTokenIsSentAgain(t *testing.T) {
+	b := newBench(t)
+	c, d := b.start(1, "a"), b.start(2, "b")
+	b.answer(c, Answer{Verdict: VerdictNone})
+	b.answer(d, Answer{Verdict: VerdictFenced, Clock: 5002, Born: testBorn})
+	again := b.take(KindStart)
+	require.Equal(t, "b", again.Task)
+	require.Greater(t, again.Fence, d.Fence)
+}
+
+func TestNumberThatIsTooLowIsRaised(t *testing.T) {
+	b := newBench(t)
+	c := b.start(1, "a")
+	b.answer(c, Answer{Verdict: VerdictOld, Clock: 5002, Born: testBorn})
+	require.Greater(t, b.take(KindStart).Number, c.Number)
+}
+
+// A process that starts anew finds runs of the one before: it starts nothing
+// until they have ended.
+func TestForeignRunsAreStoppedFirst(t *testing.T) {
+	b := &bench{T: t, now: testStart}
+	b.Init(b.now)
+	b.Reborn(b.now, testBorn)
+	b.answer(b.take(KindHold), Answer{Clock: 9000, Born: testBorn, Active: []Active{{"x", 4}}})
+	require.False(t, b.Clean())
+	s := b.take(KindStop)
+	require.Equal(t, "x", s.Task)
+	require.Equal(t, 4, s.Number)
+	b.Start(b.now, 1, "a", 1, nil)
+	b.drain()
+	require.Zero(t, b.count(KindStart))
+	require.Equal(t, []End{{ID: 1}}, b.ended, "it is told as not started")
+	look := b.take(KindHold)
+	require.Zero(t, look.Until, "their leases are not renewed")
+	b.answer(look, Answer{Clock: 9050, Born: testBorn, Ended: []Ended{{1, "x", 4, HowStopped}}})
+	require.True(t, b.Clean())
+}
+
+func TestTokenThatIsTooLowLeaps(t *testing.T) {
+	b := &bench{T: t, now: testStart}
+	b.Init(b.now)
+	b.Reborn(b.now, testBorn)
+	c := b.take(KindHold)
+	b.answer(c, Answer{Verdict: VerdictFenced, Clock: 9000, Born: testBorn})
+	require.GreaterOrEqual(t, b.take(KindHold).Fence, c.Fence+fenceLeap)
+}
+
+func TestRebornBackendServerRunsNothing(t *testing.T) {
+	b := newBench(t)
+	b.answer(b.start(1, "a"), Answer{Clock: 5001, Born: testBorn})
+	h := b.take(KindHold)
+	b.answer(h, Answer{Clock: 12, Born: testBorn + 1})
+	require.Equal(t, HowStopped, b.ended[0].How)
+	require.False(t, b.Clean())
+	look := b.take(KindHold)
+	require.Greater(t, look.Fence, h.Fence, "calls to the earlier life must not act in this one")
+	b.answer(look, Answer{Clock: 13, Born: testBorn + 1})
+	require.True(t, b.Clean())
+}
+
+// When no hold is answered, what runs ends by itself; until then it counts.
+func TestRunsLapseWithoutHolds(t *testing.T) {
+	b := newBench(t)
+	b.answer(b.start(1, "a"), Answer{Clock: 5001, Born: testBorn})
+	b.take(KindHold)
+	b.advance(900 * time.Millisecond)
+	require.Equal(t, 1, b.Running(), "the backend server's clock may be slow")
+	b.advance(50 * time.Millisecond)
+	require.Zero(t, b.Running())
+	require.False(t, b.Clean(), "a look comes before the next start")
+}
+
+// Holds that are sent in vain may be carried out all the same. They must not
+// renew the leases for ever.
+func TestHoldsInVainDoNotRenewForEver(t *testing.T) {
+	b := newBench(t)
+	b.answer(b.start(1, "a"), Answer{Clock: 5001, Born: testBorn})
+	begin := b.now
+	for b.Running() > 0 {
+		for b.count(KindHold) > 0 {
+			h := b.take(KindHold)
+			b.now = b.now.Add(150 * time.Millisecond)
+			b.answer(h, Answer{Verdict: VerdictNone})
+		}
+		b.advance(20 * time.Millisecond)
+		require.Less(t, b.now.Sub(begin), 2*time.Second)
+	}
+	require.Greater(t, b.now.Sub(begin), 900*time.Millisecond)
+}
+
+func TestStopIsRepeatedUntilTheEnd(t *testing.T) {
+	b := newBench(t)
+	b.answer(b.start(1, "a"), Answer{Clock: 5001, Born: testBorn})
+	b.Stop(b.now, 1)
+	b.drain()
+	require.Equal(t, 1, b.count(KindStop))
+	b.advance(stopRetry)
+	require.Equal(t, 2, b.count(KindStop))
+	require.Equal(t, 1, b.Running(), "what is being stopped takes room")
+	b.answer(b.take(KindHold), Answer{Clock: 5120, Born: testBorn, Ended: []Ended{{1, "a", 1, HowStopped}}})
+	require.Zero(t, b.Running())
+}
+
+// An end listed twice, or by an answer that was overtaken, counts once.
+func TestEndsCountOnce(t *testing.T) {
+	b := newBench(t)
+	b.answer(b.start(1, "a"), Answer{Clock: 5001, Born: testBorn})
+	e := []Ended{{1, "a", 1, HowFailed}}
+	b.answer(b.take(KindHold), Answer{Clock: 5002, Born: testBorn, Ended: e})
+	b.answer(b.start(2, "a"), Answer{Clock: 5003, Born: testBorn})
+	b.answer(b.take(KindHold), Answer{Clock: 5004, Born: testBorn, Ended: e, Active: []Active{{"a", 1}}})
+	require.Len(t, b.ended, 1)
+	require.Equal(t, 1, b.Running())
+}
--- a/messenger/sweep.go
+++ b/messenger/sweep.go
@@ -41,6 +41,14 @@
 	}
 }
 
+// GiveUpAll gives up every session. Peers that are there are met again in new
+// ones. It must not be called from Deliver, Up or Lost.
+func (h *Hub) GiveUpAll() {
+	for _, s := range h.list() {
+		h.giveUp(s)
+	}
+}
+
 // giveUp ends a session: nothing undelivered will ever be delivered.
 func (h *Hub) giveUp(s *session) {
 	h.changes.Lock()
--- a/server/agent.go
+++ b/server/agent.go
@@ -16,12 +16,18 @@
 	"mustardlever.dev/mustardlever/recorder"
 	"mustardlever.dev/mustardlever/sizer"
 	"mustardlever.dev/mustardlever/starter"
+	"mustardlever.dev/mustardlever/waker"
 )
 
 // tickInterval is the time between two ticks of a shard. An agent tells its
 // room as often at most.
 const tickInterval = 20 * time.Millisecond
 
+// sleepLimit is the time without a tick after which an agent counts as having
+// been frozen. Entries that could not reach it may have started its tasks
+// elsewhere; they wait longer than this before they do.
+const sleepLimit = time.Second
+
 // forgetInterval is the time between two looks of an agent at what it may
 // forget.
 const forgetInterval = time.Second
@@ -62,6 +68,7 @@
 	mu      sync.RWMutex
 	shards  map[string]*agentShard
 	leaving atomic.Bool
+	waker   waker.Waker
 	ctx     context.Context
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
@@ -80,6 +87,8 @@
 	a.hub.Self = a.Settings.Identity.WithNewIncarnation()
 	a.hub.Settings = a.Settings.Messenger
 	a.Recorder.Process, a.Recorder.Zone = a.hub.Self.Incarnation, a.hub.Self.Zone
+	a.waker.Limit = sleepLimit
+	a.waker.Beat()
 	a.shards = make(map[string]*agentShard)
 	for _, b := range a.Settings.BackendServers {
 		a.shards[b.Service] = a.newShard(Offer{
@@ -147,6 +156,14 @@
 	}
 }
 
+// Hold says whether the service's backend server has left a call unanswered.
+func (a *Agent) Hold(service string, held bool) {
+	if s := a.shard(service); s != nil {
+		to := a.act(s, func(x *starter.Starter) { x.Hold(held) })
+		to.wake(&a.hub)
+	}
+}
+
 func (a *Agent) shard(service string) *agentShard {
 	a.mu.RLock()
 	defer a.mu.RUnlock()
@@ -248,6 +265,9 @@
 		return
 	}
 	s := a.shard(m.Service)
+	if a.waker.Slept() {
+		a.wake()
+	}
 	if s == nil {
 		return
 	}
@@ -255,6 +275,18 @@
 	to.wake(&a.hub)
 }
 
+// wake gives up everything that was agreed with the entries before the agent
+// was frozen: what it finds in its connections is as old as that.
+func (a *Agent) wake() {
+	a.Log.Warn("Agent did not run for a while; it gives its sessions up.")
+	a.Recorder.Add(recorder.Event{Kind: "process-slept", Task: -1})
+	for _, s := range a.list() {
+		to := a.act(s, func(x *starter.Starter) { x.LoseAll(time.Now()) })
+		to.wake(&a.hub)
+	}
+	a.done.Go(a.hub.GiveUpAll)
+}
+
 func (a *Agent) up(peer messenger.Identity) {
 	a.Log.Infof("Entry %s is connected.", peer.Incarnation)
 	for _, s := range a.list() {
@@ -282,6 +314,10 @@
 			return
 		case <-ticker.C:
 		}
+		if a.waker.Slept() {
+			a.wake()
+		}
+		a.waker.Beat()
 		now := time.Now()
 		forget := now.Sub(forgot) >= forgetInterval
 		if forget {
--- a/server/direct.go
+++ b/server/direct.go
@@ -125,8 +125,11 @@
 // keeper: then nothing was or will be started.
 func (e *Entry) Run(ctx context.Context, service string, job keeper.Job) (*keeper.Answer, error) {
 	s := e.shards.find(service)
-	if s == nil {
+	switch {
+	case s == nil && !e.Settings.Open:
 		return nil, &Error{Op: "run", Kind: KindUnknownService, Detail: "no agent of " + service + " is known"}
+	case s == nil: // its agents are not met yet
+		s = e.shards.add(service, e.newShard(service, e.Settings.Keeper))
 	}
 	ended := make(chan *keeper.Answer, 1)
 	var number uint64
--- a/server/shard.go
+++ b/server/shard.go
@@ -9,6 +9,7 @@
 	"mustardlever.dev/mustardlever/keeper"
 	"mustardlever.dev/mustardlever/messenger"
 	"mustardlever.dev/mustardlever/recorder"
+	"mustardlever.dev/mustardlever/waker"
 )
 
 // entryShard is one service's decisions, under a lock.
@@ -56,7 +57,7 @@
 	x := &entryShard{service: name, waiters: make(map[jobName][]chan *keeper.Answer)}
 	x.keeper.Settings = s
 	x.keeper.Self, x.keeper.Zone, x.keeper.Service = e.hub.Self.Incarnation, e.hub.Self.Zone, name
-	x.keeper.Init(time.Now())
+	x.keeper.Init(waker.Now())
 	return x
 }
 
@@ -83,7 +84,7 @@
 func (e *Entry) decide(s *entryShard, decide func(k *keeper.Keeper, now time.Time)) recipients {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	decide(&s.keeper, time.Now())
+	decide(&s.keeper, waker.Now())
 	out, endings, decisions := s.keeper.Drain()
 	var to recipients
 	for _, o := range out {
--- a/starter/start.go
+++ b/starter/start.go
@@ -15,6 +15,9 @@
 
 // start carries out rule 1 and rule 2: one start a task, refusals remembered.
 func (s *Starter) start(from string, m *messenger.Start) {
+	if m.Bound && (!s.entries[from] || s.awaiting[from]) {
+		return // the session that it came by is given up
+	}
 	s.received[from]++
 	if m.Ticket.Owner == "" {
 		m.Ticket.Owner = from
@@ -40,7 +43,7 @@
 		Run: Run{s.nextRun, from, m.Ticket, m.Task, m.Attempt, m.Request}, pair: p, mark: k, need: need, bound: m.Bound,
 	}
 	s.runs[r.ID] = r
-	if !s.room.fits(s.Capacity, need) {
+	if s.held || !s.room.fits(s.Capacity, need) {
 		s.room.wait(r)
 		return
 	}
@@ -50,6 +53,9 @@
 
 // admit starts what waits and has room now.
 func (s *Starter) admit() {
+	if s.held {
+		return
+	}
 	for r := s.room.next(s.Capacity); r != nil; r = s.room.next(s.Capacity) {
 		s.decided.Starts = append(s.decided.Starts, r.Run)
 	}
@@ -85,6 +91,7 @@
 	delete(s.runs, r.ID)
 	r.mark.state, r.mark.refusal = refused, why
 	s.tellMark(r)
+	s.greet(r.Owner)
 }
 
 // tellMark tells those who asked what became of a run. A bound task's mark is
@@ -113,12 +120,17 @@
 		return messenger.RefusalSealed
 	case s.leaving:
 		return messenger.RefusalLeaving
-	case s.marks >= s.Settings.MaxMarks, !s.room.fits(s.Capacity, need) && !s.room.mayWait(s.Capacity, need):
+	case s.marks >= s.Settings.MaxMarks, !s.roomFor(need):
 		return messenger.RefusalNoRoom
 	}
 	return ""
 }
 
+// roomFor tells whether a task may start or wait.
+func (s *Starter) roomFor(need sizer.Size) bool {
+	return !s.held && s.room.fits(s.Capacity, need) || s.room.mayWait(s.Capacity, need)
+}
+
 // refuse answers with a refusal and remembers it. Closed and sealed tickets
 // need no mark: their watermark and seal refuse every copy. Nor do bound tasks:
 // only their owner starts them, and a session delivers each start once.
@@ -207,5 +219,6 @@
 		s.room.free(r)
 	}
 	s.admit()
+	s.greet(r.Owner)
 	return r
 }
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -110,7 +110,9 @@
 	lost      map[string]time.Time
 	forgotten bool // a watermark was dropped for room
 	entries   map[string]bool
+	awaiting  map[string]bool // entries to which this agent is not announced yet
 	leaving   bool
+	held      bool // no room is told or used, since the backend server may not answer
 	runs      map[uint64]*run
 	nextRun   uint64
 	results   []*mark // done marks, oldest first
@@ -136,6 +138,7 @@
 	s.below = make(map[string]uint64)
 	s.lost = make(map[string]time.Time)
 	s.entries = make(map[string]bool)
+	s.awaiting = make(map[string]bool)
 	s.runs = make(map[uint64]*run)
 }
 
@@ -149,11 +152,28 @@
 // Running returns the number of tasks that wait or run.
 func (s *Starter) Running() int { return len(s.runs) }
 
-// Up notes a new session with an entry.
+// Up notes a new session with an entry. The entry hears of this agent when
+// none of its bound tasks of an earlier session runs any more, so that it may
+// start them elsewhere then.
 func (s *Starter) Up(entry string) {
 	s.entries[entry] = true
 	delete(s.lost, entry)
 	delete(s.received, entry)
+	s.awaiting[entry] = true
+	s.greet(entry)
+}
+
+// greet announces this agent to an entry that waits for it, if it may.
+func (s *Starter) greet(entry string) {
+	if !s.awaiting[entry] {
+		return
+	}
+	for _, r := range s.runs {
+		if r.bound && r.Owner == entry {
+			return
+		}
+	}
+	delete(s.awaiting, entry)
 	s.announce(entry)
 }
 
@@ -167,9 +187,18 @@
 // the entries. What ran there before has to be finished by the caller.
 func (s *Starter) Offer(address string, capacity sizer.Size, labels []string) {
 	s.Address, s.Capacity, s.Labels = address, capacity, labels
-	s.leaving = false
+	s.leaving, s.held = false, false
+	for e := range s.entries {
+		if !s.awaiting[e] {
+			s.announce(e)
+		}
+	}
+}
+
+// LoseAll gives up all entries, as Lost does for one.
+func (s *Starter) LoseAll(now time.Time) {
 	for e := range s.entries {
-		s.announce(e)
+		s.Lost(now, e)
 	}
 }
 
@@ -179,6 +208,7 @@
 	delete(s.entries, entry)
 	delete(s.received, entry)
 	delete(s.told, entry)
+	delete(s.awaiting, entry)
 	s.lost[entry] = now
 	for _, r := range s.runs {
 		if r.bound && r.Owner == entry {
@@ -199,7 +229,9 @@
 		s.turnAway(r, messenger.RefusalLeaving)
 	}
 	for e := range s.entries {
-		s.announce(e)
+		if !s.awaiting[e] {
+			s.announce(e)
+		}
 	}
 }
 
@@ -242,20 +274,40 @@
 
 // load returns the room to tell an entry, and notes that it was told.
 func (s *Starter) load(entry string) dispatcher.Load {
-	free := s.Capacity.Minus(s.room.taken())
+	free := s.free()
 	s.told[entry] = free
 	return dispatcher.Load{Free: free, Received: s.received[entry]}
 }
 
+// Hold says whether the backend server has left a call unanswered. Meanwhile
+// nothing new is started there: if it has crashed, whatever came would be lost.
+func (s *Starter) Hold(held bool) {
+	if s.held == held {
+		return
+	}
+	s.held = held
+	s.admit()
+	s.TellLoad()
+}
+
+// free is the room to tell.
+func (s *Starter) free() sizer.Size {
+	f := s.Capacity.Minus(s.room.taken())
+	if s.held {
+		f.CPU = min(f.CPU, 0)
+	}
+	return f
+}
+
 // TellLoad tells the room to the entries that heard of another last. It is to
 // be called at intervals, which bounds the messages.
 func (s *Starter) TellLoad() {
 	if s.leaving {
 		return
 	}
-	free := s.Capacity.Minus(s.room.taken())
+	free := s.free()
 	for e := range s.entries {
-		if s.told[e] != free {
+		if s.told[e] != free && !s.awaiting[e] {
 			l := s.load(e)
 			s.send(e, messenger.Message{Load: &l})
 		}
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -190,3 +190,28 @@
 	require.Zero(t, s.Running())
 	require.Zero(t, s.marks)
 }
+
+// An entry that comes back after its session was given up hears of this agent
+// only when none of its tasks runs here any more: it will start them again.
+func TestAgentIsAnnouncedWhenNothingRunsForTheEntry(t *testing.T) {
+	s := newRoomy()
+	startSized(s, 1, 0, sizer.Size{CPU: 30_000})
+	s.Lost(testTime, testOwner)
+	stops := s.Drain().Stops
+	s.Up(testOwner)
+	require.Empty(t, s.Drain().Messages)
+	s.TellLoad()
+	require.Empty(t, s.Drain().Messages)
+	require.Empty(t, startSized(s, 2, 0, sizer.Size{CPU: 1000}).Starts, "a start of the session given up")
+	s.FinishStopped(stops[0].ID)
+	require.NotNil(t, s.Drain().Messages[0].Message.Announce)
+}
+
+// What an agent finds in its connections after it was frozen is too old.
+func TestFrozenAgentStartsNothingOfBefore(t *testing.T) {
+	s := newRoomy()
+	startSized(s, 1, 0, sizer.Size{CPU: 1000})
+	s.LoseAll(testTime)
+	require.Len(t, s.Drain().Stops, 1)
+	require.Empty(t, startSized(s, 2, 0, sizer.Size{CPU: 1000}).Starts)
+}
