--- a/cmd/mustardleverd/hosted.go
+++ b/cmd/mustardleverd/hosted.go
@@ -32,9 +32,11 @@
 	hostedDead      = 300 * time.Millisecond
 	hostedLost      = 600 * time.Millisecond
 	hostedLease     = 900 * time.Millisecond
+	hostedDial      = 250 * time.Millisecond // a machine without power does not answer; one that is there does within 10 ms
 	hostedStopping  = 200 * time.Millisecond // an agent's look at its sessions and the stop of what runs
 	hostedRenewing  = 500 * time.Millisecond // an agent renews leases so long without an answer
 	hostedDeadline  = 30 * time.Second       // of a job whose caller names none
+	hostedUseful    = 3.0                    // times its due time after which a job's answer is of no use, as the platform states it
 	storeTimeout    = 700 * time.Millisecond // of one call that is not repeated
 	stopAnswers     = 500 * time.Millisecond // before the end of a planned stop: what is unfinished is told so
 
@@ -46,7 +48,7 @@
 
 func hostedTiming() messenger.Settings {
 	t := messenger.Timing{Heartbeat: hostedHeartbeat, DeadAfter: hostedDead, LostAfter: hostedLost}
-	return messenger.Settings{Agents: t, Entries: t}
+	return messenger.Settings{Agents: t, Entries: t, DialTimeout: hostedDial, MaxRedial: hostedDial}
 }
 
 // serveHostedEntry runs an entry on the users' platform.
@@ -91,7 +93,7 @@
 	return &server.Entry{
 		Settings: server.EntrySettings{
 			Identity: identity(p), Entries: p.Entries, Open: true, Messenger: hostedTiming(),
-			Keeper: keeper.Settings{Deadline: hostedDeadline, LapseWait: hostedLost + hostedStopping + hostedRenewing + hostedLease},
+			Keeper: keeper.Settings{Deadline: hostedDeadline, Useful: hostedUseful, LapseWait: hostedLost + hostedStopping + hostedRenewing + hostedLease},
 		},
 		Log: log, Recorder: r,
 		ReadRoutes: func(document []byte) (*router.Table, error) { return platform.DecodeTable(document, time.Now()) },
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -15,6 +15,7 @@
 	defaultEstimate = 300 * time.Millisecond
 	meanWeight      = 0.1 // weight of a new sample in the mean time of a task
 	treeDegree      = 16
+	rateSpan        = 0.5  // seconds over which the rate of starts is taken: a few times a short task
 	maxScan         = 32   // jobs looked at for one that fits, so that a long queue costs no more
 	lateOffset      = 1e6  // seconds; puts jobs that can no longer be in time behind all others
 	untimedOffset   = 1e3  // seconds; puts jobs without a due time behind those with one
@@ -50,15 +51,18 @@
 type Dispatcher[J any] struct {
 	Settings Settings
 
-	epoch   time.Time
-	jobs    *btree.BTreeG[*Job[J]]
-	agents  map[string]*agent
-	order   []*agent
-	numbers uint64
-	waiting int
-	work    float64    // seconds of thousandths of a core that wait
-	mean    float64    // seconds a task, over all agents
-	largest sizer.Size // the most of each resource that any agent ever had
+	epoch    time.Time
+	jobs     *btree.BTreeG[*Job[J]]
+	agents   map[string]*agent
+	order    []*agent
+	numbers  uint64
+	waiting  int
+	work     float64 // seconds of thousandths of a core that wait
+	started  float64 // work that was started since measured
+	rate     float64 // work that is started in a second while some waits
+	measured time.Time
+	mean     float64    // seconds a task, over all agents
+	largest  sizer.Size // the most of each resource that any agent ever had
 }
 
 // Init prepares the Dispatcher.
@@ -66,13 +70,16 @@
 	if d.Settings.Ageing == 0 {
 		d.Settings.Ageing = defaultAgeing
 	}
-	d.epoch = now
+	d.epoch, d.measured = now, now
 	d.agents = make(map[string]*agent)
 	d.jobs = btree.NewG(treeDegree, func(a, b *Job[J]) bool {
 		return a.key < b.key || a.key == b.key && a.number < b.number
 	})
 }
 
+// Late reports whether the job can no longer be done in time.
+func (j *Job[J]) Late() bool { return j.late }
+
 // Waiting returns the number of tasks in the queue.
 func (d *Dispatcher[J]) Waiting() int { return d.waiting }
 
@@ -113,6 +120,7 @@
 // no longer be done in time behind the others.
 func (d *Dispatcher[J]) Tick(now time.Time) {
 	d.resume(now)
+	d.measure(now)
 	for {
 		j, ok := d.jobs.Min()
 		if !ok || j.late || j.Due.IsZero() || !now.After(d.latestStart(j)) {
@@ -175,19 +183,31 @@
 	return float64(j.Need.CPU) * estimate.Seconds()
 }
 
-// DrainSeconds is how long the waiting tasks keep the agents busy, in seconds,
-// infinite when there is no agent.
+// DrainSeconds is how long the waiting tasks will wait, in seconds, by the rate
+// at which tasks were started of late; infinite when none can be. Other entries
+// use the same agents, so that their number says little of the rate.
 func (d *Dispatcher[J]) DrainSeconds() float64 {
-	capacity := 0.0
-	for _, a := range d.order {
-		if a.open() {
-			capacity += float64(a.capacity.CPU) / a.slowness()
-		}
-	}
-	if capacity == 0 {
+	switch {
+	case d.work <= 0:
+		return 0
+	case d.rate <= 0:
 		return math.Inf(1)
 	}
-	return d.work / capacity
+	return d.work / d.rate
+}
+
+// measure takes the rate at which work was started since the last look. An
+// empty queue says nothing of the rate that the agents would bear.
+func (d *Dispatcher[J]) measure(now time.Time) {
+	passed := now.Sub(d.measured).Seconds()
+	if passed <= 0 {
+		return
+	}
+	if d.waiting > 0 || d.started/passed > d.rate {
+		weight := min(passed/rateSpan, 1)
+		d.rate += weight * (d.started/passed - d.rate)
+	}
+	d.measured, d.started = now, 0
 }
 
 // rank orders the queue, the smallest first. A job with a due time ranks by
@@ -230,6 +250,7 @@
 	j.Waiting--
 	d.waiting--
 	d.work -= d.taskWork(j)
+	d.started += d.taskWork(j)
 	if j.Waiting == 0 {
 		d.jobs.Delete(j)
 		j.queued = false
--- a/keeper/direct.go
+++ b/keeper/direct.go
@@ -78,6 +78,30 @@
 	}
 }
 
+// hopeless tells whether a job of which nothing was started would end when its
+// answer is of no use any more. A job that is late already gets what others
+// leave: it is given up as soon as the queue would take all the time it has, so
+// that its caller hears of it early.
+func (k *Keeper) hopeless(now time.Time, j *job) bool {
+	if k.Settings.Useful <= 0 || !j.restarts || j.place.Due.IsZero() || j.touched() {
+		return false
+	}
+	useful := time.Duration(k.Settings.Useful * float64(j.place.Due.Sub(j.submitted)))
+	left := j.submitted.Add(useful).Sub(now) - j.place.Estimate
+	return left < 0 || j.place.Late() && k.queue.DrainSeconds() > left.Seconds()
+}
+
+// touched tells whether a start of any task was sent and may have been carried
+// out.
+func (j *job) touched() bool {
+	for i := range j.tasks {
+		if j.tasks[i].told() != messenger.TaskNotRun {
+			return true
+		}
+	}
+	return false
+}
+
 // comeBack is when a job that is refused now would find room: the time in
 // which the queue drains at the rate that the agents have.
 func (k *Keeper) comeBack() time.Duration {
--- /dev/null
+++ b/keeper/direct_test.go
@@ -0,0 +1,198 @@
+package keeper
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/sizer"
+)
+
+// direct is a job of two tasks that may fail three times each.
+func direct(name string) Job {
+	return Job{
+		Name: name, Tasks: []messenger.Request{{EstimateMillis: 100}, {EstimateMillis: 100}},
+		Restarts: Restarts{Attempts: 3, First: 50}, Due: 300 * time.Millisecond,
+	}
+}
+
+// full is the load of an agent without room.
+var full = messenger.Load{Received: 1 << 32}
+
+func mustRun(t *testing.T, k *Keeper, in Job) uint64 {
+	number, a, err := k.Run(testStart, in)
+	require.NoError(t, err)
+	require.Nil(t, a)
+	return number
+}
+
+func refuse(k *Keeper, now time.Time, s *messenger.Start, r messenger.Refusal, l messenger.Load) {
+	k.Receive(now, testAgent, messenger.Message{Outcome: &messenger.Outcome{
+		Ticket: s.Ticket, Task: s.Task, Attempt: s.Attempt, Refusal: r, Load: l,
+	}})
+}
+
+func failTask(k *Keeper, now time.Time, s *messenger.Start) {
+	k.Receive(now, testAgent, messenger.Message{Outcome: &messenger.Outcome{
+		Ticket: s.Ticket, Task: s.Task, Attempt: s.Attempt, Result: &messenger.Result{Status: 500}, Load: roomy,
+	}})
+}
+
+// ending returns the only ending decided since the last call, and the stops.
+func ending(t *testing.T, k *Keeper) (*Answer, []*messenger.Stop) {
+	out, endings, _ := k.Drain()
+	var stops []*messenger.Stop
+	for _, o := range out {
+		if o.Message.Stop != nil {
+			stops = append(stops, o.Message.Stop)
+		}
+	}
+	require.Len(t, endings, 1)
+	return endings[0].Answer, stops
+}
+
+func TestDirectJobEndsWithItsTasks(t *testing.T) {
+	k := newKeeper()
+	mustRun(t, k, direct("a"))
+	list := starts(k)
+	require.Len(t, list, 2)
+	require.True(t, list[0].Bound)
+	require.Equal(t, 50, list[0].Attempt)
+	finish(k, testStart, list[0])
+	finish(k, testStart, list[1])
+	a, _ := ending(t, k)
+	require.Equal(t, StateComplete, a.State)
+	require.Empty(t, k.jobs, "its answer is not kept")
+}
+
+func TestFailedTaskIsStartedAgainAsOftenAsItMay(t *testing.T) {
+	k := newKeeper()
+	mustRun(t, k, direct("a"))
+	list := starts(k)
+	for range 2 {
+		failTask(k, testStart, list[0])
+		k.Tick(testStart.Add(time.Minute / 4)) // an agent that failed may be paused
+		list[0] = starts(k)[0]
+	}
+	require.Equal(t, 52, list[0].Attempt)
+	failTask(k, testStart, list[0])
+	a, stops := ending(t, k)
+	require.Equal(t, messenger.ReasonTask, a.Reason)
+	require.Len(t, stops, 1, "the other task is stopped")
+}
+
+// A lost agent's tasks may run on until their leases end, and must not run
+// elsewhere meanwhile.
+func TestLostAgentsTasksWaitForTheirEnd(t *testing.T) {
+	k := newKeeper()
+	mustRun(t, k, direct("a"))
+	starts(k)
+	k.AgentLost(testStart, testAgent)
+	other := "other.1"
+	k.Receive(testStart, other, messenger.Message{Announce: &messenger.Announce{Capacity: sizer.Slots(4), Load: roomy}})
+	k.Tick(testStart.Add(k.Settings.LapseWait - time.Millisecond))
+	require.Empty(t, starts(k))
+	k.Tick(testStart.Add(k.Settings.LapseWait))
+	list := starts(k)
+	require.Len(t, list, 2)
+	require.Equal(t, 51, list[0].Attempt)
+}
+
+func TestNextIncarnationEndsTheWait(t *testing.T) {
+	k := newKeeper()
+	mustRun(t, k, direct("a"))
+	starts(k)
+	k.AgentLost(testStart, testAgent)
+	k.Receive(testStart, "agent.2", messenger.Message{Announce: &messenger.Announce{Capacity: sizer.Slots(4), Load: roomy}})
+	require.Len(t, starts(k), 2, "an agent announces itself when nothing of before runs")
+}
+
+// "Not run" is said only when no start can have been carried out.
+func TestNotRunIsTrue(t *testing.T) {
+	tests := []struct {
+		name    string
+		refusal messenger.Refusal
+		notRun  bool
+	}{
+		{"under way", "", false},
+		{"no room", messenger.RefusalNoRoom, true},
+		{"lapsed", messenger.RefusalLapsed, false},
+		{"stopped", messenger.RefusalStopped, false},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			k := newKeeper()
+			number := mustRun(t, k, direct("a"))
+			for _, s := range starts(k) {
+				if x.refusal != "" {
+					refuse(k, testStart, s, x.refusal, full)
+				}
+			}
+			require.Empty(t, starts(k), "there is no room to start them again")
+			k.CancelRun(testStart, number)
+			a, _ := ending(t, k)
+			require.Equal(t, x.notRun, !a.MayHaveRun())
+		})
+	}
+}
+
+func TestSameNameIsTheSameJob(t *testing.T) {
+	k := newKeeper()
+	first := mustRun(t, k, direct("a"))
+	require.Equal(t, first, mustRun(t, k, direct("a")))
+	require.Len(t, starts(k), 2)
+	require.True(t, k.CancelName(testStart, "a"))
+	require.False(t, k.CancelName(testStart, "a"))
+}
+
+func TestTooLargeIsSaidAtOnce(t *testing.T) {
+	k := newKeeper()
+	in := direct("a")
+	in.Tasks[1].Need = sizer.Slots(5)
+	_, a, err := k.Run(testStart, in)
+	require.NoError(t, err)
+	require.Equal(t, messenger.ReasonNoFit, a.Reason)
+	require.False(t, a.MayHaveRun())
+}
+
+// An overload: 30 jobs for four slots at one moment. Those that cannot be in
+// time are given up long before their callers' deadlines, none of them after
+// one of its tasks was started, and the others are served.
+func TestOverloadIsToldEarly(t *testing.T) {
+	k := newKeeper()
+	k.Settings.Useful = 3
+	for i := range 30 {
+		in := direct(string(rune('A' + i)))
+		in.DeadlineMillis = 30_000
+		mustRun(t, k, in)
+	}
+	served, refused := 0, 0
+	open := starts(k)
+	for now := testStart; now.Before(testStart.Add(time.Second)); now = now.Add(100 * time.Millisecond) {
+		for _, s := range open {
+			finish(k, now, s)
+		}
+		k.Tick(now)
+		out, endings, _ := k.Drain()
+		open = nil
+		for _, o := range out {
+			if o.Message.Start != nil {
+				open = append(open, o.Message.Start)
+			}
+		}
+		for _, x := range endings {
+			if x.Answer.State == StateComplete {
+				served++
+			} else {
+				refused++
+				require.Equal(t, messenger.ReasonHopeless, x.Answer.Reason)
+				require.False(t, x.Answer.MayHaveRun())
+				require.Positive(t, x.Answer.Wait)
+			}
+		}
+	}
+	require.Equal(t, 30, served+refused, "every caller has its answer after a second")
+	require.GreaterOrEqual(t, served, 12)
+}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -17,6 +17,7 @@
 	QueueTasks int           // tasks that may wait; default 50,000
 	KeptJobs   int           // jobs kept, ended ones included; default 200,000
 	KeptBytes  int           // bytes of ended jobs' results kept; default 48 MiB
+	Useful     float64       // times its due time after which an answer is of no use to the caller; default: for ever
 	LapseWait  time.Duration // from an agent's loss until its bound tasks surely do not run; default 2 s
 	Dispatcher dispatcher.Settings
 }
--- a/keeper/tick.go
+++ b/keeper/tick.go
@@ -40,6 +40,8 @@
 		k.endUnsettled(now, j)
 	case j.settling.IsZero() && !j.waitsSeal && !now.Before(j.deadline):
 		k.stop(now, j, messenger.ReasonDeadline)
+	case k.hopeless(now, j):
+		k.stop(now, j, messenger.ReasonHopeless)
 	}
 }
 
--- a/messenger/dial.go
+++ b/messenger/dial.go
@@ -24,11 +24,11 @@
 	wait := minRedial
 	for h.ctx.Err() == nil {
 		if h.connected(address) {
-			wait = maxRedial / 2
+			wait = h.Settings.MaxRedial / 2
 		} else if h.dial(address) {
 			wait = minRedial
 		} else {
-			wait = min(2*wait, maxRedial)
+			wait = min(2*wait, h.Settings.MaxRedial)
 		}
 		pause := wait/2 + rand.N(wait)
 		select {
--- a/messenger/hub.go
+++ b/messenger/hub.go
@@ -9,10 +9,8 @@
 )
 
 const (
-	dialTimeout   = 1 * time.Second
 	helloTimeout  = 2 * time.Second
 	minRedial     = 50 * time.Millisecond
-	maxRedial     = 1 * time.Second
 	sweepInterval = 100 * time.Millisecond
 	maxBuried     = 1 << 16 // epochs of given-up sessions remembered
 	ackEvery      = 256     // messages received that force an acknowledgement
@@ -72,7 +70,7 @@
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.listener = l
 	if h.Dial == nil {
-		d := &net.Dialer{Timeout: dialTimeout}
+		d := &net.Dialer{Timeout: h.Settings.DialTimeout}
 		h.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 			return d.DialContext(ctx, "tcp", address)
 		}
--- a/messenger/settings.go
+++ b/messenger/settings.go
@@ -10,6 +10,9 @@
 	Agents   Timing        // of sessions with agents; default 1 s, 2.5 s, 3.5 s
 	AckDelay time.Duration // longest wait before an acknowledgement alone; default 100 ms
 	MaxBatch int           // messages a frame; default 512
+
+	DialTimeout time.Duration // of one try to connect; default 1 s
+	MaxRedial   time.Duration // longest wait between two tries; default 1 s
 }
 
 // Timing is how the silence of a peer is judged.
@@ -30,6 +33,8 @@
 	s.Agents.withDefaults(time.Second, 2500*time.Millisecond, 3500*time.Millisecond)
 	setDefault(&s.AckDelay, 100*time.Millisecond)
 	setDefault(&s.MaxBatch, 512)
+	setDefault(&s.DialTimeout, time.Second)
+	setDefault(&s.MaxRedial, time.Second)
 	return s
 }
 
