Move tasks that stand still; pass over agents too slow for a job's time

Change: a task that takes five times its expected time is stopped and started elsewhere, where its job has not met a failure; a job that can still be in time waits rather than use a server that is too slow for it.

--- a/dispatcher/agent.go
+++ b/dispatcher/agent.go
@@ -133,6 +133,15 @@
 	}
 }
 
+// Expect returns how long a task with the estimate is expected to take on the
+// agent.
+func (d *Dispatcher[J]) Expect(name string, estimate time.Duration) time.Duration {
+	if a := d.agents[name]; a != nil {
+		return time.Duration(float64(estimate) * a.slowness())
+	}
+	return estimate
+}
+
 // Observe notes that a task with the estimate took t on the agent. A zero
 // estimate stands for the mean of all tasks.
 func (d *Dispatcher[J]) Observe(name string, estimate, t time.Duration) {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -254,7 +254,7 @@
 // Next chooses a job and an agent for one of its waiting tasks, and uses up
 // the room and the waiting task. Eligible tells whether an agent may be used
 // for a job; nil means always.
-func (d *Dispatcher[J]) Next(eligible func(J, string) bool) (j *Job[J], name string, ok bool) {
+func (d *Dispatcher[J]) Next(now time.Time, eligible func(J, string) bool) (j *Job[J], name string, ok bool) {
 	if d.jobs.Len() == 0 {
 		return nil, "", false
 	}
@@ -266,7 +266,7 @@
 		if x.late && !x.begun && !spare {
 			return false
 		}
-		if a := d.best(x, eligible); a != nil {
+		if a := d.best(now, x, eligible); a != nil {
 			j, chosen = x, a
 		}
 		return chosen == nil && scanned < maxScan
@@ -312,15 +312,23 @@
 }
 
 // best returns the agent with room on which the job's next task is expected to
-// end soonest, nil when there is none.
-func (d *Dispatcher[J]) best(j *Job[J], eligible func(J, string) bool) *agent {
+// end soonest, nil when there is none. While a job can still be in time no
+// agent is used that is too slow for that: to wait for another one is better.
+func (d *Dispatcher[J]) best(now time.Time, j *Job[J], eligible func(J, string) bool) *agent {
 	estimate := d.expected(j.Estimate)
+	limit := math.Inf(1)
+	if !j.Due.IsZero() && !j.late && now.Before(d.latestStart(j)) {
+		limit = j.Due.Sub(now).Seconds()
+	}
 	var best *agent
 	var least float64
 	for _, a := range d.order {
 		if !a.open() || !a.room.Holds(j.Need) || j.Label != "" && !slices.Contains(a.labels, j.Label) {
 			continue
 		}
+		if estimate*a.slowness() > limit {
+			continue
+		}
 		cost := a.cost(estimate)
 		if j.Near != "" && !slices.Contains(a.labels, j.Near) {
 			cost *= farFactor
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -40,13 +40,13 @@
 }
 
 func next(t *testing.T, d *dispatcher.Dispatcher[string]) (job, agent string) {
-	j, agent, ok := d.Next(nil)
+	j, agent, ok := d.Next(begin, nil)
 	require.True(t, ok)
 	return j.Value, agent
 }
 
 func none(t *testing.T, d *dispatcher.Dispatcher[string]) {
-	_, _, ok := d.Next(nil)
+	_, _, ok := d.Next(begin, nil)
 	require.False(t, ok)
 }
 
@@ -80,7 +80,7 @@
 	require.Equal(t, "fast", agent)
 	_, agent = next(t, d)
 	require.Equal(t, "slow", agent)
-	_, _, ok := d.Next(func(string, string) bool { return false })
+	_, _, ok := d.Next(begin, func(string, string) bool { return false })
 	require.False(t, ok)
 }
 
@@ -161,6 +161,18 @@
 	}
 }
 
+// A backend server that has turned slow is free when all others are busy. What
+// has time to wait for another one does so.
+func TestTooSlowAgentIsPassedOver(t *testing.T) {
+	d := newDispatcher()
+	room(d, "slow", 8)
+	addDue(d, "job", 300*time.Millisecond, 200*time.Millisecond)
+	none(t, d)
+	d.Tick(begin.Add(100 * time.Millisecond)) // it is late wherever it runs
+	_, agent := next(t, d)
+	require.Equal(t, "slow", agent)
+}
+
 func TestLabelIsRequired(t *testing.T) {
 	d := newDispatcher()
 	room(d, "fast", 8)
--- a/keeper/agent.go
+++ b/keeper/agent.go
@@ -26,7 +26,7 @@
 	}
 	k.queue.AddAgent(from, m.Capacity, m.Labels)
 	k.queue.Report(from, m.Load)
-	k.dispatch()
+	k.dispatch(now)
 }
 
 // AgentLost notes that the session with an agent was given up: what it was
@@ -47,7 +47,7 @@
 		k.advance(now, j)
 	}
 	k.sealMissing(now, name)
-	k.dispatch()
+	k.dispatch(now)
 }
 
 // loseTask notes that a task's agent is lost.
--- a/keeper/direct.go
+++ b/keeper/direct.go
@@ -36,7 +36,7 @@
 		k.stop(now, j, messenger.ReasonNoFit)
 	} else {
 		k.enqueue(j)
-		k.dispatch()
+		k.dispatch(now)
 	}
 	return number, j.answer, nil
 }
--- a/keeper/direct_test.go
+++ b/keeper/direct_test.go
@@ -34,8 +34,16 @@
 	}})
 }
 
-func failTask(k *Keeper, now time.Time, s *messenger.Start) {
-	k.Receive(now, testAgent, messenger.Message{Outcome: &messenger.Outcome{
+// addAgents adds agents with four free slots each.
+func addAgents(k *Keeper, names ...string) {
+	for _, a := range names {
+		k.Receive(testStart, a, messenger.Message{Announce: &messenger.Announce{Capacity: sizer.Slots(4), Load: roomy}})
+	}
+	k.Drain()
+}
+
+func failOn(k *Keeper, now time.Time, agent string, s *messenger.Start) {
+	k.Receive(now, agent, messenger.Message{Outcome: &messenger.Outcome{
 		Ticket: s.Ticket, Task: s.Task, Attempt: s.Attempt, Result: &messenger.Result{Status: 500}, Load: roomy,
 	}})
 }
@@ -43,14 +51,8 @@
 // ending returns the only ending decided since the last call, and the stops.
 func ending(t *testing.T, k *Keeper) (*Answer, []*messenger.Stop) {
 	out, endings, _ := k.Drain()
-	var stops []*messenger.Stop
-	for _, o := range out {
-		if o.Message.Stop != nil {
-			stops = append(stops, o.Message.Stop)
-		}
-	}
 	require.Len(t, endings, 1)
-	return endings[0].Answer, stops
+	return endings[0].Answer, stopsIn(out)
 }
 
 func TestDirectJobEndsWithItsTasks(t *testing.T) {
@@ -69,15 +71,15 @@
 
 func TestFailedTaskIsStartedAgainAsOftenAsItMay(t *testing.T) {
 	k := newKeeper()
+	addAgents(k, "agent.1", "agent.2", "agent.3", "agent.4")
 	mustRun(t, k, direct("a"))
 	list := starts(k)
 	for range 2 {
-		failTask(k, testStart, list[0])
-		k.Tick(testStart.Add(time.Minute / 4)) // an agent that failed may be paused
+		failOn(k, testStart, list[0].Agent, list[0])
 		list[0] = starts(k)[0]
 	}
 	require.Equal(t, 52, list[0].Attempt)
-	failTask(k, testStart, list[0])
+	failOn(k, testStart, list[0].Agent, list[0])
 	a, stops := ending(t, k)
 	require.Equal(t, messenger.ReasonTask, a.Reason)
 	require.Len(t, stops, 1, "the other task is stopped")
@@ -157,6 +159,46 @@
 	require.False(t, a.MayHaveRun())
 }
 
+// A backend server whose tasks stand still looks full and healthy: the task is
+// stopped there and started elsewhere.
+func TestTaskThatStandsStillIsMoved(t *testing.T) {
+	k := newKeeper()
+	addAgents(k, "other.1")
+	in := direct("a")
+	in.Tasks = in.Tasks[:1]
+	mustRun(t, k, in)
+	s := starts(k)[0]
+	k.Tick(testStart.Add(400 * time.Millisecond))
+	require.Empty(t, stopsOf(k), "estimates are rough")
+	now := testStart.Add(501 * time.Millisecond)
+	k.Tick(now)
+	require.Len(t, stopsOf(k), 1)
+	k.Tick(now.Add(20 * time.Millisecond))
+	require.Empty(t, stopsOf(k), "it is told once")
+	k.Receive(now, s.Agent, messenger.Message{Outcome: &messenger.Outcome{
+		Ticket: s.Ticket, Task: s.Task, Attempt: s.Attempt, Refusal: messenger.RefusalStopped, Load: roomy,
+	}})
+	again := starts(k)
+	require.Len(t, again, 1)
+	require.NotEqual(t, s.Agent, again[0].Agent)
+	require.Greater(t, again[0].Attempt, s.Attempt)
+}
+
+func stopsOf(k *Keeper) []*messenger.Stop {
+	out, _, _ := k.Drain()
+	return stopsIn(out)
+}
+
+func stopsIn(out []Output) []*messenger.Stop {
+	var stops []*messenger.Stop
+	for _, o := range out {
+		if o.Message.Stop != nil {
+			stops = append(stops, o.Message.Stop)
+		}
+	}
+	return stops
+}
+
 // An overload: 30 jobs for four slots at one moment. Those that cannot be in
 // time are given up long before their callers' deadlines, none of them after
 // one of its tasks was started, and the others are served.
--- a/keeper/job.go
+++ b/keeper/job.go
@@ -90,6 +90,8 @@
 	failures int  // starts that ended as failed
 	begun    bool // an earlier start may have run
 	lapses   time.Time
+	sent     time.Time // when the last start was sent
+	stopped  bool      // it stood still, and was told to stop
 	result   *messenger.Result
 }
 
@@ -120,9 +122,10 @@
 	submitted time.Time
 	deadline  time.Time
 
-	name     string // caller's own id
-	restarts bool   // tasks are bound to this entry and may be started again
-	attempts int    // how often a task may fail
+	name     string   // caller's own id
+	restarts bool     // tasks are bound to this entry and may be started again
+	attempts int      // how often a task may fail
+	avoided  []string // agents on which a task of it failed or stood still
 
 	waitsSeal   bool             // taken over, the seal is not complete
 	stopping    messenger.Reason // no further task is started
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -189,7 +189,7 @@
 		k.outcome(now, from, m.Outcome)
 	case m.Load != nil:
 		k.queue.Report(from, *m.Load)
-		k.dispatch()
+		k.dispatch(now)
 	case m.Announce != nil:
 		k.announce(now, from, m.Announce)
 	case m.Roster != nil:
--- a/keeper/owner.go
+++ b/keeper/owner.go
@@ -64,7 +64,7 @@
 		return j.answer, nil
 	}
 	k.enqueue(j)
-	k.dispatch()
+	k.dispatch(now)
 	return j.answer, nil
 }
 
--- a/keeper/progress.go
+++ b/keeper/progress.go
@@ -12,20 +12,24 @@
 	k.queue.Add(&j.place, waiting, waiting+j.count(sent))
 }
 
-// dispatch starts waiting tasks while there are granted slots.
-func (k *Keeper) dispatch() {
+// dispatch starts waiting tasks while there is room.
+func (k *Keeper) dispatch(now time.Time) {
 	for {
-		j, name, ok := k.queue.Next(k.eligible)
+		j, name, ok := k.queue.Next(now, k.eligible)
 		if !ok {
 			break
 		}
-		k.startTask(j.Value, k.agents[name])
+		k.startTask(now, j.Value, k.agents[name])
 	}
 }
 
 // eligible carries out rule 3: the owner uses an agent for a ticket only after
-// the ticket's witness acknowledged the agent.
+// the ticket's witness acknowledged the agent. A job does not go back to an
+// agent on which a task of it failed or stood still.
 func (k *Keeper) eligible(j *job, agent string) bool {
+	if j.avoids(agent) {
+		return false
+	}
 	if j.witness == "" {
 		return true
 	}
@@ -33,9 +37,10 @@
 	return w != nil && w.acked[agent]
 }
 
-func (k *Keeper) startTask(j *job, a *agent) {
+func (k *Keeper) startTask(now time.Time, j *job, a *agent) {
 	i := j.nextPending()
-	j.tasks[i].state, j.tasks[i].agent = sent, a.name
+	t := &j.tasks[i]
+	t.state, t.agent, t.sent, t.stopped = sent, a.name, now, false
 	if a.inflight[j] == nil {
 		a.inflight[j] = make(map[int]bool)
 	}
@@ -68,7 +73,7 @@
 		k.settleTask(now, j, m, from)
 		k.advance(now, j)
 	}
-	k.dispatch()
+	k.dispatch(now)
 }
 
 // expects tells whether the outcome answers the start that the task is bound
@@ -108,6 +113,9 @@
 		j.tasks[m.Task].state, j.doubt = unknown, messenger.ReasonExpired
 		return
 	}
+	if j.tasks[m.Task].stopped && m.Refusal == messenger.RefusalStopped {
+		k.straggled(now, j, from)
+	}
 	j.rebind(m.Task, m.Refusal == messenger.RefusalStopped || m.Refusal == messenger.RefusalLapsed)
 	switch m.Refusal {
 	case messenger.RefusalSealed:
@@ -139,6 +147,7 @@
 		return
 	}
 	t.failures++
+	j.avoid(from)
 	k.decide("task-failed", j, m.Task, from, m.Result.Error)
 	k.queue.Fail(now, from)
 	if t.failures < j.attempts {
--- a/keeper/takeover.go
+++ b/keeper/takeover.go
@@ -249,7 +249,7 @@
 		j.doubt = messenger.ReasonOwnerLost
 	}
 	k.advance(now, j)
-	k.dispatch()
+	k.dispatch(now)
 }
 
 // bind notes that a task was started by the lost owner on an agent.
--- a/keeper/tick.go
+++ b/keeper/tick.go
@@ -17,6 +17,9 @@
 func (k *Keeper) Tick(now time.Time) {
 	for j := range k.active {
 		k.checkJob(now, j)
+		if j.answer == nil {
+			k.stopStragglers(now, j)
+		}
 	}
 	for owner, w := range k.owners {
 		k.checkOwner(now, owner, w)
@@ -31,7 +34,7 @@
 		k.lastClose = now
 		k.advanceClosed()
 	}
-	k.dispatch()
+	k.dispatch(now)
 }
 
 func (k *Keeper) checkJob(now time.Time, j *job) {
--- a/keeper/witness.go
+++ b/keeper/witness.go
@@ -110,13 +110,13 @@
 			w.acked[a] = true
 		}
 	}
-	k.dispatch()
+	k.dispatch(now)
 }
 
 // sealedBy takes an agent's word that a witness has taken over.
 func (k *Keeper) sealedBy(now time.Time, witness string) {
 	k.surrenderPair(now, witness)
-	k.dispatch()
+	k.dispatch(now)
 }
 
 // surrenderPair gives the unfinished jobs that a witness has taken over up to
