--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -17,6 +17,7 @@
 	treeDegree      = 16
 	rateSpan        = 0.5   // seconds over which the rate of starts is taken: a few times a short task
 	maxScan         = 32    // jobs looked at for one that fits, so that a long queue costs no more
+	prioritySpan    = 1e5   // seconds; puts jobs behind all of a lower number that can be in time
 	begunOffset     = -1e9  // seconds; puts jobs of which a task was started before all others
 	lateOffset      = 1e6   // seconds; puts jobs that can no longer be in time behind all others
 	untimedOffset   = 1e3   // seconds; puts jobs without a due time behind those with one
@@ -35,6 +36,7 @@
 	Value    J
 	Arrived  time.Time
 	Due      time.Time     // when it should be done; zero: no such time
+	Priority int           // 0 comes first among jobs that can be in time
 	Need     sizer.Size    // of each task
 	Estimate time.Duration // of each task; zero: unknown
 	Label    string        // an agent must have it; empty: any agent
@@ -135,10 +137,12 @@
 		if j.begun {
 			return true
 		}
-		if j.late || j.Due.IsZero() || !now.After(d.latestStart(j)) {
+		if j.late || j.Due.IsZero() {
 			return false
 		}
-		late = append(late, j)
+		if now.After(d.latestStart(j)) {
+			late = append(late, j)
+		}
 		return true
 	})
 	for _, j := range late {
@@ -241,7 +245,7 @@
 
 func (d *Dispatcher[J]) rankWaiting(j *Job[J]) float64 {
 	if !j.Due.IsZero() {
-		key := d.latestStart(j).Sub(d.epoch).Seconds()
+		key := d.latestStart(j).Sub(d.epoch).Seconds() + prioritySpan*float64(j.Priority)
 		if j.late {
 			key += lateOffset
 		}
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -114,6 +114,25 @@
 	require.Equal(t, "long", job, "it has to start by 50 ms, the other one by 200 ms")
 }
 
+// In an overload operators' priorities decide who is served in time.
+func TestPriorityComesFirstAmongTimelyJobs(t *testing.T) {
+	d := newDispatcher()
+	queue := func(name string, priority int, due time.Duration) {
+		d.Add(&dispatcher.Job[string]{
+			Value: name, Arrived: begin, Due: begin.Add(due), Estimate: 100 * time.Millisecond, Need: sizer.Slots(1), Priority: priority,
+		}, 1, 1)
+	}
+	queue("low", 2, 300*time.Millisecond)
+	queue("high", 0, 900*time.Millisecond)
+	queue("late", 0, 200*time.Millisecond)
+	d.Tick(begin.Add(150 * time.Millisecond))
+	room(d, "fast", 8)
+	for _, want := range []string{"high", "low", "late"} {
+		job, _ := next(t, d)
+		require.Equal(t, want, job)
+	}
+}
+
 // A burst leaves jobs in the queue that can no longer be in time; those that
 // still can go first.
 func TestLateJobComesLast(t *testing.T) {
--- a/keeper/job.go
+++ b/keeper/job.go
@@ -16,6 +16,7 @@
 	Name           string // caller's own id, for the record
 	Restarts       Restarts
 	Due            time.Duration // when it should be done, from its arrival; zero: no such time
+	Priority       int           // 0 comes first
 	Label          string        // an agent must have it; empty: any agent
 	Near           string        // label of agents near the job's data; empty: none
 }
--- a/keeper/owner.go
+++ b/keeper/owner.go
@@ -108,7 +108,7 @@
 // place returns the job's place in the queue. Its tasks count as large and as
 // long as the largest and the longest of them.
 func (in *Job) place(now time.Time, j *job) dispatcher.Job[*job] {
-	p := dispatcher.Job[*job]{Value: j, Arrived: now, Label: in.Label, Near: in.Near}
+	p := dispatcher.Job[*job]{Value: j, Arrived: now, Label: in.Label, Near: in.Near, Priority: in.Priority}
 	if in.Due > 0 {
 		p.Due = now.Add(in.Due)
 	}
--- a/server/direct.go
+++ b/server/direct.go
@@ -62,7 +62,7 @@
 		return e.answered(q, route, begin, Reply{Outcome: OutcomeInvalid, Cause: err.Error()}, nil)
 	}
 	job.Restarts = keeper.Restarts{Attempts: route.Attempts, First: firstNumber(begin)}
-	job.Due = route.Due(job.Longest())
+	job.Due, job.Priority = route.Due(job.Longest()), route.Priority
 	job.DeadlineMillis = q.Deadline.Milliseconds()
 	answer, err := e.Run(ctx, route.Service, job)
 	return e.answered(q, route, begin, reply(answer, err), answer)
