Halve the queue at agents

Cause and change: a start that waits at an agent cannot go elsewhere; 10% of the capacity is enough to keep a backend server busy for a round trip.

--- a/starter/room.go
+++ b/starter/room.go
@@ -11,7 +11,7 @@
 // queue takes what two of them send at once, and keeps the backend server busy
 // for the round trip in which an entry hears of freed room. Beyond it a start
 // is refused, so that the entry can place the task elsewhere.
-const waitShare = 0.2
+const waitShare = 0.1
 
 // room counts what runs and what waits on a backend server.
 type room struct {
