Stand-ins of the users' platform, and its promises with separate processes

Change: the stand-in of the platform speaks the platform's store and executors (platform/standin) in place of an interface of our own; a judge notes every task that runs twice at once and every start over a capacity. Ten tests run daemons on them: jobs, overload, an entry and an agent killed and frozen, an entry cut off, an executor that crashes or falls silent, the store down, a planned stop.

Found by them, red first: a job whose tasks failed on both of two agents could never be placed again, since it avoided both; it waited until its answer was of no use. It now goes back when there are no others (keeper test).

--- a/cmd/mustardleverd/dev.go
+++ b/cmd/mustardleverd/dev.go
@@ -54,15 +54,9 @@
 	if err := awaitReady(lab); err != nil {
 		return err
 	}
-	platform := new(standin.Platform)
-	if err := platform.Start("127.0.0.1:0"); err != nil {
-		return err
-	}
-	defer platform.Stop()
 	for i, u := range lab.URLs {
 		fmt.Printf("entry %d serves callers at %s\n", i+1, u)
 	}
-	fmt.Printf("the platform's stand-in is at http://%s\n", platform.Address())
 	if c.Bool("demo") {
 		return demo(ctx, lab, c.Int("tasks"))
 	}
--- a/cmd/platform-standin/main.go
+++ b/cmd/platform-standin/main.go
@@ -1,5 +1,6 @@
-// Command platform-standin runs stand-ins of the platform's table service and
-// object store, and of backend servers, for trials on one machine.
+// Command platform-standin runs stand-ins of the users' platform (its metadata
+// store with a configuration, and executors that report to agents) and of the
+// backend servers of the product's own interface, for trials on one machine.
 package main
 
 import (
@@ -12,13 +13,16 @@
 	"github.com/urfave/cli/v3"
 
 	"mustardlever.dev/mustardlever/internal/standin"
+	platform "mustardlever.dev/mustardlever/platform/standin"
 )
 
 const description = `Examples:
-  platform-standin --platform 127.0.0.1:7900 --backend 127.0.0.1:9001 --backend 127.0.0.1:9002
-  curl -X PUT -d '{"down":true}' http://127.0.0.1:7900/v1/faults
+  platform-standin --backend 127.0.0.1:9001 --backend 127.0.0.1:9002
+  platform-standin --store 127.0.0.1:7900 --configuration config.json --executor 127.0.0.1:7410
+  curl -X PUT -d '{"down":true}' http://127.0.0.1:7900/faults
 
-Faults: down, slow-ms, lose-reply (writes take effect, their replies are lost).
+Faults of the store: down, slow-ms, lose-reply (transactions are done, their
+answers are lost), forget (the history of changes is gone).
 A backend server answers GET /starts with the starts of each task id.`
 
 func main() {
@@ -27,7 +31,10 @@
 		Usage:       "run stand-ins of the platform and of backend servers",
 		Description: description,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "platform", Usage: "`ADDRESS` of the table service and object store"},
+			&cli.StringFlag{Name: "store", Usage: "`ADDRESS` of the metadata store"},
+			&cli.StringFlag{Name: "configuration", Usage: "`FILE` with the operator's configuration for the store"},
+			&cli.StringSliceFlag{Name: "executor", Usage: "run an executor that reports to the agent at `ADDRESS`; may be repeated"},
+			&cli.StringFlag{Name: "service", Usage: "`NAME` of the executors' service", Value: "access-desk"},
 			&cli.StringSliceFlag{Name: "backend", Usage: "`ADDRESS` of a backend server; may be repeated"},
 			&cli.IntFlag{Name: "slow", Usage: "multiplies the time of the backend servers' tasks", Value: 1},
 		},
@@ -40,13 +47,22 @@
 }
 
 func run(ctx context.Context, c *cli.Command) error {
-	if a := c.String("platform"); a != "" {
-		p := new(standin.Platform)
-		if err := p.Start(a); err != nil {
+	store := new(platform.Store)
+	if a := c.String("store"); a != "" {
+		if err := startStore(store, a, c.String("configuration")); err != nil {
 			return err
 		}
-		defer p.Stop()
-		fmt.Println("platform at", p.Address())
+		defer store.Stop()
+		fmt.Println("store at", store.Address())
+	}
+	judge := new(platform.Judge)
+	for i, a := range c.StringSlice("executor") {
+		x := &platform.Executor{Name: fmt.Sprintf("executor-%d", i+1), Service: c.String("service"), CPU: executorCPU, Reports: a, Judge: judge}
+		if err := x.Start(); err != nil {
+			return err
+		}
+		defer x.Stop()
+		fmt.Println("executor reports to", a)
 	}
 	for _, a := range c.StringSlice("backend") {
 		b := &standin.Backend{Name: a, Slow: c.Int("slow")}
@@ -59,5 +75,26 @@
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	<-ctx.Done()
+	for _, b := range judge.Broken() {
+		fmt.Println("broken:", b)
+	}
+	return nil
+}
+
+// executorCPU is the capacity of each executor, in thousandths of a core.
+const executorCPU = 16_000
+
+func startStore(s *platform.Store, address, configuration string) error {
+	if err := s.Start(address); err != nil {
+		return err
+	}
+	if configuration == "" {
+		return nil
+	}
+	document, err := os.ReadFile(configuration)
+	if err != nil {
+		return err
+	}
+	s.Put("op", "config", document)
 	return nil
 }
--- a/keeper/direct_test.go
+++ b/keeper/direct_test.go
@@ -184,6 +184,14 @@
 	require.Greater(t, again[0].Attempt, s.Attempt)
 }
 
+// With one agent alone a task that failed there is tried there again.
+func TestFailedTaskIsTriedAgainOnTheOnlyAgent(t *testing.T) {
+	k := newKeeper()
+	mustRun(t, k, direct("a"))
+	failOn(k, testStart, testAgent, starts(k)[0])
+	require.Len(t, starts(k), 1)
+}
+
 func stopsOf(k *Keeper) []*messenger.Stop {
 	out, _, _ := k.Drain()
 	return stopsIn(out)
--- a/keeper/progress.go
+++ b/keeper/progress.go
@@ -25,9 +25,9 @@
 
 // eligible carries out rule 3: the owner uses an agent for a ticket only after
 // the ticket's witness acknowledged the agent. A job does not go back to an
-// agent on which a task of it failed or stood still.
+// agent on which a task of it failed or stood still, while there are others.
 func (k *Keeper) eligible(j *job, agent string) bool {
-	if j.avoids(agent) {
+	if j.avoids(agent) && k.queue.Agents() > len(j.avoided) {
 		return false
 	}
 	if j.witness == "" {
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -70,6 +70,7 @@
 type process struct {
 	name     string
 	callers  string // base URL, entries
+	ready    string // URL that the balancer asks, entries on the platform
 	operator string
 	relay    *relay // before the link address, entries
 	command  *exec.Cmd
@@ -252,6 +253,15 @@
 	return n
 }
 
+// agentsOf returns how many agents of the service an entry has met.
+func (f *fleet) agentsOf(e *process) int {
+	var v []server.ServiceView
+	if get(e.operator, "/v1/services", &v) != nil || len(v) == 0 {
+		return 0
+	}
+	return v[0].Counts.Agents
+}
+
 // awaitServing waits until exactly n tasks run.
 func (f *fleet) awaitServing(n int64) {
 	f.t.Helper()
--- /dev/null
+++ b/tests/hosted_test.go
@@ -0,0 +1,319 @@
+package tests
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mustardlever.dev/mustardlever/platform/standin"
+)
+
+const (
+	hostedHost   = "desk.example"
+	hostedPrefix = "/checks/"
+	resendAfter  = 1300 * time.Millisecond // the platform's clients send again then
+	executorCPU  = 8000
+	taskCPU      = 2000
+)
+
+const hostedConfiguration = `{"version":%d,"routes":[{"name":"checks","host":"desk.example","pathPrefix":"/checks/",
+"service":"access-desk","attempts":3,"stretch":1.6,"targetLatencyMs":2000%s}]}`
+
+// hosted is a set of daemons on stand-ins of the users' platform.
+type hosted struct {
+	*fleet
+	store     *standin.Store
+	judge     *standin.Judge
+	executors []*standin.Executor
+	settings  map[string]map[string]any
+}
+
+func newHosted(t *testing.T, entries, agents int) *hosted {
+	h := &hosted{
+		fleet: &fleet{t: t, dir: t.TempDir()}, store: new(standin.Store), judge: new(standin.Judge), settings: map[string]map[string]any{},
+	}
+	require.NoError(t, h.store.Start("127.0.0.1:0"))
+	h.store.Put("op", "config", fmt.Appendf(nil, hostedConfiguration, 1, ""))
+	links := []string{}
+	for i := range entries {
+		links = append(links, h.addHostedEntry(i, links))
+	}
+	for i := range agents {
+		h.addHostedAgent(i, links)
+	}
+	t.Cleanup(h.stopHosted)
+	require.Eventually(t, func() bool { return h.meet(agents) }, readyTimeout, 20*time.Millisecond)
+	return h
+}
+
+// meet tells whether every entry has met all agents.
+func (h *hosted) meet(agents int) bool {
+	for _, e := range h.entries {
+		if h.agentsOf(e) != agents {
+			return false
+		}
+	}
+	return true
+}
+
+func (h *hosted) addHostedEntry(i int, links []string) string {
+	p := &process{name: fmt.Sprintf("entry-%d", i+1), operator: freeAddress()}
+	link, callers, ready := freeAddress(), freeAddress(), freeAddress()
+	p.callers, p.ready = "http://"+callers, "http://"+ready+"/readyz"
+	p.relay = newRelay(h.t, link)
+	h.settings[p.name] = map[string]any{
+		"name": p.name, "role": "entry", "zone": fmt.Sprintf("zone-%d", i+1), "link-address": link, "link-advertised": p.relay.address,
+		"caller-address": callers, "operator-address": p.operator, "entries": append([]string{}, links...),
+		"platform": map[string]any{"store-address": h.store.Address(), "ready-address": ready},
+	}
+	h.start(p, h.settings[p.name])
+	h.entries = append(h.entries, p)
+	return p.relay.address
+}
+
+func (h *hosted) addHostedAgent(i int, links []string) {
+	p := &process{name: fmt.Sprintf("agent-%d", i+1), operator: freeAddress()}
+	reports := freeAddress()
+	h.settings[p.name] = map[string]any{
+		"name": p.name, "role": "agent", "zone": fmt.Sprintf("zone-%d", i+1), "operator-address": p.operator, "entries": links,
+		"platform": map[string]any{"store-address": h.store.Address(), "reports-address": reports, "service": service},
+	}
+	h.start(p, h.settings[p.name])
+	h.agents = append(h.agents, p)
+	x := &standin.Executor{Name: fmt.Sprintf("executor-%d", i+1), Service: service, CPU: executorCPU, Reports: reports, Judge: h.judge}
+	require.NoError(h.t, x.Start())
+	h.executors = append(h.executors, x)
+}
+
+// restart starts a process that was killed.
+func (h *hosted) restart(p *process) { h.start(p, h.settings[p.name]) }
+
+func (h *hosted) stopHosted() {
+	for _, x := range h.executors {
+		x.Stop()
+	}
+	h.stop()
+	h.store.Stop()
+	for _, b := range h.judge.Broken() {
+		h.t.Errorf("broken: %s", b)
+	}
+}
+
+// post submits a job at an entry and returns the status and the body, 0 when
+// there was no answer.
+func post(e *process, id, body string) (int, string) {
+	q, err := http.NewRequest(http.MethodPost, e.callers+hostedPrefix+id, strings.NewReader(body))
+	if err != nil {
+		return 0, ""
+	}
+	q.Host = hostedHost
+	q.Header.Set("Deadline-Ms", "8000")
+	c := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 9 * time.Second}
+	p, err := c.Do(q)
+	if err != nil {
+		return 0, ""
+	}
+	defer p.Body.Close()
+	b, err := io.ReadAll(p.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return p.StatusCode, string(b)
+}
+
+// postUntil submits as callers do: after no answer, 502 or 504 the job comes
+// again at the next entry, and after a refusal too. What was refused must not
+// have run since it was submitted.
+func (h *hosted) postUntil(first int, id, body string) (status int, answer string) {
+	for try := range 8 {
+		before := h.judge.Starts(id)
+		status, answer = post(h.entries[(first+try)%len(h.entries)], id, body)
+		switch status {
+		case 0, http.StatusBadGateway, http.StatusGatewayTimeout:
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+			if h.judge.Starts(id) != before {
+				h.t.Errorf("job %s was refused and has run", id)
+			}
+		default:
+			return status, answer
+		}
+		time.Sleep(resendAfter)
+	}
+	h.t.Errorf("job %s: %d %s", id, status, answer)
+	return status, answer
+}
+
+func hostedID(n int) string { return fmt.Sprintf("%016x", n) }
+
+// load submits jobs at all entries for a while and counts those completed.
+func (h *hosted) load(jobs int, w standin.Work, gap time.Duration) func() int {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	completed := 0
+	wg.Go(func() {
+		for n := range jobs {
+			wg.Go(func() {
+				if _, answer := h.postUntil(n%len(h.entries), hostedID(n+1), standin.Job(3, w)); answer == `{"state":"completed"}` {
+					mu.Lock()
+					completed++
+					mu.Unlock()
+				}
+			})
+			time.Sleep(gap)
+		}
+	})
+	return func() int { wg.Wait(); return completed }
+}
+
+func TestHostedJob(t *testing.T) {
+	h := newHosted(t, 2, 2)
+	status, answer := post(h.entries[0], hostedID(1), standin.Job(6, standin.Work{Millis: 50, CPU: taskCPU}))
+	require.Equal(t, http.StatusOK, status)
+	require.JSONEq(t, `{"state":"completed"}`, answer)
+	require.Equal(t, 6, h.judge.Starts(hostedID(1)))
+	status, answer = post(h.entries[1], hostedID(2), standin.Job(2, standin.Work{Millis: 20, CPU: taskCPU, Fail: true}))
+	require.Equal(t, http.StatusOK, status)
+	require.JSONEq(t, `{"state":"failed"}`, answer)
+	status, _ = post(h.entries[0], hostedID(3), standin.Job(1, standin.Work{Millis: 20, CPU: executorCPU + 1}))
+	require.Equal(t, http.StatusOK, status, "it can never be done")
+	require.Zero(t, h.judge.Starts(hostedID(3)))
+}
+
+// A burst beyond the capacity: no executor is given more than it has room for,
+// and who is refused has not run.
+func TestHostedOverload(t *testing.T) {
+	h := newHosted(t, 2, 2)
+	var wg sync.WaitGroup
+	for n := range 60 {
+		wg.Go(func() {
+			status, _ := post(h.entries[n%2], hostedID(n+1), standin.Job(2, standin.Work{Millis: 300, CPU: taskCPU}))
+			if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+				if h.judge.Starts(hostedID(n+1)) > 0 {
+					t.Errorf("job %d was refused and has run", n+1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func TestHostedEntryKilled(t *testing.T) {
+	h := newHosted(t, 2, 2)
+	done := h.load(40, standin.Work{Millis: 200, CPU: taskCPU}, 50*time.Millisecond)
+	time.Sleep(700 * time.Millisecond)
+	h.entries[0].kill()
+	time.Sleep(300 * time.Millisecond)
+	h.restart(h.entries[0])
+	require.Equal(t, 40, done())
+}
+
+func TestHostedEntryFrozen(t *testing.T) {
+	h := newHosted(t, 2, 2)
+	done := h.load(30, standin.Work{Millis: 200, CPU: taskCPU}, 50*time.Millisecond)
+	time.Sleep(600 * time.Millisecond)
+	h.entries[0].signal(syscall.SIGSTOP)
+	time.Sleep(2 * time.Second)
+	h.entries[0].signal(syscall.SIGCONT)
+	require.Equal(t, 30, done())
+}
+
+func TestHostedAgentKilled(t *testing.T) {
+	h := newHosted(t, 2, 3)
+	done := h.load(40, standin.Work{Millis: 200, CPU: taskCPU}, 50*time.Millisecond)
+	time.Sleep(700 * time.Millisecond)
+	h.agents[0].kill()
+	time.Sleep(200 * time.Millisecond)
+	h.restart(h.agents[0])
+	require.Equal(t, 40, done())
+}
+
+func TestHostedAgentFrozen(t *testing.T) {
+	h := newHosted(t, 2, 3)
+	done := h.load(30, standin.Work{Millis: 200, CPU: taskCPU}, 50*time.Millisecond)
+	time.Sleep(600 * time.Millisecond)
+	h.agents[0].signal(syscall.SIGSTOP)
+	time.Sleep(3 * time.Second)
+	h.agents[0].signal(syscall.SIGCONT)
+	require.Equal(t, 30, done())
+}
+
+// The links between one entry and everything else break and come back.
+func TestHostedEntryCutOff(t *testing.T) {
+	h := newHosted(t, 2, 2)
+	done := h.load(30, standin.Work{Millis: 200, CPU: taskCPU}, 50*time.Millisecond)
+	time.Sleep(600 * time.Millisecond)
+	h.entries[0].relay.cut("agent-1", "agent-2", "entry-2")
+	time.Sleep(2500 * time.Millisecond)
+	h.entries[0].relay.mend()
+	require.Equal(t, 30, done())
+}
+
+func TestHostedExecutorCrashesAndFallsSilent(t *testing.T) {
+	h := newHosted(t, 2, 3)
+	done := h.load(40, standin.Work{Millis: 200, CPU: taskCPU}, 60*time.Millisecond)
+	time.Sleep(500 * time.Millisecond)
+	h.executors[0].Crash()
+	h.executors[1].SetSilent(true)
+	time.Sleep(1500 * time.Millisecond)
+	h.executors[1].SetSilent(false)
+	require.Equal(t, 40, done())
+}
+
+// The configuration changes while the store serves, and stays in force while
+// it is away; an entry that starts meanwhile takes it from its peer.
+func TestHostedConfigurationAndStoreDown(t *testing.T) {
+	h := newHosted(t, 2, 1)
+	h.store.Put("op", "config", fmt.Appendf(nil, hostedConfiguration, 7, `},{"name":"more","host":"desk.example","pathPrefix":"/more/","service":"access-desk"`))
+	require.Eventually(t, func() bool { return h.routed(0, "/more/") && h.routed(1, "/more/") }, 2*time.Second, 10*time.Millisecond)
+	h.store.SetFaults(standin.Faults{Down: true})
+	h.entries[1].kill()
+	h.restart(h.entries[1])
+	require.Eventually(t, func() bool { return h.routed(1, "/more/") }, 5*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return h.isReady(1) }, 5*time.Second, 10*time.Millisecond)
+	status, _ := post(h.entries[1], hostedID(9), standin.Job(1, standin.Work{Millis: 20, CPU: taskCPU}))
+	require.Equal(t, http.StatusOK, status)
+}
+
+// A planned stop answers everybody who is here, and takes the entry out of
+// rotation first.
+func TestHostedPlannedStop(t *testing.T) {
+	h := newHosted(t, 2, 2)
+	done := h.load(20, standin.Work{Millis: 400, CPU: taskCPU}, 20*time.Millisecond)
+	time.Sleep(450 * time.Millisecond)
+	h.entries[0].signal(syscall.SIGTERM)
+	require.Eventually(t, func() bool { return !h.isReady(0) }, time.Second, 5*time.Millisecond)
+	require.Equal(t, 20, done())
+	select {
+	case <-h.entries[0].exited:
+	case <-time.After(7 * time.Second):
+		t.Fatal("it has not stopped")
+	}
+}
+
+func (h *hosted) routed(entry int, path string) bool {
+	q, err := http.NewRequest(http.MethodGet, h.entries[entry].callers+path, nil)
+	require.NoError(h.t, err)
+	q.Host = hostedHost
+	p, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return false
+	}
+	p.Body.Close()
+	return p.StatusCode == http.StatusOK
+}
+
+func (h *hosted) isReady(entry int) bool {
+	p, err := http.Get(h.entries[entry].ready)
+	if err != nil {
+		return false
+	}
+	p.Body.Close()
+	return p.StatusCode == http.StatusOK
+}
