Bounded structured logs, and metrics in the text format

Change: logger (JSON lines, 100 of information and 300 of warnings a second at most, what was left out is counted by message and told; a reader that does not read costs lines and no time), counter (answers by service, outcome and cause, times, decisions, calls by verdict, gauges) at /metrics; a line for each answered job with its inputs.

--- a/cmd/mustardleverd/run.go
+++ b/cmd/mustardleverd/run.go
@@ -14,7 +14,9 @@
 
 	"mustardlever.dev/mustardlever/answerer"
 	"mustardlever.dev/mustardlever/configurer"
+	"mustardlever.dev/mustardlever/counter"
 	"mustardlever.dev/mustardlever/keeper"
+	"mustardlever.dev/mustardlever/logger"
 	"mustardlever.dev/mustardlever/messenger"
 	"mustardlever.dev/mustardlever/operator"
 	"mustardlever.dev/mustardlever/recorder"
@@ -49,7 +51,7 @@
 	}
 	app := fx.New(
 		fx.Supply(p, configuration),
-		fx.Provide(newLog, newRecorder),
+		fx.Provide(newLog, newRecorder, counter.New),
 		fx.Provide(func(log *logrus.Entry) *reloader { return &reloader{path: c.String("settings"), log: log, known: p} }),
 		fx.Invoke(watchSettings),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -71,17 +73,23 @@
 	return app.Stop(ctx)
 }
 
-func newLog(p configurer.Process) *logrus.Entry {
-	l := logrus.New()
-	l.SetOutput(os.Stderr)
-	if p.Platform != nil {
-		l.SetOutput(os.Stdout)
-		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: logTime})
+// newLog returns the process's log: on the users' platform JSON lines of bounded
+// number on standard output, otherwise text on standard error.
+func newLog(p configurer.Process, n *counter.Counter) *logrus.Entry {
+	level, err := logrus.ParseLevel(p.LogLevel)
+	if err != nil {
+		level = logrus.InfoLevel
 	}
-	if level, err := logrus.ParseLevel(p.LogLevel); err == nil {
-		l.SetLevel(level)
+	fields := logrus.Fields{"part": p.Role, "process": p.Name}
+	if p.Platform != nil {
+		log, w := logger.New(os.Stdout, level, fields, logger.Settings{})
+		n.Gauge("log_lines_dropped", func() float64 { return float64(w.Dropped()) })
+		return log
 	}
-	return l.WithField("part", p.Role).WithField("process", p.Name)
+	l := logrus.New()
+	l.SetOutput(os.Stderr)
+	l.SetLevel(level)
+	return l.WithFields(fields)
 }
 
 // watchSettings runs the reloader while the process runs.
@@ -99,9 +107,6 @@
 	})
 }
 
-// logTime is the format of times in structured logs.
-const logTime = "2006-01-02T15:04:05.000000Z07:00"
-
 func newRecorder() *recorder.Recorder { return new(recorder.Recorder) }
 
 func identity(p configurer.Process) messenger.Identity {
--- a/executor/leased.go
+++ b/executor/leased.go
@@ -44,6 +44,8 @@
 
 	// Call carries out one call to the backend server of a report.
 	Call func(ctx context.Context, to Report, c leaser.Call) leaser.Answer
+	// Called is told of each answer; it may be nil.
+	Called func(k leaser.Kind, v leaser.Verdict, took time.Duration)
 	// Offer tells that the backend server may get tasks.
 	Offer func(Report)
 	// Withdraw tells that it must not get any more.
@@ -165,10 +167,15 @@
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, timeout)
 	defer cancel()
+	begin := time.Now()
 	a := x.Call(ctx, to, c)
+	if x.Called != nil {
+		x.Called(c.Kind, a.Verdict, time.Since(begin))
+	}
 	if a.Verdict != leaser.VerdictDone {
 		x.Log.WithFields(logrus.Fields{
-			"call": int(c.Kind), "task": c.Task, "run": c.Number, "fence": c.Fence, "verdict": int(a.Verdict),
+			"call": c.Kind.String(), "task": c.Task, "run": c.Number, "fence": c.Fence, "verdict": a.Verdict.String(),
+			"waited-ms": time.Since(begin).Milliseconds(),
 		}).Warn("Backend server did not carry out a call.")
 	}
 	x.act(func(l *leaser.Leaser, now time.Time) {
--- a/keeper/job.go
+++ b/keeper/job.go
@@ -60,6 +60,7 @@
 	State  State
 	Reason messenger.Reason
 	Tasks  []TaskAnswer
+	Starts int           // how many starts were sent
 	Wait   time.Duration // when to come back after an answer that nothing ran; zero: nothing is known
 }
 
@@ -126,6 +127,7 @@
 	name     string   // caller's own id
 	restarts bool     // tasks are bound to this entry and may be started again
 	attempts int      // how often a task may fail
+	starts   int      // sent so far
 	avoided  []string // agents on which a task of it failed or stood still
 
 	waitsSeal   bool             // taken over, the seal is not complete
@@ -200,7 +202,7 @@
 
 // newAnswer builds the final answer of a job.
 func (j *job) newAnswer(s State, r messenger.Reason) *Answer {
-	a := &Answer{State: s, Reason: r, Tasks: make([]TaskAnswer, len(j.tasks))}
+	a := &Answer{State: s, Reason: r, Starts: j.starts, Tasks: make([]TaskAnswer, len(j.tasks))}
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		a.Tasks[i] = TaskAnswer{State: t.told(), Agent: t.agent, Result: t.result}
--- a/leaser/call.go
+++ b/leaser/call.go
@@ -15,6 +15,9 @@
 	KindHold
 )
 
+// String names the kind.
+func (k Kind) String() string { return [...]string{"start", "stop", "hold"}[k] }
+
 // Call is a call to make to the backend server. It has to be answered by
 // Leaser.Answered, once.
 type Call struct {
@@ -50,6 +53,11 @@
 	VerdictInstance                // another incarnation of the backend server answered
 )
 
+// String names the verdict.
+func (v Verdict) String() string {
+	return [...]string{"done", "none", "refused", "fenced", "old", "late", "no-room", "invalid", "instance"}[v]
+}
+
 // How says how a run ended.
 type How int
 
--- /dev/null
+++ b/logger/logger.go
@@ -0,0 +1,146 @@
+// Package logger writes structured logs that never hold a decision up: lines
+// are JSON, their number a second is bounded by level, and a reader that does
+// not read costs lines, not time. What was left out is counted by message and
+// told once a second.
+package logger
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	defaultRoutine = 100  // lines a second of information
+	defaultUrgent  = 300  // lines a second of warnings and errors
+	queueLines     = 2048 // waiting for the reader; some 1 MB
+	timeFormat     = "2006-01-02T15:04:05.000000Z07:00"
+	maxCounted     = 64 // messages counted one by one; the rest together
+	otherMessages  = "other messages"
+	leftOut        = "Log left out lines."
+)
+
+// Settings bounds a log. Zero fields take the defaults.
+type Settings struct {
+	Routine int // lines a second of information; default 100
+	Urgent  int // lines a second of warnings and errors; default 300
+}
+
+// Logger is a bounded log. Use New.
+type Logger struct {
+	settings Settings
+	json     logrus.JSONFormatter
+	lines    chan []byte
+	dropped  atomic.Int64
+
+	mu      sync.Mutex
+	second  time.Time
+	routine int
+	urgent  int
+	omitted map[string]int // by message, since the last second
+}
+
+// New returns a log to out at a level, with fields on every line.
+func New(out io.Writer, level logrus.Level, fields logrus.Fields, s Settings) (*logrus.Entry, *Logger) {
+	if s.Routine == 0 {
+		s.Routine = defaultRoutine
+	}
+	if s.Urgent == 0 {
+		s.Urgent = defaultUrgent
+	}
+	w := &Logger{
+		settings: s, json: logrus.JSONFormatter{TimestampFormat: timeFormat},
+		lines: make(chan []byte, queueLines), omitted: make(map[string]int),
+	}
+	l := logrus.New()
+	l.SetLevel(level)
+	l.SetFormatter(w)
+	l.SetOutput(w)
+	go w.run(out)
+	return l.WithFields(fields), w
+}
+
+// Dropped returns how many lines were left out so far.
+func (w *Logger) Dropped() int64 { return w.dropped.Load() }
+
+// run hands the lines to the reader.
+func (w *Logger) run(out io.Writer) {
+	for line := range w.lines {
+		if _, err := out.Write(line); err != nil {
+			w.dropped.Add(1)
+		}
+	}
+}
+
+// Write queues a line. It drops the line when the reader is too far behind.
+func (w *Logger) Write(line []byte) (int, error) {
+	if len(line) == 0 {
+		return 0, nil
+	}
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Format formats an entry, or returns nothing when its second is full. The
+// first line of a second follows the account of what was left out before.
+func (w *Logger) Format(e *logrus.Entry) ([]byte, error) {
+	account, ok := w.admit(e)
+	var b []byte
+	if account != nil {
+		note := &logrus.Entry{Logger: e.Logger, Time: e.Time, Level: logrus.WarnLevel, Message: leftOut, Data: logrus.Fields{"omitted": account}}
+		for _, k := range []string{"part", "process"} {
+			if v, there := e.Data[k]; there {
+				note.Data[k] = v
+			}
+		}
+		a, err := w.json.Format(note)
+		if err != nil {
+			return nil, err
+		}
+		b = append(b, a...)
+	}
+	if !ok {
+		return b, nil
+	}
+	line, err := w.json.Format(e)
+	return append(b, line...), err
+}
+
+// admit counts an entry, and tells whether its second has room for it. It
+// returns what was left out in the second before, if the entry opens a new one.
+func (w *Logger) admit(e *logrus.Entry) (account map[string]int, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if e.Time.Sub(w.second) >= time.Second || e.Time.Before(w.second) {
+		if len(w.omitted) > 0 {
+			account, w.omitted = w.omitted, make(map[string]int)
+		}
+		w.second, w.routine, w.urgent = e.Time, 0, 0
+	}
+	count, limit := &w.routine, w.settings.Routine
+	if e.Level <= logrus.WarnLevel {
+		count, limit = &w.urgent, w.settings.Urgent
+	}
+	if *count >= limit {
+		w.omit(e.Message)
+		return account, false
+	}
+	*count++
+	return account, true
+}
+
+// omit counts a line that is left out. The caller holds mu.
+func (w *Logger) omit(message string) {
+	w.dropped.Add(1)
+	if _, known := w.omitted[message]; !known && len(w.omitted) >= maxCounted {
+		message = otherMessages
+	}
+	w.omitted[message]++
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -3,6 +3,7 @@
 //
 //	GET /healthz       200 while the process runs
 //	GET /readyz        200 while it takes new work
+//	GET /metrics       counters and histograms, in the text format of metrics tools
 //	GET /debug/vars    metrics (expvar)
 //	GET /v1/process    identity, traffic, peers
 //	GET /v1/services   services and their agents (entries)
@@ -11,6 +12,7 @@
 
 import (
 	"expvar"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -57,8 +59,10 @@
 	}
 }
 
-// Source is where the answers come from. Services is nil for an agent.
+// Source is where the answers come from. Services is nil for an agent, Metrics
+// where there are none.
 type Source struct {
+	Metrics  func(w io.Writer)
 	Process  func() Process
 	Services func() []server.ServiceView
 	Recorder *recorder.Recorder
@@ -74,6 +78,9 @@
 	g.GET("/debug/vars", gin.WrapH(expvar.Handler()))
 	g.GET("/v1/process", func(c *gin.Context) { c.JSON(http.StatusOK, s.Process()) })
 	g.GET("/v1/events", s.events)
+	if s.Metrics != nil {
+		g.GET("/metrics", func(c *gin.Context) { s.Metrics(c.Writer) })
+	}
 	if s.Services != nil {
 		g.GET("/v1/services", func(c *gin.Context) { c.JSON(http.StatusOK, s.Services()) })
 	}
--- a/server/direct.go
+++ b/server/direct.go
@@ -42,6 +42,7 @@
 	Outcome  Outcome
 	Cause    string
 	ComeBack time.Duration
+	Reason   messenger.Reason // why the job ended, if it was taken
 }
 
 // comeBackLater is when to come back to an entry that cannot serve yet.
@@ -52,7 +53,7 @@
 	begin := time.Now()
 	route, id, ready := e.find(q.Host, q.Path)
 	if !ready {
-		return e.answered(q, nil, begin, Reply{OutcomeNotRun, "no configuration yet", comeBackLater}, nil)
+		return e.answered(q, nil, begin, Reply{Outcome: OutcomeNotRun, Cause: "no configuration yet", ComeBack: comeBackLater}, nil)
 	}
 	if route == nil {
 		return e.answered(q, nil, begin, Reply{Outcome: OutcomeNoRoute, Cause: "no such route"}, nil)
@@ -80,42 +81,46 @@
 func reply(a *keeper.Answer, err error) Reply {
 	switch {
 	case err != nil && fault.KindOf[keeper.Kind](err) == keeper.KindOverload:
-		return Reply{OutcomeOverload, err.Error(), comeBackLater}
+		return Reply{Outcome: OutcomeOverload, Cause: err.Error(), ComeBack: comeBackLater}
 	case err != nil:
-		return Reply{OutcomeNotRun, err.Error(), comeBackLater}
+		return Reply{Outcome: OutcomeNotRun, Cause: err.Error(), ComeBack: comeBackLater}
 	case a.State == keeper.StateComplete:
 		return Reply{Outcome: OutcomeComplete}
 	case a.Reason == messenger.ReasonTask, a.Reason == messenger.ReasonNoFit:
 		return Reply{Outcome: OutcomeFailed, Cause: string(a.Reason)}
 	case !a.MayHaveRun():
-		return Reply{OutcomeNotRun, string(a.Reason), a.Wait}
+		return Reply{Outcome: OutcomeNotRun, Cause: string(a.Reason), ComeBack: a.Wait}
 	case a.Reason == messenger.ReasonDeadline:
 		return Reply{Outcome: OutcomeTimeout, Cause: string(a.Reason)}
 	}
 	return Reply{Outcome: OutcomeUnknown, Cause: string(a.Reason)}
 }
 
-// answered logs the answer to a direct job, and returns it.
+// answered logs and counts the answer to a direct job, and returns it.
 func (e *Entry) answered(q Direct, route *router.Route, begin time.Time, r Reply, a *keeper.Answer) Reply {
+	took := time.Since(begin)
 	f := logrus.Fields{
-		"request-id": q.RequestID, "path": q.Path, "outcome": r.Outcome, "took-ms": time.Since(begin).Milliseconds(),
-		"configuration": e.Routes.Version(),
+		"request-id": q.RequestID, "path": q.Path, "outcome": r.Outcome, "took-ms": took.Milliseconds(),
+		"deadline-ms": q.Deadline.Milliseconds(), "configuration": e.Routes.Version(),
 	}
+	service := ""
 	if route != nil {
-		f["route"], f["service"] = route.Name, route.Service
-	}
-	if r.Cause != "" {
-		f["cause"] = r.Cause
+		service = route.Service
+		f["route"], f["service"] = route.Name, service
 	}
 	if a != nil {
-		f["tasks"] = len(a.Tasks)
+		r.Reason = a.Reason
+		f["tasks"], f["starts"] = len(a.Tasks), a.Starts
+	}
+	if e.Answered != nil {
+		e.Answered(service, r, took)
 	}
 	l := e.Log.WithFields(f)
 	if r.Outcome == OutcomeComplete {
-		l.Debug("Entry answered a job.")
-	} else {
 		l.Info("Entry answered a job.")
+		return r
 	}
+	l.WithFields(logrus.Fields{"cause": r.Cause, "come-back-ms": r.ComeBack.Milliseconds()}).Warn("Entry answered a job.")
 	return r
 }
 
--- a/server/entry.go
+++ b/server/entry.go
@@ -37,6 +37,9 @@
 	Recorder *recorder.Recorder
 	Decided  func(service string, d keeper.Decision) // told of each decision, under the shard's lock; may be nil
 
+	// Answered is told of each answer to a direct job; it may be nil.
+	Answered func(service string, r Reply, took time.Duration)
+
 	// Routes is the configuration in force; ReadRoutes reads one that another
 	// entry has sent, nil where there is none.
 	Routes     router.Holder
