Time calls out after 30 to 40 ms; silent after two holds

Change: starts and stops time out after 30 ms, holds 40 ms after their wait; a backend server counts as silent after two holds in a row; the first failed holds are sent again at once.

--- a/executor/leased.go
+++ b/executor/leased.go
@@ -14,12 +14,12 @@
 )
 
 const (
-	leasedTick    = 20 * time.Millisecond  // between two looks at what is due
-	callTimeout   = 150 * time.Millisecond // of a start or a stop: some hundred times what one takes
-	holdSlack     = 150 * time.Millisecond // of a hold beyond the time it may wait
-	reportsMissed = 3                      // reports without which a backend server is taken as gone
-	runSucceeded  = 200                    // status of a task that was done
-	runFailed     = 500                    // status of a task that failed
+	leasedTick    = 20 * time.Millisecond // between two looks at what is due
+	callTimeout   = 30 * time.Millisecond // of a start or a stop on this machine, which take one or two; longer ones delay the task elsewhere
+	holdSlack     = 40 * time.Millisecond // of a hold beyond the time it may wait
+	reportsMissed = 3                     // reports without which a backend server is taken as gone
+	runSucceeded  = 200                   // status of a task that was done
+	runFailed     = 500                   // status of a task that failed
 )
 
 // Report is what a backend server says of itself.
@@ -50,7 +50,7 @@
 	Offer func(Report)
 	// Withdraw tells that it must not get any more.
 	Withdraw func(Report)
-	// Hold tells whether a call was left unanswered; nothing new should be
+	// Hold tells whether the backend server is silent; nothing new should be
 	// started meanwhile.
 	Hold func(held bool)
 	// Finish tells the end of a run; a nil result means that it did not start.
@@ -136,7 +136,7 @@
 // change returns what to tell when the backend server begins or ceases to take
 // tasks or to answer, nil for nothing. The caller holds mu.
 func (x *Leased) change(now time.Time) func() {
-	if held := x.leaser.Unanswered(); x.offered && held != x.held {
+	if held := x.leaser.Silent(); x.offered && held != x.held {
 		x.held = held
 		return func() { x.Hold(held) }
 	}
--- a/leaser/answer.go
+++ b/leaser/answer.go
@@ -47,7 +47,7 @@
 func (l *Leaser) reborn(now time.Time, born int64) {
 	l.endAll(now)
 	l.born, l.seen, l.through = born, 0, 0
-	l.clockAt, l.retryAt, l.failing = time.Time{}, time.Time{}, false
+	l.clockAt, l.retryAt, l.failures = time.Time{}, time.Time{}, 0
 	l.looking = false
 	l.Look(now)
 }
@@ -111,7 +111,7 @@
 		l.holdFailed(now, c, a)
 		return
 	}
-	l.failing, l.heard = false, now
+	l.failures, l.heard = 0, now
 	l.through = max(l.through, c.Through)
 	active := make(map[Active]bool, len(a.Active))
 	for _, x := range a.Active {
@@ -135,8 +135,10 @@
 		l.raise(c)
 		return
 	}
-	l.retryAt = now.Add(holdRetry)
-	l.failing = true
+	l.failures++
+	if l.failures > silentHolds {
+		l.retryAt = now.Add(holdRetry)
+	}
 	if c.look {
 		l.fence++
 	}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -11,7 +11,8 @@
 	maxTries     = 4                      // of one start that was refused for its token, number or lease
 	clockDrift   = 0.02                   // the backend server's clock may be this much slow
 	stopRetry    = 100 * time.Millisecond // between two stops of one run
-	holdRetry    = 30 * time.Millisecond  // after a hold that failed
+	holdRetry    = 30 * time.Millisecond  // after several holds that failed
+	silentHolds  = 2                      // holds in a row without an answer after which the backend server counts as silent
 	renewFor     = 200 * time.Millisecond // after the last answer; then what runs is left to lapse
 	fullPage     = 500                    // ends in one list; there may be more
 	defaultLease = 700 * time.Millisecond
@@ -53,22 +54,22 @@
 type Leaser struct {
 	Settings Settings
 
-	fence   int64
-	born    int64
-	clean   bool      // a hold showed that nothing runs that is not known here
-	looking bool      // a look is on its way
-	holding int       // holds on their way, looks not counted
-	retryAt time.Time // no hold before, since one has failed
-	failing bool      // the last hold to be answered or given up was given up
-	runs    map[uint64]*run
-	byName  map[string]*run
-	seen    int // newest end taken in
-	through int // newest end that the backend server was told may be forgotten
-	serial  uint64
-	clock   int64     // the backend server's, at clockAt
-	clockAt time.Time // by our clock; zero when nothing is known
-	leased  time.Time // what runs has surely ended by then, unless it is held again
-	heard   time.Time // when a hold was answered last
+	fence    int64
+	born     int64
+	clean    bool      // a hold showed that nothing runs that is not known here
+	looking  bool      // a look is on its way
+	holding  int       // holds on their way, looks not counted
+	retryAt  time.Time // no hold before, since one has failed
+	failures int       // holds in a row that were not answered
+	runs     map[uint64]*run
+	byName   map[string]*run
+	seen     int // newest end taken in
+	through  int // newest end that the backend server was told may be forgotten
+	serial   uint64
+	clock    int64     // the backend server's, at clockAt
+	clockAt  time.Time // by our clock; zero when nothing is known
+	leased   time.Time // what runs has surely ended by then, unless it is held again
+	heard    time.Time // when a hold was answered last
 
 	calls []Call
 	ends  []End
@@ -100,8 +101,9 @@
 // may be started.
 func (l *Leaser) Clean() bool { return l.clean }
 
-// Unanswered reports whether the last hold failed or a start is in doubt.
-func (l *Leaser) Unanswered() bool { return l.failing || l.anyDoubt() }
+// Silent reports whether several holds in a row were not answered. One alone
+// says little where some calls are lost.
+func (l *Leaser) Silent() bool { return l.failures >= silentHolds }
 
 // Running returns the number of runs that take room.
 func (l *Leaser) Running() int { return len(l.runs) }
@@ -234,7 +236,7 @@
 	if len(l.runs) > 0 && now.Sub(l.heard) < renewFor {
 		c.Until = l.until(now)
 	}
-	if len(l.runs) > 0 && !l.anyDoubt() && !l.failing {
+	if len(l.runs) > 0 && !l.anyDoubt() && l.failures == 0 {
 		c.Wait = l.Settings.Poll
 	}
 	l.holding++
--- a/server/agent.go
+++ b/server/agent.go
@@ -156,7 +156,7 @@
 	}
 }
 
-// Hold says whether the service's backend server has left a call unanswered.
+// Hold says whether the service's backend server is silent.
 func (a *Agent) Hold(service string, held bool) {
 	if s := a.shard(service); s != nil {
 		to := a.act(s, func(x *starter.Starter) { x.Hold(held) })
--- a/server/direct.go
+++ b/server/direct.go
@@ -59,7 +59,10 @@
 		return e.answered(q, nil, begin, Reply{Outcome: OutcomeNoRoute, Cause: "no such route"}, nil)
 	}
 	job, err := q.Read(id)
-	if err != nil {
+	switch {
+	case fault.KindOf[Kind](err) == KindUnsupported:
+		return e.answered(q, route, begin, Reply{Outcome: OutcomeNotRun, Cause: err.Error()}, nil)
+	case err != nil:
 		return e.answered(q, route, begin, Reply{Outcome: OutcomeInvalid, Cause: err.Error()}, nil)
 	}
 	job.Restarts = keeper.Restarts{Attempts: route.Attempts, First: firstNumber(begin)}
--- a/server/error.go
+++ b/server/error.go
@@ -16,6 +16,7 @@
 	KindBadRequest     Kind = "bad-request"
 	KindTooLarge       Kind = "too-large"
 	KindOwnerLost      Kind = "owner-lost"
+	KindUnsupported    Kind = "unsupported" // a job needs what is not served
 )
 
 // Error is the error type of this package.
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -279,7 +279,7 @@
 	return dispatcher.Load{Free: free, Received: s.received[entry]}
 }
 
-// Hold says whether the backend server has left a call unanswered. Meanwhile
+// Hold says whether the backend server is silent. Meanwhile
 // nothing new is started there: if it has crashed, whatever came would be lost.
 func (s *Starter) Hold(held bool) {
 	if s.held == held {
