Prefer agents where the last task did not fail; log starts and stops at agents

Change: each failure in a row counts as once more the expected time. Agents log each start and stop with the task's name, the run and the entry.

--- a/dispatcher/agent.go
+++ b/dispatcher/agent.go
@@ -11,6 +11,7 @@
 	slownessWeight = 0.08                   // weight of a new sample in an agent's slowness: about its last dozen tasks count
 	maxSample      = 8.0                    // a task's slowness counts as this at most, so that one hung task does not brand its agent
 	busyPenalty    = 0.15                   // how much slower a full agent counts than an empty one of the same speed
+	failurePenalty = 1.0                    // how much slower an agent counts for each task that failed there in a row
 	failuresInRow  = 3                      // failed tasks in a row after which an agent is paused
 	minPause       = 500 * time.Millisecond // first pause of an agent that fails
 	maxPause       = 10 * time.Second
@@ -89,10 +90,11 @@
 }
 
 // cost is the time that a task of the estimate is expected to take on the
-// agent, with a preference for agents with room.
+// agent, with a preference for agents with room and for those where the last
+// task did not fail: one that fails at once is always empty.
 func (a *agent) cost(estimate float64) float64 {
 	used := a.capacity.Minus(a.room).Share(a.capacity)
-	return estimate * a.slowness() * (1 + busyPenalty*used)
+	return estimate * a.slowness() * (1 + busyPenalty*used) * (1 + failurePenalty*float64(a.failures))
 }
 
 // AddAgent adds an agent, or brings its capacity up to date. It has no room
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -215,6 +215,25 @@
 	require.True(t, d.TooLarge(sizer.Slots(13)))
 }
 
+// A backend server that fails everything at once looks empty and fast.
+func TestAgentWhereATaskFailedComesLater(t *testing.T) {
+	d := new(dispatcher.Dispatcher[string])
+	d.Init(begin)
+	for name, ms := range map[string]time.Duration{"quick": 90, "steady": 110} {
+		d.AddAgent(name, sizer.Slots(8), nil)
+		room(d, name, 8)
+		for range 50 {
+			d.Observe(name, 100*time.Millisecond, ms*time.Millisecond)
+		}
+	}
+	add(d, "job", 0, 2)
+	_, agent := next(t, d)
+	require.Equal(t, "quick", agent)
+	d.Fail(begin, "quick")
+	_, agent = next(t, d)
+	require.Equal(t, "steady", agent)
+}
+
 func TestPausedAgentComesBackOnTrial(t *testing.T) {
 	d := newDispatcher()
 	room(d, "fast", 4)
--- a/server/agent.go
+++ b/server/agent.go
@@ -214,16 +214,26 @@
 		to.add(o.To)
 	}
 	for _, r := range d.Starts {
+		a.note(r, logrus.InfoLevel, "Agent starts a task.")
 		s.backend.Start(r)
 	}
 	if s.backend.Stop != nil {
 		for _, r := range d.Stops {
+			a.note(r, logrus.WarnLevel, "Agent stops a task.")
 			s.backend.Stop(r)
 		}
 	}
 	return to
 }
 
+// note logs what is decided on a task that its caller has named.
+func (a *Agent) note(r starter.Run, level logrus.Level, message string) {
+	if r.Request.Name == "" || !a.Log.Logger.IsLevelEnabled(level) {
+		return
+	}
+	a.Log.WithFields(logrus.Fields{"task": r.Request.Name, "run": r.Attempt, "entry": r.Owner}).Log(level, message)
+}
+
 // run executes one task and reports its result.
 func (a *Agent) run(x *executor.Executor, service string, r starter.Run) {
 	result := x.Run(a.ctx, r.Request)
