--- a/server/direct.go
+++ b/server/direct.go
@@ -68,6 +68,10 @@
 	job.Restarts = keeper.Restarts{Attempts: route.Attempts, First: firstNumber(begin)}
 	job.Due, job.Priority = route.Due(job.Longest()), route.Priority
 	job.DeadlineMillis = q.Deadline.Milliseconds()
+	e.Log.WithFields(logrus.Fields{
+		"request-id": q.RequestID, "job": job.Name, "route": route.Name, "service": route.Service, "tasks": len(job.Tasks),
+		"due-ms": job.Due.Milliseconds(), "deadline-ms": job.DeadlineMillis, "configuration": e.Routes.Version(),
+	}).Info("Entry takes a job.")
 	answer, err := e.Run(ctx, route.Service, job)
 	return e.answered(q, route, begin, reply(answer, err), answer)
 }
@@ -123,10 +127,25 @@
 		l.Info("Entry answered a job.")
 		return r
 	}
-	l.WithFields(logrus.Fields{"cause": r.Cause, "come-back-ms": r.ComeBack.Milliseconds()}).Warn("Entry answered a job.")
+	l.WithFields(e.inputs(service)).
+		WithFields(logrus.Fields{"cause": r.Cause, "come-back-ms": r.ComeBack.Milliseconds()}).Warn("Entry answered a job.")
 	return r
 }
 
+// inputs is what the entry knows of a service when a job of it is not served.
+func (e *Entry) inputs(service string) logrus.Fields {
+	s := e.shards.find(service)
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.keeper.Counts()
+	return logrus.Fields{
+		"waiting-tasks": c.Waiting, "room-cpu": c.RoomCPU, "agents": c.Agents, "suspect-agents": c.Suspect,
+	}
+}
+
 // Run runs a job whose caller waits here for its answer. When ctx ends and no
 // other caller waits for the job of that name, the job is ended too, since
 // nobody could be told. It errors with KindUnknownService or with a kind of
