--- a/counter/counter.go
+++ b/counter/counter.go
@@ -21,7 +21,7 @@
 // Answered counts an answer to a caller and its time.
 func (c *Counter) Answered(service, outcome, cause string, took time.Duration) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("mustardlever_answers_total{service=%q,outcome=%q,cause=%q}", service, outcome, cause)).Inc()
-	c.set.GetOrCreateHistogram(fmt.Sprintf("mustardlever_answer_seconds{service=%q,outcome=%q}", service, outcome)).Update(took.Seconds())
+	c.set.GetOrCreatePrometheusHistogram(fmt.Sprintf("mustardlever_answer_seconds{service=%q,outcome=%q}", service, outcome)).Update(took.Seconds())
 }
 
 // Decided counts a decision about a job or a task.
@@ -32,7 +32,7 @@
 // Called counts a call to a backend server by its verdict.
 func (c *Counter) Called(call, verdict string, took time.Duration) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("mustardlever_backend_calls_total{call=%q,verdict=%q}", call, verdict)).Inc()
-	c.set.GetOrCreateHistogram(fmt.Sprintf("mustardlever_backend_call_seconds{call=%q}", call)).Update(took.Seconds())
+	c.set.GetOrCreatePrometheusHistogram(fmt.Sprintf("mustardlever_backend_call_seconds{call=%q}", call)).Update(took.Seconds())
 }
 
 // Gauge has the series name read by value whenever the figures are served.
--- a/server/agent.go
+++ b/server/agent.go
@@ -23,6 +23,11 @@
 // room as often at most.
 const tickInterval = 20 * time.Millisecond
 
+// loadBudget is the least time between two reports of room, over all entries:
+// with many entries each hears of it less often, so that reports stay below 200
+// a second.
+const loadBudget = 5 * time.Millisecond
+
 // sleepLimit is the time without a tick after which an agent counts as having
 // been frozen. Entries that could not reach it may have started its tasks
 // elsewhere; they wait longer than this before they do.
@@ -317,7 +322,7 @@
 func (a *Agent) tick() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	forgot := time.Now()
+	forgot, told := time.Now(), time.Time{}
 	for {
 		select {
 		case <-a.ctx.Done():
@@ -329,6 +334,10 @@
 		}
 		a.waker.Beat()
 		now := time.Now()
+		tell := now.Sub(told) >= loadBudget*time.Duration(len(a.hub.Peers()))
+		if tell {
+			told = now
+		}
 		forget := now.Sub(forgot) >= forgetInterval
 		if forget {
 			forgot = now
@@ -338,7 +347,9 @@
 				if forget {
 					x.Tick(now)
 				}
-				x.TellLoad()
+				if tell {
+					x.TellLoad()
+				}
 			})
 			to.wake(&a.hub)
 		}
