Let one start of any size wait at an agent

Cause: halving the queue at agents to 10% of the capacity left no place for a task of 4 of 32 cores, nor for one of 8 slots.

Change: one start may always wait; more up to 10% of the capacity. The tests are as they were.

--- a/starter/room.go
+++ b/starter/room.go
@@ -7,7 +7,7 @@
 )
 
 // waitShare is the part of the capacity whose worth of starts may wait for
-// room. Entries place tasks by reports that are some milliseconds old; a short
+// room, or one start of any size. Entries place tasks by reports that are some milliseconds old; a short
 // queue takes what two of them send at once, and keeps the backend server busy
 // for the round trip in which an entry hears of freed room. Beyond it a start
 // is refused, so that the entry can place the task elsewhere.
@@ -30,7 +30,7 @@
 
 // mayWait tells whether a task may wait for room.
 func (m *room) mayWait(capacity, need sizer.Size) bool {
-	return capacity.Holds(need) && m.queued.Plus(need).Share(capacity) <= waitShare
+	return capacity.Holds(need) && (len(m.waiting) == 0 || m.queued.Plus(need).Share(capacity) <= waitShare)
 }
 
 // wait puts a run at the end of the queue.
