Settle starts in doubt by a look; leap above an earlier process's token

Cause: found by a model of leases and tokens (spec/lease.pml). A start without an answer was told as ended when the backend server began anew or when leases lapsed, though it may yet be carried out there, while its task runs elsewhere. A new process's token, taken from a clock that went back, could lie between the highest token seen and one under way.

Ruled out: shorter waits (a late call comes up to 12 s later); ids of lives (a backend server may begin anew under its id).

Change: a start in doubt stays so until a look with a raised token was answered; a process's first accepted look is followed by a leap of the token and a second look.

--- a/leaser/answer.go
+++ b/leaser/answer.go
@@ -45,7 +45,7 @@
 }
 
 func (l *Leaser) reborn(now time.Time, born int64) {
-	l.endAll(now)
+	l.endRunning(now)
 	l.born, l.seen, l.through = born, 0, 0
 	l.clockAt, l.retryAt, l.failures = time.Time{}, time.Time{}, 0
 	l.looking = false
@@ -172,7 +172,9 @@
 }
 
 // tidy carries out rule 3: what runs and is not known here is stopped, and
-// looked at again until it has ended.
+// looked at again until it has ended. The first look of a process tells only
+// that its token is not below those that were seen; an earlier process may have
+// sent a start with a higher one. A leap above the accepted token passes it.
 func (l *Leaser) tidy(now time.Time, a Answer) {
 	foreign := 0
 	for _, x := range a.Active {
@@ -185,5 +187,11 @@
 		l.look(now, l.Settings.Poll)
 		return
 	}
+	if !l.leapt {
+		l.leapt = true
+		l.fence += fenceLeap
+		l.look(now, 0)
+		return
+	}
 	l.clean = true
 }
--- a/leaser/doc.go
+++ b/leaser/doc.go
@@ -14,7 +14,8 @@
 //     never given more than it has room for.
 //  3. After a start of this process or of the backend server nothing is known:
 //     nothing is started before a hold with a raised token was answered and
-//     everything that it showed has been stopped and has ended.
+//     everything that it showed has been stopped and has ended. A start that
+//     was in doubt then stays so until that look.
 //
 // The package decides only: it does no I/O and has no clock.
 package leaser
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -56,6 +56,7 @@
 
 	fence    int64
 	born     int64
+	leapt    bool      // the token is above any of an earlier process
 	clean    bool      // a hold showed that nothing runs that is not known here
 	looking  bool      // a look is on its way
 	holding  int       // holds on their way, looks not counted
@@ -75,9 +76,8 @@
 	ends  []End
 }
 
-// Init prepares the Leaser. The fencing token starts from the wall clock, so
-// that it is above that of an earlier process as a rule; where it is not, the
-// backend server says so.
+// Init prepares the Leaser. The fencing token starts from the wall clock, which
+// saves the backend server's word that it is too low, as a rule.
 func (l *Leaser) Init(now time.Time) {
 	if l.Settings.Lease == 0 {
 		l.Settings.Lease = defaultLease
@@ -194,22 +194,32 @@
 			l.stop(now, r)
 		}
 	}
-	if len(l.runs) > 0 && now.After(l.leased) {
-		l.lapse(now)
+	if now.After(l.leased) && l.anyRunning() {
+		l.endRunning(now)
+		l.Look(now)
 	}
 	l.hold(now)
 }
 
-// lapse ends all runs: nothing has renewed their leases. What may still be on
-// its way is fenced off by the look that follows.
-func (l *Leaser) lapse(now time.Time) {
-	l.endAll(now)
-	l.Look(now)
+func (l *Leaser) anyRunning() bool {
+	for _, r := range l.runs {
+		if r.state == running {
+			return true
+		}
+	}
+	return false
 }
 
-func (l *Leaser) endAll(now time.Time) {
+// endRunning ends what was known to run, since its lease has lapsed or the
+// backend server has begun anew. A start that was not answered may still be
+// carried out: it is settled by the look that follows, as in rule 1.
+func (l *Leaser) endRunning(now time.Time) {
 	for _, r := range l.runs {
-		l.end(now, r, HowStopped, true)
+		if r.state == running {
+			l.end(now, r, HowStopped, true)
+			continue
+		}
+		r.state = doubtful
 	}
 }
 
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -27,6 +27,8 @@
 	b.Reborn(b.now, testBorn)
 	b.drain()
 	b.answer(b.take(KindHold), Answer{Clock: 5000, Born: testBorn})
+	require.False(t, b.Clean(), "the token leaps first")
+	b.answer(b.take(KindHold), Answer{Clock: 5000, Born: testBorn})
 	require.True(t, b.Clean())
 	return b
 }
@@ -172,6 +174,7 @@
 	look := b.take(KindHold)
 	require.Zero(t, look.Until, "their leases are not renewed")
 	b.answer(look, Answer{Clock: 9050, Born: testBorn, Ended: []Ended{{1, "x", 4, HowStopped}}})
+	b.answer(b.take(KindHold), Answer{Clock: 9051, Born: testBorn})
 	require.True(t, b.Clean())
 }
 
@@ -184,6 +187,22 @@
 	require.GreaterOrEqual(t, b.take(KindHold).Fence, c.Fence+fenceLeap)
 }
 
+// The process before may have sent a start with a token that the backend server
+// has not seen, and this one's clock may have gone back: its token must be above
+// that start's, not only above what was seen. Found by the model.
+func TestNewProcessLeapsAboveItsPredecessor(t *testing.T) {
+	b := &bench{T: t, now: testStart}
+	b.Init(b.now)
+	b.Reborn(b.now, testBorn)
+	c := b.take(KindHold)
+	b.answer(c, Answer{Clock: 9000, Born: testBorn})
+	require.False(t, b.Clean())
+	d := b.take(KindHold)
+	require.GreaterOrEqual(t, d.Fence, c.Fence+fenceLeap)
+	b.answer(d, Answer{Clock: 9001, Born: testBorn})
+	require.True(t, b.Clean())
+}
+
 func TestRebornBackendServerRunsNothing(t *testing.T) {
 	b := newBench(t)
 	b.answer(b.start(1, "a"), Answer{Clock: 5001, Born: testBorn})
@@ -197,6 +216,39 @@
 	require.True(t, b.Clean())
 }
 
+// A start that was on its way when the backend server began anew may be carried
+// out in its new life, which knows no token yet. Nor does a lapse settle it.
+// Found by the model (spec/lease.pml).
+func TestStartInDoubtOutlastsTheBackendServersLife(t *testing.T) {
+	b := newBench(t)
+	c := b.start(1, "a")
+	b.take(KindHold)
+	b.Reborn(b.now, testBorn+1)
+	b.drain()
+	require.Empty(t, b.ended)
+	b.answer(c, Answer{Verdict: VerdictNone})
+	b.advance(2 * time.Second)
+	require.Empty(t, b.ended, "no look was answered yet")
+	b.answer(b.take(KindHold), Answer{Clock: 12, Born: testBorn + 1})
+	require.Equal(t, []End{{ID: 1, How: HowStopped, Took: 2 * time.Second}}, b.ended)
+	require.True(t, b.Clean())
+}
+
+func TestStartInDoubtOutlastsALapse(t *testing.T) {
+	b := newBench(t)
+	b.answer(b.start(1, "a"), Answer{Clock: 5001, Born: testBorn})
+	b.answer(b.start(2, "b"), Answer{Verdict: VerdictNone})
+	b.advance(2 * time.Second)
+	require.Len(t, b.ended, 1, "the lease of the one that ran has lapsed")
+	for b.count(KindHold) > 0 {
+		b.answer(b.take(KindHold), Answer{Verdict: VerdictNone})
+	}
+	b.advance(time.Second)
+	require.Len(t, b.ended, 1)
+	b.answer(b.take(KindHold), Answer{Clock: 8000, Born: testBorn})
+	require.Len(t, b.ended, 2)
+}
+
 // When no hold is answered, what runs ends by itself; until then it counts.
 func TestRunsLapseWithoutHolds(t *testing.T) {
 	b := newBench(t)
