--- a/cmd/mustardleverd/hosted_entry.go
+++ b/cmd/mustardleverd/hosted_entry.go
@@ -19,6 +19,7 @@
 	"mustardlever.dev/mustardlever/registrar"
 	"mustardlever.dev/mustardlever/router"
 	"mustardlever.dev/mustardlever/server"
+	"mustardlever.dev/mustardlever/waker"
 )
 
 // serveHostedEntry runs an entry on the users' platform.
@@ -156,7 +157,7 @@
 	e.LeaveBalancer()
 	give := time.AfterFunc(limit-stopAnswers, func() { e.Abandon(messenger.ReasonStopping) })
 	defer give.Stop()
-	pauseFor(ctx, balancerLeaves)
+	waker.Pause(ctx, balancerLeaves)
 	front.SetKeepAlivesEnabled(false)
 	front.Shutdown(ctx)
 	e.Drain(ctx)
@@ -167,12 +168,3 @@
 // was told that the entry leaves: it asks once a second and believes the second
 // answer.
 const balancerLeaves = 2200 * time.Millisecond
-
-func pauseFor(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/configurer/follower.go
+++ b/configurer/follower.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"mustardlever.dev/mustardlever/waker"
 )
 
 const (
@@ -42,7 +44,7 @@
 			at, err = f.await(ctx, at)
 		}
 		f.note(ctx, err)
-		pause(ctx, retry/2+rand.N(retry))
+		waker.Pause(ctx, retry/2+rand.N(retry))
 		retry = min(2*retry, maxRetry)
 	}
 }
@@ -84,12 +86,3 @@
 	f.lost = true
 	f.Log.WithError(err).Warn("Store does not answer; the configuration in force stays.")
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -15,14 +15,14 @@
 	defaultEstimate = 300 * time.Millisecond
 	meanWeight      = 0.1 // weight of a new sample in the mean time of a task
 	treeDegree      = 16
-	rateSpan        = 0.5   // seconds over which the rate of starts is taken: a few times a short task
-	maxScan         = 32    // jobs looked at for one that fits, so that a long queue costs no more
-	prioritySpan    = 1e5   // seconds; puts jobs behind all of a lower number that can be in time
-	begunOffset     = -1e9  // seconds; puts jobs of which a task was started before all others
-	lateOffset      = 1e6   // seconds; puts jobs that can no longer be in time behind all others
-	untimedOffset   = 1e3   // seconds; puts jobs without a due time behind those with one
-	lateMargin      = -0.15 // part of its expected time by which a job may run over and still be tried in time
-	lateHeadroom    = 0.3   // part of all room that must be free before a late job is started
+	rateSpan        = 0.5  // seconds over which the rate of starts is taken: a few times a short task
+	maxScan         = 32   // jobs looked at for one that fits, so that a long queue costs no more
+	prioritySpan    = 1e5  // seconds; puts jobs behind all of a lower number that can be in time
+	begunOffset     = -1e9 // seconds; puts jobs of which a task was started before all others
+	lateOffset      = 1e6  // seconds; puts jobs that can no longer be in time behind all others
+	untimedOffset   = 1e3  // seconds; puts jobs without a due time behind those with one
+	lateReserve     = 0.15 // part of its expected time that a job keeps in reserve to be in time
+	lateHeadroom    = 0.3  // part of all room that must be free before a late job is started
 )
 
 // Settings tunes a Dispatcher. Zero fields take the defaults.
@@ -155,7 +155,7 @@
 
 // latestStart is when the job's next task has to start to be done in time.
 func (d *Dispatcher[J]) latestStart(j *Job[J]) time.Time {
-	expected := d.expected(j.Estimate) * (1 - lateMargin)
+	expected := d.expected(j.Estimate) * (1 + lateReserve)
 	return j.Due.Add(-time.Duration(expected * float64(time.Second)))
 }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"mustardlever.dev/mustardlever/waker"
 )
 
 const (
@@ -62,7 +64,7 @@
 				}
 			}
 		}
-		pause(ctx, wait/2+rand.N(wait))
+		waker.Pause(ctx, wait/2+rand.N(wait))
 	}
 }
 
@@ -105,12 +107,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/server/agent.go
+++ b/server/agent.go
@@ -384,7 +384,7 @@
 		to.wake(&a.hub)
 	}
 	for ctx.Err() == nil && a.Running() > 0 {
-		pause(ctx, tickInterval)
+		waker.Pause(ctx, tickInterval)
 	}
 	a.hub.AwaitDelivery(ctx)
 }
@@ -400,12 +400,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/server/entry.go
+++ b/server/entry.go
@@ -14,6 +14,7 @@
 	"mustardlever.dev/mustardlever/recorder"
 	"mustardlever.dev/mustardlever/router"
 	"mustardlever.dev/mustardlever/ticketer"
+	"mustardlever.dev/mustardlever/waker"
 )
 
 // EntrySettings are the settings of an Entry.
@@ -268,7 +269,7 @@
 // ctx ends.
 func (e *Entry) Drain(ctx context.Context) {
 	for ctx.Err() == nil && !e.drained() {
-		pause(ctx, tickInterval)
+		waker.Pause(ctx, tickInterval)
 	}
 	e.hub.AwaitDelivery(ctx)
 }
--- a/server/route.go
+++ b/server/route.go
@@ -10,6 +10,7 @@
 	"mustardlever.dev/mustardlever/keeper"
 	"mustardlever.dev/mustardlever/messenger"
 	"mustardlever.dev/mustardlever/ticketer"
+	"mustardlever.dev/mustardlever/waker"
 )
 
 // route is one operation on its way to the entry that can answer it.
@@ -40,7 +41,7 @@
 		if time.Since(r.begin) > r.request.Wait+forwardGrace+noPeerGrace {
 			break
 		}
-		pause(ctx, retryPause)
+		waker.Pause(ctx, retryPause)
 	}
 	return respond(r.request.Ticket, nil)
 }
--- a/waker/waker.go
+++ b/waker/waker.go
@@ -4,6 +4,7 @@
 package waker
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -62,3 +63,13 @@
 	}
 	return w.last.CompareAndSwap(last, now)
 }
+
+// Pause waits for d, or until ctx ends.
+func Pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
