--- a/dispatcher/agent.go
+++ b/dispatcher/agent.go
@@ -41,6 +41,7 @@
 	unreported []unreported
 	room       sizer.Size // free less unreported
 	logSlow    float64    // logarithm of the moving mean of a task's time by its estimate
+	slowness   float64    // expected time of a task by its estimate: the exponential of logSlow
 	failures   int        // failed tasks in a row
 	paused     time.Time  // no task before; zero when not paused
 	pause      time.Duration
@@ -79,14 +80,12 @@
 	return a.paused.IsZero() && (!a.trial || a.running == 0)
 }
 
-// slowness is the expected time of a task by its estimate.
-func (a *agent) slowness() float64 { return math.Exp(a.logSlow) }
-
 // observe notes a task that took ratio times its estimate. Logarithms make a
 // task that took half as long count as much as one that took twice as long.
 func (a *agent) observe(ratio float64) {
 	ratio = min(max(ratio, 1/maxSample), maxSample)
 	a.logSlow += slownessWeight * (math.Log(ratio) - a.logSlow)
+	a.slowness = math.Exp(a.logSlow)
 }
 
 // cost is the time that a task of the estimate is expected to take on the
@@ -94,7 +93,7 @@
 // task did not fail: one that fails at once is always empty.
 func (a *agent) cost(estimate float64) float64 {
 	used := a.capacity.Minus(a.room).Share(a.capacity)
-	return estimate * a.slowness() * (1 + busyPenalty*used) * (1 + failurePenalty*float64(a.failures))
+	return estimate * a.slowness * (1 + busyPenalty*used) * (1 + failurePenalty*float64(a.failures))
 }
 
 // AddAgent adds an agent, or brings its capacity up to date. It has no room
@@ -105,7 +104,7 @@
 		a.capacity, a.labels = capacity, labels
 		return
 	}
-	a := &agent{name: name, capacity: capacity, labels: labels}
+	a := &agent{name: name, capacity: capacity, labels: labels, slowness: 1}
 	d.agents[name] = a
 	d.order = append(d.order, a)
 }
@@ -139,7 +138,7 @@
 // agent.
 func (d *Dispatcher[J]) Expect(name string, estimate time.Duration) time.Duration {
 	if a := d.agents[name]; a != nil {
-		return time.Duration(float64(estimate) * a.slowness())
+		return time.Duration(float64(estimate) * a.slowness)
 	}
 	return estimate
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -330,7 +330,7 @@
 		if !a.open() || !a.room.Holds(j.Need) || j.Label != "" && !slices.Contains(a.labels, j.Label) {
 			continue
 		}
-		if estimate*a.slowness() > limit {
+		if estimate*a.slowness > limit {
 			continue
 		}
 		cost := a.cost(estimate)
--- a/keeper/direct.go
+++ b/keeper/direct.go
@@ -16,9 +16,9 @@
 
 // Run takes a job whose caller waits for its answer and has no ticket: its
 // answer is not kept, and its tasks end with this entry. A job of a name that
-// runs here already is that job. It returns the number
-// under which Drain reports the job's end, or the answer if there is one at
-// once. Nothing of a refused job was or will be started.
+// runs here already is that job. It returns the number under which Drain reports
+// the job's end, or the answer if there is one at once. Nothing of a refused job
+// was or will be started.
 func (k *Keeper) Run(now time.Time, in Job) (uint64, *Answer, error) {
 	switch {
 	case k.draining:
--- a/leaser/call.go
+++ b/leaser/call.go
@@ -33,7 +33,6 @@
 	look   bool   // a hold that finds out what runs, and renews nothing
 	id     uint64 // of the run; 0 for one that this process did not start
 	serial uint64
-	sent   time.Time
 	born   int64
 }
 
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -175,7 +175,7 @@
 // later by our clock than by the slow one of the backend server.
 func (l *Leaser) call(now time.Time, c Call) {
 	l.serial++
-	c.serial, c.sent, c.born, c.Fence = l.serial, now, l.born, l.fence
+	c.serial, c.born, c.Fence = l.serial, l.born, l.fence
 	if c.Until != 0 {
 		end := now.Add(time.Duration(float64(l.Settings.Lease) * (1 + 2*clockDrift)))
 		if end.After(l.leased) {
@@ -194,16 +194,17 @@
 			l.stop(now, r)
 		}
 	}
-	if now.After(l.leased) && l.anyRunning() {
+	if now.After(l.leased) && l.anyIn(running) {
 		l.endRunning(now)
 		l.Look(now)
 	}
 	l.hold(now)
 }
 
-func (l *Leaser) anyRunning() bool {
+// anyIn tells whether a run is in a state.
+func (l *Leaser) anyIn(s state) bool {
 	for _, r := range l.runs {
-		if r.state == running {
+		if r.state == s {
 			return true
 		}
 	}
@@ -246,22 +247,13 @@
 	if len(l.runs) > 0 && now.Sub(l.heard) < renewFor {
 		c.Until = l.until(now)
 	}
-	if len(l.runs) > 0 && !l.anyDoubt() && l.failures == 0 {
+	if len(l.runs) > 0 && !l.anyIn(doubtful) && l.failures == 0 {
 		c.Wait = l.Settings.Poll
 	}
 	l.holding++
 	l.call(now, c)
 }
 
-func (l *Leaser) anyDoubt() bool {
-	for _, r := range l.runs {
-		if r.state == doubtful {
-			return true
-		}
-	}
-	return false
-}
-
 func (l *Leaser) end(now time.Time, r *run, how How, started bool) {
 	delete(l.runs, r.id)
 	delete(l.byName, r.task)
--- a/tests/hosted_test.go
+++ b/tests/hosted_test.go
@@ -172,6 +172,16 @@
 	return func() int { wg.Wait(); return completed }
 }
 
+// servesThrough submits jobs of tasks of 200 ms, has something go wrong a while
+// after the first, and requires that every job is completed.
+func (h *hosted) servesThrough(jobs int, gap, before time.Duration, disturb func()) {
+	h.t.Helper()
+	done := h.load(jobs, standin.Work{Millis: 200, CPU: taskCPU}, gap)
+	time.Sleep(before)
+	disturb()
+	require.Equal(h.t, jobs, done())
+}
+
 func TestHostedJob(t *testing.T) {
 	h := newHosted(t, 2, 2)
 	status, answer := post(h.entries[0], hostedID(1), standin.Job(6, standin.Work{Millis: 50, CPU: taskCPU}))
@@ -206,64 +216,58 @@
 
 func TestHostedEntryKilled(t *testing.T) {
 	h := newHosted(t, 2, 2)
-	done := h.load(40, standin.Work{Millis: 200, CPU: taskCPU}, 50*time.Millisecond)
-	time.Sleep(700 * time.Millisecond)
-	h.entries[0].kill()
-	time.Sleep(300 * time.Millisecond)
-	h.restart(h.entries[0])
-	require.Equal(t, 40, done())
+	h.servesThrough(40, 50*time.Millisecond, 700*time.Millisecond, func() {
+		h.entries[0].kill()
+		time.Sleep(300 * time.Millisecond)
+		h.restart(h.entries[0])
+	})
 }
 
 func TestHostedEntryFrozen(t *testing.T) {
 	h := newHosted(t, 2, 2)
-	done := h.load(30, standin.Work{Millis: 200, CPU: taskCPU}, 50*time.Millisecond)
-	time.Sleep(600 * time.Millisecond)
-	h.entries[0].signal(syscall.SIGSTOP)
-	time.Sleep(2 * time.Second)
-	h.entries[0].signal(syscall.SIGCONT)
-	require.Equal(t, 30, done())
+	h.servesThrough(30, 50*time.Millisecond, 600*time.Millisecond, func() {
+		h.entries[0].signal(syscall.SIGSTOP)
+		time.Sleep(2 * time.Second)
+		h.entries[0].signal(syscall.SIGCONT)
+	})
 }
 
 func TestHostedAgentKilled(t *testing.T) {
 	h := newHosted(t, 2, 3)
-	done := h.load(40, standin.Work{Millis: 200, CPU: taskCPU}, 50*time.Millisecond)
-	time.Sleep(700 * time.Millisecond)
-	h.agents[0].kill()
-	time.Sleep(200 * time.Millisecond)
-	h.restart(h.agents[0])
-	require.Equal(t, 40, done())
+	h.servesThrough(40, 50*time.Millisecond, 700*time.Millisecond, func() {
+		h.agents[0].kill()
+		time.Sleep(200 * time.Millisecond)
+		h.restart(h.agents[0])
+	})
 }
 
 func TestHostedAgentFrozen(t *testing.T) {
 	h := newHosted(t, 2, 3)
-	done := h.load(30, standin.Work{Millis: 200, CPU: taskCPU}, 50*time.Millisecond)
-	time.Sleep(600 * time.Millisecond)
-	h.agents[0].signal(syscall.SIGSTOP)
-	time.Sleep(3 * time.Second)
-	h.agents[0].signal(syscall.SIGCONT)
-	require.Equal(t, 30, done())
+	h.servesThrough(30, 50*time.Millisecond, 600*time.Millisecond, func() {
+		h.agents[0].signal(syscall.SIGSTOP)
+		time.Sleep(3 * time.Second)
+		h.agents[0].signal(syscall.SIGCONT)
+	})
 }
 
 // The links between one entry and everything else break and come back.
 func TestHostedEntryCutOff(t *testing.T) {
 	h := newHosted(t, 2, 2)
-	done := h.load(30, standin.Work{Millis: 200, CPU: taskCPU}, 50*time.Millisecond)
-	time.Sleep(600 * time.Millisecond)
-	h.entries[0].relay.cut("agent-1", "agent-2", "entry-2")
-	time.Sleep(2500 * time.Millisecond)
-	h.entries[0].relay.mend()
-	require.Equal(t, 30, done())
+	h.servesThrough(30, 50*time.Millisecond, 600*time.Millisecond, func() {
+		h.entries[0].relay.cut("agent-1", "agent-2", "entry-2")
+		time.Sleep(2500 * time.Millisecond)
+		h.entries[0].relay.mend()
+	})
 }
 
 func TestHostedExecutorCrashesAndFallsSilent(t *testing.T) {
 	h := newHosted(t, 2, 3)
-	done := h.load(40, standin.Work{Millis: 200, CPU: taskCPU}, 60*time.Millisecond)
-	time.Sleep(500 * time.Millisecond)
-	h.executors[0].Crash()
-	h.executors[1].SetSilent(true)
-	time.Sleep(1500 * time.Millisecond)
-	h.executors[1].SetSilent(false)
-	require.Equal(t, 40, done())
+	h.servesThrough(40, 60*time.Millisecond, 500*time.Millisecond, func() {
+		h.executors[0].Crash()
+		h.executors[1].SetSilent(true)
+		time.Sleep(1500 * time.Millisecond)
+		h.executors[1].SetSilent(false)
+	})
 }
 
 // The configuration changes while the store serves, and stays in force while
