Refuse a greeting of a session that the peer has given up

Two processes dial each other, so that two connections open at once. A greeting taken on one before the peer gave its session up arrived after the new session had begun on the other: attach took the older epoch for a newer one, reset the session and believed its count of received messages, which lay beyond what was queued. Ruled out: a lost lock around next (all callers hold it); a count that the peer invents (it is its own count, of the earlier session). Change: attach refuses an epoch below the one that is known. Test: TestGreetingOfAnEarlierSessionIsRefused, red before.

--- /dev/null
+++ b/messenger/attach_test.go
@@ -0,0 +1,45 @@
+package messenger
+
+import (
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// attachTo attaches a new connection to the session with the peer of the hello.
+func attachTo(t *testing.T, h *Hub, peer hello) bool {
+	near, far := net.Pipe()
+	t.Cleanup(func() { far.Close() })
+	w := h.newWire(near)
+	t.Cleanup(w.close)
+	return h.attach(w, h.session(peer.Identity), peer, true)
+}
+
+// A peer gives its session up while a greeting that it sent before is on its
+// way on a second connection. The greeting must not bring the old session back:
+// its count of messages does not belong to the new one.
+func TestGreetingOfAnEarlierSessionIsRefused(t *testing.T) {
+	h := &Hub{Self: Identity{Name: "a", Role: RoleEntry}.WithNewIncarnation()}
+	h.Start(nil)
+	t.Cleanup(h.Stop)
+	peer := Identity{Name: "b", Role: RoleEntry}.WithNewIncarnation()
+	s := h.session(peer)
+	before := hello{Identity: peer, Epoch: 7, PeerEpoch: s.epoch}
+	require.True(t, attachTo(t, h, before))
+	for i := range uint64(3) {
+		require.True(t, h.Queue(peer.Incarnation, Message{Close: &Close{Below: i}}))
+	}
+	s.mu.Lock()
+	s.next(10)
+	s.mu.Unlock()
+	stale := before
+	stale.Received = 3
+
+	require.True(t, attachTo(t, h, hello{Identity: peer, Epoch: 8, PeerEpoch: s.epoch}))
+	require.False(t, attachTo(t, h, stale))
+	require.True(t, h.Queue(peer.Incarnation, Message{Close: &Close{Below: 9}}))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.Len(t, s.next(10).Messages, 1)
+}
--- a/messenger/hub.go
+++ b/messenger/hub.go
@@ -230,10 +230,14 @@
 }
 
 // attach makes w the session's connection. It reports false when the session
-// has a better connection already.
+// has a better connection already, and for a greeting that the peer sent before
+// it gave up an earlier session: two connections may bring them in any order.
 func (h *Hub) attach(w *wire, s *session, peer hello, preferred bool) bool {
 	h.changes.Lock()
 	defer h.changes.Unlock()
+	if s.outdates(peer.Epoch) {
+		return false
+	}
 	h.renew(s, peer.Epoch)
 	s.mu.Lock()
 	if s.ended || s.wire != nil && s.preferred && !preferred && time.Since(s.heard) < h.timing(s).DeadAfter {
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -49,6 +49,13 @@
 	s.detach()
 }
 
+// outdates tells whether the peer has given up the session of its epoch since.
+func (s *session) outdates(peerEpoch uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return peerEpoch < s.peerEpoch
+}
+
 // detach closes the present connection.
 func (s *session) detach() {
 	if s.wire == nil {
