Tell peers the version of a configuration, and send it only on request

The configuration had grown; each entry passed each version whole to all others, at each version and each time a session began. Ruled out: the look-up of a route (by host, then by prefix); reading it from the store (one read a version at each entry).

--- a/messenger/message.go
+++ b/messenger/message.go
@@ -62,16 +62,21 @@
 	Reply     *Reply     `json:"reply,omitempty"`
 	Entries   *Entries   `json:"entries,omitempty"`
 
-	Configuration *Configuration `json:"configuration,omitempty"`
+	Configuration     *Configuration     `json:"configuration,omitempty"`
+	WantConfiguration *WantConfiguration `json:"want-configuration,omitempty"`
 }
 
-// Configuration (entry to entry) passes a version of the configuration on, as
-// it was read from the platform.
+// Configuration (entry to entry) tells which version of the configuration is in
+// force. The document, as it was read from the platform, goes only to those who
+// asked for it.
 type Configuration struct {
 	Version  int64  `json:"version"`
-	Document []byte `json:"document"`
+	Document []byte `json:"document,omitempty"`
 }
 
+// WantConfiguration (entry to entry) asks for the configuration in force.
+type WantConfiguration struct{}
+
 // Announce (agent to entry) offers a backend server of a service. A leaving
 // agent announces itself once more with Leaving set and accepts no start of a
 // new task from then on. An agent announces itself only when nothing that an
--- a/server/entry.go
+++ b/server/entry.go
@@ -56,6 +56,7 @@
 
 	mu       sync.Mutex
 	known    map[string]bool // link addresses of entries
+	offers   router.Offers
 	draining bool
 	yielded  bool
 }
@@ -142,6 +143,8 @@
 	case m.Configuration != nil:
 		c := *m.Configuration
 		e.done.Go(func() { e.takeRoutes(from.Incarnation, &c) })
+	case m.WantConfiguration != nil:
+		e.sendRoutes(from.Incarnation)
 	case m.Forward != nil:
 		f := *m.Forward
 		e.done.Go(func() { e.serveForward(from.Incarnation, f) })
@@ -170,6 +173,9 @@
 	e.Log.Warnf("Peer %s is lost.", peer.Incarnation)
 	e.Recorder.Add(recorder.Event{Kind: "peer-lost", Peer: peer.Incarnation, Task: -1})
 	e.calls.lose(peer.Incarnation)
+	e.mu.Lock()
+	e.offers.Lost(peer.Incarnation)
+	e.mu.Unlock()
 	for _, s := range e.shards.list() {
 		e.act(s, func(k *keeper.Keeper, now time.Time) {
 			if peer.Role == messenger.RoleEntry {
@@ -193,6 +199,7 @@
 		for _, s := range e.shards.list() {
 			e.act(s, func(k *keeper.Keeper, now time.Time) { k.Tick(now) })
 		}
+		e.fetchRoutes(time.Now())
 	}
 }
 
--- a/server/routes.go
+++ b/server/routes.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"time"
+
 	"github.com/sirupsen/logrus"
 
 	"mustardlever.dev/mustardlever/messenger"
@@ -8,7 +10,7 @@
 )
 
 // AdoptRoutes takes a configuration that is newer than the one in force, and
-// passes it on to the other entries. Source says where it came from.
+// tells the other entries its version. Source says where it came from.
 func (e *Entry) AdoptRoutes(t *router.Table, source string) {
 	before := e.Routes.Version()
 	if !e.Routes.Adopt(t) {
@@ -16,7 +18,7 @@
 	}
 	e.Log.WithFields(logrus.Fields{"configuration": t.Version, "before": before, "source": source}).
 		Info("Entry takes a new configuration.")
-	m := messenger.Message{Configuration: &messenger.Configuration{Version: t.Version, Document: t.Document}}
+	m := messenger.Message{Configuration: &messenger.Configuration{Version: t.Version}}
 	for _, p := range e.hub.Peers() {
 		if p.Role == messenger.RoleEntry {
 			e.hub.Send(p.Incarnation, m)
@@ -24,18 +26,31 @@
 	}
 }
 
-// offerRoutes sends the configuration in force to an entry just met.
+// offerRoutes tells an entry just met which configuration is in force here.
 func (e *Entry) offerRoutes(peer string) {
+	if v := e.Routes.Version(); v > 0 {
+		e.hub.Send(peer, messenger.Message{Configuration: &messenger.Configuration{Version: v}})
+	}
+}
+
+// sendRoutes sends the configuration in force to an entry that asked for it.
+func (e *Entry) sendRoutes(peer string) {
 	if t := e.Routes.Table(); t != nil {
 		e.hub.Send(peer, messenger.Message{Configuration: &messenger.Configuration{Version: t.Version, Document: t.Document}})
 	}
 }
 
-// takeRoutes takes a configuration from another entry.
+// takeRoutes takes a configuration from another entry, or notes that it has one.
 func (e *Entry) takeRoutes(from string, m *messenger.Configuration) {
 	if e.ReadRoutes == nil || m.Version <= e.Routes.Version() {
 		return
 	}
+	if len(m.Document) == 0 {
+		e.mu.Lock()
+		e.offers.Heard(from, m.Version)
+		e.mu.Unlock()
+		return
+	}
 	t, err := e.ReadRoutes(m.Document)
 	if err != nil {
 		e.Log.WithError(err).WithField("peer", from).Warn("Entry cannot read a configuration from a peer.")
@@ -43,3 +58,16 @@
 	}
 	e.AdoptRoutes(t, from)
 }
+
+// fetchRoutes asks a peer for its newer configuration if that is due.
+func (e *Entry) fetchRoutes(now time.Time) {
+	held := e.Routes.Version()
+	e.mu.Lock()
+	peer := e.offers.Due(now, held)
+	e.mu.Unlock()
+	if peer == "" {
+		return
+	}
+	e.Log.WithFields(logrus.Fields{"configuration": held, "peer": peer}).Info("Entry asks a peer for its newer configuration.")
+	e.hub.Send(peer, messenger.Message{WantConfiguration: &messenger.WantConfiguration{}})
+}
