Let jobs wait for an entry's first configuration; the drain rate is unknown at first

Change: a job waits up to 300 ms for the first configuration; the rate is the mean of what was seen until it was watched for half a second, and is not known before.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -65,6 +65,7 @@
 	work     float64 // seconds of thousandths of a core that wait
 	started  float64 // work that was started since measured
 	rate     float64 // work that is started in a second while some waits
+	watched  float64 // seconds over which rate was taken, up to rateSpan
 	measured time.Time
 	mean     float64    // seconds a task, over all agents
 	largest  sizer.Size // the most of each resource that any agent ever had
@@ -204,27 +205,33 @@
 }
 
 // DrainSeconds is how long the waiting tasks will wait, in seconds, by the rate
-// at which tasks were started of late; infinite when none can be. Other entries
-// use the same agents, so that their number says little of the rate.
-func (d *Dispatcher[J]) DrainSeconds() float64 {
+// at which tasks were started of late; infinite when none were. Other entries
+// use the same agents, so that their number says little of the rate. Known is
+// false while the rate has not been seen for long enough, as after a start of
+// this process.
+func (d *Dispatcher[J]) DrainSeconds() (seconds float64, known bool) {
 	switch {
 	case d.work <= 0:
-		return 0
+		return 0, true
+	case d.watched < rateSpan:
+		return 0, false
 	case d.rate <= 0:
-		return math.Inf(1)
+		return math.Inf(1), true
 	}
-	return d.work / d.rate
+	return d.work / d.rate, true
 }
 
 // measure takes the rate at which work was started since the last look. An
-// empty queue says nothing of the rate that the agents would bear.
+// empty queue says nothing of the rate that the agents would bear. Until it was
+// watched for rateSpan the rate is the mean of all that was seen.
 func (d *Dispatcher[J]) measure(now time.Time) {
 	passed := now.Sub(d.measured).Seconds()
 	if passed <= 0 {
 		return
 	}
 	if d.waiting > 0 || d.started/passed > d.rate {
-		weight := min(passed/rateSpan, 1)
+		d.watched = min(d.watched+passed, rateSpan)
+		weight := min(passed/d.watched, 1)
 		d.rate += weight * (d.started/passed - d.rate)
 	}
 	d.measured, d.started = now, 0
--- a/keeper/direct.go
+++ b/keeper/direct.go
@@ -10,8 +10,9 @@
 // minComeBack and maxComeBack bound the time after which a caller is asked to
 // come back.
 const (
-	minComeBack = 200 * time.Millisecond
-	maxComeBack = 5 * time.Second
+	minComeBack     = 200 * time.Millisecond
+	maxComeBack     = 5 * time.Second
+	unknownComeBack = time.Second // while the rate of the agents is not known, as in the first half second of a process
 )
 
 // Run takes a job whose caller waits for its answer and has no ticket: its
@@ -88,7 +89,11 @@
 	}
 	useful := time.Duration(k.Settings.Useful * float64(j.place.Due.Sub(j.submitted)))
 	left := j.submitted.Add(useful).Sub(now) - j.place.Estimate
-	return left < 0 || j.place.Late() && !j.touched() && k.queue.DrainSeconds() > left.Seconds()
+	if left < 0 {
+		return true
+	}
+	drain, known := k.queue.DrainSeconds()
+	return known && j.place.Late() && !j.touched() && drain > left.Seconds()
 }
 
 // touched tells whether a start of any task was sent and may have been carried
@@ -105,8 +110,11 @@
 // comeBack is when a job that is refused now would find room: the time in
 // which the queue drains at the rate that the agents have.
 func (k *Keeper) comeBack() time.Duration {
-	seconds := k.queue.DrainSeconds()
-	if math.IsInf(seconds, 1) {
+	seconds, known := k.queue.DrainSeconds()
+	switch {
+	case !known:
+		return unknownComeBack
+	case math.IsInf(seconds, 1):
 		return maxComeBack
 	}
 	return min(max(time.Duration(seconds*float64(time.Second)), minComeBack), maxComeBack)
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -1,8 +1,10 @@
 package router_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -37,6 +39,27 @@
 	require.Equal(t, int64(9), h.Version())
 }
 
+func TestHolderAwaitsTheFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var h router.Holder
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		go func() {
+			time.Sleep(20 * time.Millisecond)
+			h.Adopt(router.NewTable(5, nil))
+			h.Adopt(router.NewTable(6, nil))
+		}()
+		begin := time.Now()
+		require.NotNil(t, h.Await(ctx))
+		require.Equal(t, 20*time.Millisecond, time.Since(begin))
+		require.Equal(t, int64(6), h.Await(ctx).Version)
+
+		var none router.Holder
+		require.Nil(t, none.Await(ctx))
+		require.Equal(t, time.Second, time.Since(begin))
+	})
+}
+
 func TestDue(t *testing.T) {
 	r := router.Route{Stretch: 1.6, Allowed: 60 * time.Millisecond}
 	require.Equal(t, 220*time.Millisecond, r.Due(100*time.Millisecond))
--- a/server/direct.go
+++ b/server/direct.go
@@ -45,12 +45,28 @@
 	Reason   messenger.Reason // why the job ended, if it was taken
 }
 
+// routesPatience is how long a job waits for the first configuration of an entry
+// that has just started: the store answers within some ms, or does not.
+const routesPatience = 300 * time.Millisecond
+
+// awaitRoutes waits for the first configuration. When all entries begin at once
+// their callers are back before it is read.
+func (e *Entry) awaitRoutes(ctx context.Context) {
+	if e.Routes.Table() != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, routesPatience)
+	defer cancel()
+	e.Routes.Await(ctx)
+}
+
 // comeBackLater is when to come back to an entry that cannot serve yet.
 const comeBackLater = time.Second
 
 // Submit runs a direct job and returns its answer.
 func (e *Entry) Submit(ctx context.Context, q Direct) Reply {
 	begin := time.Now()
+	e.awaitRoutes(ctx)
 	route, id, ready := e.find(q.Host, q.Path)
 	if !ready {
 		return e.answered(q, nil, begin, Reply{Outcome: OutcomeNotRun, Cause: "no configuration yet", ComeBack: comeBackLater}, nil)
