Tell room to one entry at a time

An agent told its room to all entries at the same moment; all preferred the same freed room. The refusals also crowded the lines of jobs out of the bounded logs. Change: at each tick of 20 ms an agent tells its room to the next entry in turn that heard of another last.

--- a/server/agent.go
+++ b/server/agent.go
@@ -20,14 +20,10 @@
 )
 
 // tickInterval is the time between two ticks of a shard. An agent tells its
-// room as often at most.
+// room to one entry at each: 50 reports a second, however many entries there
+// are. Outcomes tell it besides.
 const tickInterval = 20 * time.Millisecond
 
-// loadBudget is the least time between two reports of room, over all entries:
-// with many entries each hears of it less often, so that reports stay below 200
-// a second.
-const loadBudget = 5 * time.Millisecond
-
 // sleepLimit is the time without a tick after which an agent counts as having
 // been frozen. Entries that could not reach it may have started its tasks
 // elsewhere; they wait longer than this before they do.
@@ -322,7 +318,7 @@
 func (a *Agent) tick() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	forgot, told := time.Now(), time.Time{}
+	forgot := time.Now()
 	for {
 		select {
 		case <-a.ctx.Done():
@@ -334,10 +330,6 @@
 		}
 		a.waker.Beat()
 		now := time.Now()
-		tell := now.Sub(told) >= loadBudget*time.Duration(len(a.hub.Peers()))
-		if tell {
-			told = now
-		}
 		forget := now.Sub(forgot) >= forgetInterval
 		if forget {
 			forgot = now
@@ -347,9 +339,7 @@
 				if forget {
 					x.Tick(now)
 				}
-				if tell {
-					x.TellLoad()
-				}
+				x.TellLoad()
 			})
 			to.wake(&a.hub)
 		}
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"mustardlever.dev/mustardlever/dispatcher"
@@ -110,6 +111,7 @@
 	lost      map[string]time.Time
 	forgotten bool // a watermark was dropped for room
 	entries   map[string]bool
+	turns     []string        // the entries, in the order in which they hear of room
 	awaiting  map[string]bool // entries to which this agent is not announced yet
 	leaving   bool
 	held      bool // no room is told or used, since the backend server may not answer
@@ -156,6 +158,9 @@
 // none of its bound tasks of an earlier session runs any more, so that it may
 // start them elsewhere then.
 func (s *Starter) Up(entry string) {
+	if !s.entries[entry] {
+		s.turns = append(s.turns, entry)
+	}
 	s.entries[entry] = true
 	delete(s.lost, entry)
 	delete(s.received, entry)
@@ -206,6 +211,7 @@
 // stopped.
 func (s *Starter) Lost(now time.Time, entry string) {
 	delete(s.entries, entry)
+	s.turns = slices.DeleteFunc(s.turns, func(e string) bool { return e == entry })
 	delete(s.received, entry)
 	delete(s.told, entry)
 	delete(s.awaiting, entry)
@@ -287,7 +293,9 @@
 	}
 	s.held = held
 	s.admit()
-	s.TellLoad()
+	for range s.turns {
+		s.TellLoad()
+	}
 }
 
 // free is the room to tell.
@@ -299,17 +307,21 @@
 	return f
 }
 
-// TellLoad tells the room to the entries that heard of another last. It is to
-// be called at intervals, which bounds the messages.
+// TellLoad tells the room to one entry that heard of another last, the next in
+// turn. It is to be called at intervals, which bounds the messages. Entries that
+// heard of the same room at the same moment would all send a task for it, and
+// all but one would be refused.
 func (s *Starter) TellLoad() {
 	if s.leaving {
 		return
 	}
 	free := s.free()
-	for e := range s.entries {
+	for i, e := range s.turns {
 		if s.told[e] != free && !s.awaiting[e] {
+			s.turns = append(slices.Delete(s.turns, i, i+1), e)
 			l := s.load(e)
 			s.send(e, messenger.Message{Load: &l})
+			return
 		}
 	}
 }
