mustardctl explain: from a request's id to its cause by logs alone

Cause: the path from an id to its cause was a page of instructions for grep, and lines of several processes could be ordered by wall clocks only, which jump. Ruled out: asking the processes (they may be gone); wall clocks with a tolerance. Test: explainer (clocks that jump, cut lines, unknown ids, fuzzing); tests.TestHostedRequestsAreExplained with real processes.

--- a/cmd/mustardctl/job.go
+++ b/cmd/mustardctl/job.go
@@ -83,7 +83,7 @@
 }
 
 func printAnswer(c *cli.Command, a *caller.Answer) error {
-	if c.Bool("json") {
+	if wantsJSON(c) {
 		if err := printJSON(a); err != nil {
 			return err
 		}
@@ -128,7 +128,7 @@
 		}
 		list = append(list, t)
 	}
-	if c.Bool("json") {
+	if wantsJSON(c) {
 		return printJSON(list)
 	}
 	for _, t := range list {
--- a/cmd/mustardctl/main.go
+++ b/cmd/mustardctl/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 )
 
@@ -25,6 +26,9 @@
   mustardctl process --operator 127.0.0.1:7301 --operator 127.0.0.1:7302
   mustardctl services --operator 127.0.0.1:7301
   mustardctl timeline --operator 127.0.0.1:7301 --ticket TICKET
+  mustardctl explain 8d13e9209d055626 --log entry-1.log --log agent-1.log
+  cat *.log | mustardctl -o json explain 8d13e9209d055626
+  mustardctl timeline --log entry-1.log --log agent-1.log --job 61833a07cca50439
   mustardctl check --base base.json --overlay brazos.json
 
 Exit codes: 0 done, 1 failed or unreachable, 2 wrong arguments or configuration,
@@ -37,8 +41,10 @@
 		Description: description,
 		Commands: []*cli.Command{
 			submitCommand(), ticketsCommand(), jobCommand(),
-			processCommand(), servicesCommand(), timelineCommand(), checkCommand(),
+			processCommand(), servicesCommand(), timelineCommand(), explainCommand(), checkCommand(),
 		},
+		Flags:                 []cli.Flag{outputFlag()},
+		EnableShellCompletion: true,
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "mustardctl:", err)
@@ -55,5 +61,26 @@
 }
 
 func jsonFlag() cli.Flag {
-	return &cli.BoolFlag{Name: "json", Usage: "print JSON"}
+	return &cli.BoolFlag{Name: "json", Usage: "print JSON, as --output json does"}
+}
+
+// wantsJSON tells whether --json or --output json was given.
+func wantsJSON(c *cli.Command) bool { return c.Bool("json") || c.String("output") == outputJSON }
+
+// Formats of --output.
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+func outputFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: "output", Aliases: []string{"o"}, Usage: "`FORMAT` of what is printed: text or json", Value: outputText,
+		Validator: func(s string) error {
+			if s != outputText && s != outputJSON {
+				return errors.Errorf("--output is %q, expected text or json", s)
+			}
+			return nil
+		},
+	}
 }
--- a/cmd/mustardctl/operate.go
+++ b/cmd/mustardctl/operate.go
@@ -66,7 +66,7 @@
 		if err != nil {
 			return err
 		}
-		if c.Bool("json") {
+		if wantsJSON(c) {
 			return printJSON(all)
 		}
 		for _, v := range all {
@@ -110,9 +110,11 @@
 
 func timelineCommand() *cli.Command {
 	return &cli.Command{
-		Name: "timeline", Usage: "show the events of all processes in order",
+		Name: "timeline", Usage: "show the events of all processes in order, asked of them or read from their logs",
 		Flags: []cli.Flag{
-			operatorFlag(), jsonFlag(),
+			&cli.StringSliceFlag{Name: "operator", Usage: "operators' `ADDRESS` of a process; may be repeated"},
+			logFlag(), jsonFlag(),
+			&cli.StringFlag{Name: "job", Usage: "with --log: only lines of this job's `ID`"},
 			&cli.StringFlag{Name: "ticket", Usage: "only the job of this `TICKET`"},
 			&cli.StringFlag{Name: "service", Usage: "only this service"},
 			&cli.StringFlag{Name: "kind", Usage: "only events of this kind"},
@@ -122,6 +124,14 @@
 }
 
 func timeline(ctx context.Context, c *cli.Command) error {
+	switch logs, operators := len(c.StringSlice("log")), len(c.StringSlice("operator")); {
+	case logs > 0 && operators > 0:
+		return cli.Exit("give either --operator or --log", exitUsage)
+	case logs > 0:
+		return timelineOfLogs(c)
+	case operators == 0:
+		return cli.Exit("give the processes to ask by --operator, or their logs by --log", exitUsage)
+	}
 	query := url.Values{"service": {c.String("service")}, "kind": {c.String("kind")}}
 	if text := c.String("ticket"); text != "" {
 		t, err := ticketer.Peek(text)
@@ -136,7 +146,7 @@
 		return err
 	}
 	events := recorder.Merge(lists...)
-	if c.Bool("json") {
+	if wantsJSON(c) {
 		return printJSON(events)
 	}
 	for _, e := range events {
@@ -163,7 +173,7 @@
 	if err != nil {
 		return cli.Exit(err, exitUsage)
 	}
-	if c.Bool("json") {
+	if wantsJSON(c) {
 		return printJSON(merged)
 	}
 	fmt.Printf("site %s: zones %s, %d services, no mistakes\n", merged.Site, strings.Join(merged.Zones, ", "), len(merged.Services))
--- a/cmd/mustardleverd/run.go
+++ b/cmd/mustardleverd/run.go
@@ -75,14 +75,14 @@
 
 // newLog returns the process's log: on the users' platform JSON lines of bounded
 // number on standard output, otherwise text on standard error.
-func newLog(p configurer.Process, n *counter.Counter) *logrus.Entry {
+func newLog(p configurer.Process, n *counter.Counter, r *recorder.Recorder) *logrus.Entry {
 	level, err := logrus.ParseLevel(p.LogLevel)
 	if err != nil {
 		level = logrus.InfoLevel
 	}
 	fields := logrus.Fields{"part": p.Role, "process": p.Name}
 	if p.Platform != nil {
-		log, w := logger.New(os.Stdout, level, fields, logger.Settings{})
+		log, w := logger.New(os.Stdout, level, fields, logger.Settings{Clock: r.Now})
 		n.Gauge("log_lines_dropped", func() float64 { return float64(w.Dropped()) })
 		return log
 	}
--- /dev/null
+++ b/explainer/line.go
@@ -0,0 +1,98 @@
+package explainer
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Line is one line of a process's log. Fields that a line does not have are
+// zero. docs/OPERATIONS.md lists the fields.
+type Line struct {
+	Clock   int64     `json:"clock-us"` // hybrid logical clock; 0 in lines of older processes
+	Time    time.Time `json:"time"`     // wall clock of the process
+	Level   string    `json:"level"`
+	Message string    `json:"msg"`
+	Part    string    `json:"part"` // "entry" or "agent"
+	Process string    `json:"process"`
+
+	Request       string          `json:"request-id"`
+	Job           string          `json:"job"`
+	Task          json.RawMessage `json:"task"` // JOB.0.STEP.INDEX at agents, the index at entries
+	Path          string          `json:"path"` // ends with the job's id
+	Service       string          `json:"service"`
+	Outcome       string          `json:"outcome"`
+	Cause         string          `json:"cause"`
+	Peer          string          `json:"peer"`
+	Configuration int64           `json:"configuration"`
+	TookMillis    int64           `json:"took-ms"`
+	Tasks         int             `json:"tasks"`
+	Waiting       int             `json:"waiting-tasks"`
+	RoomCPU       int             `json:"room-cpu"`
+	Agents        int             `json:"agents"`
+	Suspect       int             `json:"suspect-agents"`
+	Omitted       map[string]int  `json:"omitted"` // lines left out, by message
+
+	Text string `json:"-"` // the line as it was read, without what stood before it
+}
+
+// Messages that the explanation goes by, as the processes write them.
+const (
+	MessageTakes      = "Entry takes a job."
+	MessageAnswered   = "Entry answered a job."
+	MessageStarts     = "Agent starts a task."
+	MessageEntryBegin = "Entry starts."
+	MessageEntryStop  = "Entry stops as planned."
+	MessageLeftOut    = "Log left out lines."
+	MessageTaskFailed = "Entry decides: task-failed."
+)
+
+// parse reads a line. What stands before the first brace, as a collector's
+// prefix, is passed over. It reports false for what is no line of a log.
+func parse(text string) (Line, bool) {
+	i := strings.IndexByte(text, '{')
+	if i < 0 {
+		return Line{}, false
+	}
+	l := Line{Text: strings.TrimSpace(text[i:])}
+	if json.Unmarshal([]byte(l.Text), &l) != nil || l.Process == "" || l.Message == "" {
+		return Line{}, false
+	}
+	if l.Clock == 0 {
+		l.Clock = l.Time.UnixMicro()
+	}
+	return l, true
+}
+
+// JobID returns the job that the line is about, empty for none.
+func (l *Line) JobID() string {
+	if l.Job != "" {
+		return l.Job
+	}
+	var task string
+	if json.Unmarshal(l.Task, &task) == nil {
+		job, _, _ := strings.Cut(task, ".")
+		return job
+	}
+	return l.Path[strings.LastIndexByte(l.Path, '/')+1:]
+}
+
+// String formats the line for people: time, process, message, then the fields
+// that are set.
+func (l *Line) String() string {
+	var fields map[string]any
+	if json.Unmarshal([]byte(l.Text), &fields) != nil {
+		return l.Text
+	}
+	for _, shown := range []string{"time", "clock-us", "process", "part", "msg", "level"} {
+		delete(fields, shown)
+	}
+	text := at(l.Clock) + "  " + l.Process + "  " + l.Message
+	for _, k := range slices.Sorted(maps.Keys(fields)) {
+		text += fmt.Sprintf(" %s=%v", k, fields[k])
+	}
+	return text
+}
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -25,10 +25,14 @@
 
 // Settings bounds a log. Zero fields take the defaults.
 type Settings struct {
-	Routine int // lines a second of information; default 100
-	Urgent  int // lines a second of warnings and errors; default 300
+	Routine int          // lines a second of information; default 100
+	Urgent  int          // lines a second of warnings and errors; default 300
+	Clock   func() int64 // hybrid logical clock, put on every line; nil: none
 }
 
+// clockField is the field of a line's hybrid logical clock reading.
+const clockField = "clock-us"
+
 // Logger is a bounded log. Use New.
 type Logger struct {
 	settings Settings
@@ -100,6 +104,7 @@
 				note.Data[k] = v
 			}
 		}
+		w.stamp(note)
 		a, err := w.json.Format(note)
 		if err != nil {
 			return nil, err
@@ -109,10 +114,18 @@
 	if !ok {
 		return b, nil
 	}
+	w.stamp(e)
 	line, err := w.json.Format(e)
 	return append(b, line...), err
 }
 
+// stamp puts the clock's reading on a line, whose fields are its own copy.
+func (w *Logger) stamp(e *logrus.Entry) {
+	if w.settings.Clock != nil {
+		e.Data[clockField] = w.settings.Clock()
+	}
+}
+
 // admit counts an entry, and tells whether its second has room for it. It
 // returns what was left out in the second before, if the entry opens a new one.
 func (w *Logger) admit(e *logrus.Entry) (account map[string]int, ok bool) {
--- a/tests/hosted_test.go
+++ b/tests/hosted_test.go
@@ -115,6 +115,7 @@
 	}
 	q.Host = hostedHost
 	q.Header.Set("Deadline-Ms", "8000")
+	q.Header.Set("Request-Id", "r-"+id)
 	c := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 9 * time.Second}
 	p, err := c.Do(q)
 	if err != nil {
