--- a/cmd/mustardctl/logs.go
+++ b/cmd/mustardctl/logs.go
@@ -11,6 +11,7 @@
 
 	"mustardlever.dev/mustardlever/explainer"
 	"mustardlever.dev/mustardlever/internal/fault"
+	"mustardlever.dev/mustardlever/reporter"
 )
 
 // standardInput is the name of a log that is read from standard input.
@@ -27,26 +28,33 @@
 		names = []string{standardInput}
 	}
 	log := new(explainer.Log)
-	for _, name := range names {
-		if err := readLog(log, name); err != nil {
-			return nil, cli.Exit(errors.Wrap(err, name), exitUsage)
-		}
+	if err := readFiles(names, log.Read); err != nil {
+		return nil, err
 	}
 	log.Sort()
 	return log, nil
 }
 
-func readLog(log *explainer.Log, name string) error {
-	r := io.Reader(os.Stdin)
-	if name != standardInput {
-		f, err := os.Open(name)
-		if err != nil {
-			return err
+// readFiles has each file read.
+func readFiles(names []string, read func(io.Reader) error) error {
+	for _, name := range names {
+		if err := readFile(name, read); err != nil {
+			return cli.Exit(errors.Wrap(err, name), exitUsage)
 		}
-		defer f.Close()
-		r = f
 	}
-	return log.Read(r)
+	return nil
+}
+
+func readFile(name string, read func(io.Reader) error) error {
+	if name == standardInput {
+		return read(os.Stdin)
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return read(f)
 }
 
 func explainCommand() *cli.Command {
@@ -99,3 +107,40 @@
 	fmt.Fprintln(os.Stderr, "mustardctl:", len(lines), "lines shown of", log.Extent())
 	return nil
 }
+
+func reportCommand() *cli.Command {
+	return &cli.Command{
+		Name: "report", Usage: "draw a day's logs and metrics as one HTML page",
+		Description: "Without --log the logs are read from standard input.",
+		Flags: []cli.Flag{
+			logFlag(),
+			&cli.StringSliceFlag{Name: "metrics", Usage: "`FILE` with a process's /metrics page; may be repeated"},
+			&cli.StringFlag{Name: "title", Usage: "`TITLE` of the page", Value: "mustardlever"},
+			&cli.StringFlag{Name: "out", Usage: "`FILE` to write", Value: "report.html"},
+		},
+		Action: report,
+	}
+}
+
+func report(_ context.Context, c *cli.Command) error {
+	log, err := readLogs(c)
+	if err != nil {
+		return err
+	}
+	r := &reporter.Report{Title: c.String("title"), Log: log}
+	if pages := c.StringSlice("metrics"); len(pages) > 0 {
+		r.Metrics = new(reporter.Metrics)
+		if err := readFiles(pages, r.Metrics.Read); err != nil {
+			return err
+		}
+	}
+	f, err := os.Create(c.String("out"))
+	if err != nil {
+		return cli.Exit(err, exitFailed)
+	}
+	if err := r.Write(f); err != nil {
+		f.Close()
+		return cli.Exit(err, exitFailed)
+	}
+	return f.Close()
+}
--- a/cmd/mustardctl/main.go
+++ b/cmd/mustardctl/main.go
@@ -29,6 +29,7 @@
   mustardctl explain 8d13e9209d055626 --log entry-1.log --log agent-1.log
   cat *.log | mustardctl -o json explain 8d13e9209d055626
   mustardctl timeline --log entry-1.log --log agent-1.log --job 61833a07cca50439
+  mustardctl report --log entry-1.log --metrics entry-1.prom --out day.html
   mustardctl check --base base.json --overlay brazos.json
 
 Exit codes: 0 done, 1 failed or unreachable, 2 wrong arguments or configuration,
@@ -41,7 +42,7 @@
 		Description: description,
 		Commands: []*cli.Command{
 			submitCommand(), ticketsCommand(), jobCommand(),
-			processCommand(), servicesCommand(), timelineCommand(), explainCommand(), checkCommand(),
+			processCommand(), servicesCommand(), timelineCommand(), explainCommand(), reportCommand(), checkCommand(),
 		},
 		Flags:                 []cli.Flag{outputFlag()},
 		EnableShellCompletion: true,
--- a/explainer/line.go
+++ b/explainer/line.go
@@ -41,13 +41,14 @@
 
 // Messages that the explanation goes by, as the processes write them.
 const (
-	MessageTakes      = "Entry takes a job."
-	MessageAnswered   = "Entry answered a job."
-	MessageStarts     = "Agent starts a task."
-	MessageEntryBegin = "Entry starts."
-	MessageEntryStop  = "Entry stops as planned."
-	MessageLeftOut    = "Log left out lines."
-	MessageTaskFailed = "Entry decides: task-failed."
+	MessageTakes         = "Entry takes a job."
+	MessageAnswered      = "Entry answered a job."
+	MessageStarts        = "Agent starts a task."
+	MessageEntryBegin    = "Entry starts."
+	MessageEntryStop     = "Entry stops as planned."
+	MessageLeftOut       = "Log left out lines."
+	MessageTaskFailed    = "Entry decides: task-failed."
+	MessageConfiguration = "Entry takes a new configuration."
 )
 
 // parse reads a line. What stands before the first brace, as a collector's
