Renew no lease for an entry that may be gone, nor while a stop has no effect

A test found worse: when only the stops are lost, an agent's holds for other jobs renewed the lease of the dead entry's runs without end, and the job ran twice. Ruled out: shorter leases or sessions (0.6 and 0.5 s would leave 0.1 s, and lose sessions of slow machines); an unanswered stop as a sign of silence (some are lost where holds are answered). Change: leaser's rule 4. An agent suspects an entry after 0.3 s of silence; while it has runs there, and while a stop has had no effect for 0.25 s, holds and starts renew nothing. The runs end 0.3 + 0.72 s after the entry was heard last.

--- a/cmd/mustardleverd/hosted.go
+++ b/cmd/mustardleverd/hosted.go
@@ -18,6 +18,7 @@
 const (
 	hostedHeartbeat = 100 * time.Millisecond
 	hostedDead      = 300 * time.Millisecond
+	hostedSuspect   = 300 * time.Millisecond // an entry's silence after which leases are not renewed for it: three heartbeats
 	hostedLost      = 600 * time.Millisecond
 	hostedLease     = 700 * time.Millisecond
 	hostedDial      = 250 * time.Millisecond // a machine without power does not answer; one that is there does within 10 ms
--- a/cmd/mustardleverd/hosted_agent.go
+++ b/cmd/mustardleverd/hosted_agent.go
@@ -22,7 +22,7 @@
 // serveHostedAgent runs an agent on the users' platform.
 func serveHostedAgent(l fx.Lifecycle, p configurer.Process, log *logrus.Entry, r *recorder.Recorder, settings *reloader, n *counter.Counter) error {
 	a := &server.Agent{
-		Settings: server.AgentSettings{Identity: identity(p), Entries: p.Entries, Messenger: hostedTiming()},
+		Settings: server.AgentSettings{Identity: identity(p), Entries: p.Entries, Messenger: hostedTiming(), SuspectAfter: hostedSuspect},
 		Log:      log, Recorder: r,
 	}
 	settings.learn = a.Learn
@@ -81,7 +81,7 @@
 	x.Offer = func(r executor.Report) {
 		a.Offer(server.Offer{
 			Service: service, Address: r.Address, Capacity: r.Capacity, Labels: r.Labels,
-			Backend: server.Backend{Start: x.Run, Stop: x.Stop},
+			Backend: server.Backend{Start: x.Run, Stop: x.Stop, Suspect: x.Suspect},
 		})
 		go keepOffer(store, p.Name, r, log)
 	}
--- a/executor/leased.go
+++ b/executor/leased.go
@@ -210,6 +210,12 @@
 	x.later(func(l *leaser.Leaser, now time.Time) { l.Stop(now, r.ID) })
 }
 
+// Suspect says whether an owner of something that runs may be gone. It does not
+// block.
+func (x *Leased) Suspect(suspect bool) {
+	x.later(func(l *leaser.Leaser, _ time.Time) { l.Suspect(suspect) })
+}
+
 // later runs a decision now, and tells what follows from it on a goroutine of
 // its own, since the caller holds the lock that the end of a run takes.
 func (x *Leased) later(decide func(l *leaser.Leaser, now time.Time)) {
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -14,6 +14,7 @@
 	holdRetry    = 30 * time.Millisecond  // after several holds that failed
 	silentHolds  = 2                      // holds in a row without an answer after which the backend server counts as silent
 	renewFor     = 200 * time.Millisecond // after the last answer; then what runs is left to lapse
+	stopPatience = 250 * time.Millisecond // for a stop to take effect, two repeats included; then what runs is left to lapse
 	fullPage     = 500                    // ends in one list; there may be more
 	defaultLease = 700 * time.Millisecond
 	defaultPoll  = 50 * time.Millisecond
@@ -46,6 +47,7 @@
 	fence    int64     // of the last start that was sent
 	tries    int
 	stopping bool
+	stopFrom time.Time // when it was to be stopped
 	stopSent time.Time
 }
 
@@ -70,6 +72,7 @@
 	clock    int64     // the backend server's, at clockAt
 	clockAt  time.Time // by our clock; zero when nothing is known
 	leased   time.Time // what runs has surely ended by then, unless it is held again
+	suspect  bool      // an owner of something that runs may be gone
 	heard    time.Time // when a hold was answered last
 
 	calls []Call
@@ -142,21 +145,39 @@
 func (l *Leaser) start(now time.Time, r *run) {
 	r.state, r.fence = starting, l.fence
 	r.tries++
-	l.call(now, Call{
-		Kind: KindStart, Task: r.task, Number: r.number, Spec: r.spec, Until: l.until(now), id: r.id,
-	})
+	c := Call{Kind: KindStart, Task: r.task, Number: r.number, Spec: r.spec, id: r.id}
+	if l.mayRenew(now) || !now.Before(l.leased) {
+		c.Until = l.until(now) // otherwise it runs under the lease that there is
+	}
+	l.call(now, c)
 }
 
 // Stop stops a run. Its end follows.
 func (l *Leaser) Stop(now time.Time, id uint64) {
 	if r := l.runs[id]; r != nil && !r.stopping {
-		r.stopping = true
+		r.stopping, r.stopFrom = true, now
 		if r.state == running {
 			l.stop(now, r)
 		}
 	}
 }
 
+// Suspect says whether an owner of something that runs may be gone.
+func (l *Leaser) Suspect(suspect bool) { l.suspect = suspect }
+
+// mayRenew carries out rule 4.
+func (l *Leaser) mayRenew(now time.Time) bool {
+	if l.suspect {
+		return false
+	}
+	for _, r := range l.runs {
+		if r.stopping && now.Sub(r.stopFrom) >= stopPatience {
+			return false
+		}
+	}
+	return true
+}
+
 func (l *Leaser) stop(now time.Time, r *run) {
 	r.stopSent = now
 	l.call(now, Call{Kind: KindStop, Task: r.task, Number: r.number, id: r.id})
@@ -239,12 +260,12 @@
 	l.sendHold(now)
 }
 
-// sendHold sends a hold that renews the leases, unless none was answered for
-// renewFor: each may have been carried out, and the leases would never end. It
-// waits for an end unless something is in doubt.
+// sendHold sends a hold that renews the leases, unless rule 4 forbids it or none
+// was answered for renewFor: each may have been carried out, and the leases would
+// never end. It waits for an end unless something is in doubt.
 func (l *Leaser) sendHold(now time.Time) {
 	c := Call{Kind: KindHold, Through: l.seen}
-	if len(l.runs) > 0 && now.Sub(l.heard) < renewFor {
+	if len(l.runs) > 0 && now.Sub(l.heard) < renewFor && l.mayRenew(now) {
 		c.Until = l.until(now)
 	}
 	if len(l.runs) > 0 && !l.anyIn(doubtful) && l.failures == 0 {
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -303,3 +303,50 @@
 	require.Len(t, b.ended, 1)
 	require.Equal(t, 1, b.Running())
 }
+
+// running returns a bench on which a run has been started.
+func newRunningBench(t *testing.T) *bench {
+	b := newBench(t)
+	b.answer(b.start(1, "a"), Answer{Clock: 5001, Born: testBorn})
+	return b
+}
+
+// An entry dies, and its stops may all be lost: its runs have to lapse before
+// its caller sends the job again 1.3 s later.
+func TestNothingIsRenewedForASuspectedOwner(t *testing.T) {
+	b := newRunningBench(t)
+	b.answer(b.take(KindHold), Answer{Clock: 5050, Born: testBorn, Active: []Active{{"a", 1}}})
+	require.Positive(t, b.take(KindHold).Until)
+	b.Suspect(true)
+	b.sendHold(b.now)
+	require.Zero(t, b.take(KindHold).Until)
+	require.Zero(t, b.start(2, "b").Until, "it runs under the lease that there is")
+	b.Suspect(false)
+	b.sendHold(b.now)
+	require.Positive(t, b.take(KindHold).Until)
+	b.Suspect(true)
+	b.now = b.now.Add(time.Second)
+	require.Positive(t, b.start(3, "c").Until, "no lease is there any more")
+}
+
+func TestNothingIsRenewedWhileAStopHasNoEffect(t *testing.T) {
+	b := newRunningBench(t)
+	h := b.take(KindHold)
+	b.Stop(b.now, 1)
+	b.drain()
+	require.Equal(t, 1, b.count(KindStop))
+	running := Answer{Clock: 5001, Born: testBorn, Active: []Active{{"a", 1}}}
+	for range 4 {
+		b.answer(h, running)
+		h = b.take(KindHold)
+		require.Positive(t, h.Until)
+		b.now = b.now.Add(50 * time.Millisecond)
+		running.Clock += 50
+	}
+	b.now = b.now.Add(50 * time.Millisecond)
+	b.answer(h, running)
+	h = b.take(KindHold)
+	require.Zero(t, h.Until, "250 ms after the stop")
+	b.answer(h, Answer{Clock: running.Clock, Born: testBorn, Ended: []Ended{{1, "a", 1, HowStopped}}})
+	require.Positive(t, b.start(2, "b").Until)
+}
--- a/server/agent.go
+++ b/server/agent.go
@@ -45,9 +45,10 @@
 // Backend carries out the decisions on one backend server. Start and Stop must
 // not block; the end of each run is told to Agent.Finish or FinishStopped.
 type Backend struct {
-	Start func(starter.Run)
-	Stop  func(starter.Run) // nil: runs cannot be stopped
-	Close func()
+	Start   func(starter.Run)
+	Stop    func(starter.Run)  // nil: runs cannot be stopped
+	Suspect func(suspect bool) // told whether an entry with tasks there may be gone; nil: not told
+	Close   func()
 }
 
 // AgentSettings are the settings of an Agent.
@@ -57,6 +58,7 @@
 	BackendServers []BackendServer    // one a service
 	Messenger      messenger.Settings
 	Starter        starter.Settings
+	SuspectAfter   time.Duration // silence after which an entry may be gone, before it is given up; zero: never
 }
 
 // Agent runs the tasks of its backend servers. Set the fields before Start.
@@ -80,6 +82,7 @@
 	mu      sync.Mutex
 	starter starter.Starter
 	backend Backend
+	suspect bool // as told last
 }
 
 // Start connects to the entries and offers the backend servers.
@@ -335,6 +338,7 @@
 			forgot = now
 		}
 		for _, s := range a.list() {
+			a.suspect(s)
 			to := a.act(s, func(x *starter.Starter) {
 				if forget {
 					x.Tick(now)
@@ -346,6 +350,23 @@
 	}
 }
 
+// suspect tells a backend server's executor when an entry with tasks there falls
+// silent, and when none is any more.
+func (a *Agent) suspect(s *agentShard) {
+	if s.backend.Suspect == nil || a.Settings.SuspectAfter <= 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	suspect := slices.ContainsFunc(s.starter.Owners(), func(entry string) bool {
+		return !a.hub.Reachable(entry, a.Settings.SuspectAfter)
+	})
+	if suspect != s.suspect {
+		s.suspect = suspect
+		s.backend.Suspect(suspect)
+	}
+}
+
 // Running returns the number of tasks that run.
 func (a *Agent) Running() int {
 	n := 0
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -154,6 +154,17 @@
 // Running returns the number of tasks that wait or run.
 func (s *Starter) Running() int { return len(s.runs) }
 
+// Owners returns the entries with bound tasks that wait or run here.
+func (s *Starter) Owners() []string {
+	var owners []string
+	for _, r := range s.runs {
+		if r.bound {
+			owners = appendNew(owners, r.Owner)
+		}
+	}
+	return owners
+}
+
 // Up notes a new session with an entry. The entry hears of this agent when
 // none of its bound tasks of an earlier session runs any more, so that it may
 // start them elsewhere then.
--- a/tests/hosted_test.go
+++ b/tests/hosted_test.go
@@ -224,6 +224,26 @@
 	})
 }
 
+// An entry dies while stops do not reach the backend servers: what it started
+// must have lapsed when its caller sends the job again. Other jobs keep the
+// backend servers' leases alive meanwhile.
+func TestHostedEntryKilledAndStopsLost(t *testing.T) {
+	h := newHosted(t, 2, 2)
+	for _, x := range h.executors {
+		x.SetDeaf(true)
+	}
+	done := h.load(20, standin.Work{Millis: 100, CPU: 100}, 100*time.Millisecond)
+	var wg sync.WaitGroup
+	long := standin.Job(4, standin.Work{Millis: 4000, CPU: taskCPU})
+	wg.Go(func() { post(h.entries[0], hostedID(901), long) })
+	require.Eventually(t, func() bool { return h.judge.Starts(hostedID(901)) == 4 }, 5*time.Second, 5*time.Millisecond)
+	h.entries[0].kill()
+	time.Sleep(resendAfter)
+	wg.Go(func() { post(h.entries[1], hostedID(901), long) })
+	require.Equal(t, 20, done())
+	wg.Wait()
+}
+
 func TestHostedEntryFrozen(t *testing.T) {
 	h := newHosted(t, 2, 2)
 	h.servesThrough(30, 50*time.Millisecond, 600*time.Millisecond, func() {
