Have starts under a suspended lease name the lease that there is

Ruled out: orders that were carried out late (the failed jobs' starts were all answered at once). Test: leaser.TestNothingIsRenewedForASuspectedOwner, red before.

--- a/leaser/answer.go
+++ b/leaser/answer.go
@@ -46,7 +46,7 @@
 
 func (l *Leaser) reborn(now time.Time, born int64) {
 	l.endRunning(now)
-	l.born, l.seen, l.through = born, 0, 0
+	l.born, l.seen, l.through, l.granted = born, 0, 0, 0
 	l.clockAt, l.retryAt, l.failures = time.Time{}, time.Time{}, 0
 	l.looking = false
 	l.Look(now)
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -71,6 +71,7 @@
 	serial   uint64
 	clock    int64     // the backend server's, at clockAt
 	clockAt  time.Time // by our clock; zero when nothing is known
+	granted  int64     // newest end of a lease that was sent, by the backend server's clock
 	leased   time.Time // what runs has surely ended by then, unless it is held again
 	suspect  bool      // an owner of something that runs may be gone
 	heard    time.Time // when a hold was answered last
@@ -145,9 +146,9 @@
 func (l *Leaser) start(now time.Time, r *run) {
 	r.state, r.fence = starting, l.fence
 	r.tries++
-	c := Call{Kind: KindStart, Task: r.task, Number: r.number, Spec: r.spec, id: r.id}
-	if l.mayRenew(now) || !now.Before(l.leased) {
-		c.Until = l.until(now) // otherwise it runs under the lease that there is
+	c := Call{Kind: KindStart, Task: r.task, Number: r.number, Spec: r.spec, Until: l.until(now), id: r.id}
+	if !l.mayRenew(now) && now.Before(l.leased) {
+		c.Until = l.granted // it runs under the lease that there is; a start has to name one
 	}
 	l.call(now, c)
 }
@@ -197,7 +198,8 @@
 func (l *Leaser) call(now time.Time, c Call) {
 	l.serial++
 	c.serial, c.born, c.Fence = l.serial, l.born, l.fence
-	if c.Until != 0 {
+	if c.Until > l.granted {
+		l.granted = c.Until
 		end := now.Add(time.Duration(float64(l.Settings.Lease) * (1 + 2*clockDrift)))
 		if end.After(l.leased) {
 			l.leased = end
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -316,11 +316,13 @@
 func TestNothingIsRenewedForASuspectedOwner(t *testing.T) {
 	b := newRunningBench(t)
 	b.answer(b.take(KindHold), Answer{Clock: 5050, Born: testBorn, Active: []Active{{"a", 1}}})
-	require.Positive(t, b.take(KindHold).Until)
+	leased := b.take(KindHold).Until
+	require.Positive(t, leased)
 	b.Suspect(true)
+	b.now = b.now.Add(20 * time.Millisecond)
 	b.sendHold(b.now)
 	require.Zero(t, b.take(KindHold).Until)
-	require.Zero(t, b.start(2, "b").Until, "it runs under the lease that there is")
+	require.Equal(t, leased, b.start(2, "b").Until, "it runs under the lease that there is, which a start has to name")
 	b.Suspect(false)
 	b.sendHold(b.now)
 	require.Positive(t, b.take(KindHold).Until)
