--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -172,6 +172,7 @@
 func (x *Explanation) judgeSilence() {
 	x.Verdict = VerdictOpen
 	taken, stop := int64(0), "without a planned stop before"
+	deaf := 0 // processes that did not hear the entry any more
 	for i := range x.Lines {
 		o := &x.Lines[i]
 		switch {
@@ -186,10 +187,15 @@
 			return
 		case strings.Contains(o.Message, x.Entry+".") && strings.HasSuffix(o.Message, "is lost."):
 			x.Verdict = VerdictEntrySilent
-			x.say("%s did not hear %s any more, %d ms after it took the request.", o.Process, x.Entry, (o.Clock-taken)/1000)
+			if deaf++; deaf == 1 {
+				x.say("%s did not hear %s any more, %d ms after it took the request.", o.Process, x.Entry, (o.Clock-taken)/1000)
+			}
 		}
 	}
-	if x.Verdict == VerdictOpen {
+	switch {
+	case deaf > 1:
+		x.say("Nor did %d other processes.", deaf-1)
+	case x.Verdict == VerdictOpen:
 		x.say("No line tells an answer: it ran still when the logs end, or the line was left out.")
 	}
 }
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -58,13 +58,14 @@
 		line(3000, 3000, "entry-1", "Entry starts.", ""),
 	}
 	agent := []string{
-		line(1001, 3001, "agent-1", "Agent starts a task.", `"task":"j1.0.0.0","entry":"entry-1.ab"`),
+		line(1001, 3001, "agent-1", "Agent starts a task.", `"task":"j1.0.0.0","run":897267902,"entry":"entry-1.ab"`),
 		line(1700, 3700, "agent-1", "Entry entry-1.ab is lost.", ""),
 		line(1701, 3701, "agent-1", "Agent stops a task.", `"task":"j1.0.0.0","entry":"entry-1.ab"`),
 	}
 	x, err := read(t, agent, entry).Explain("r1")
 	require.NoError(t, err)
 	require.Equal(t, explainer.VerdictEntryLost, x.Verdict)
+	require.Contains(t, x.String(), "run=897267902 ")
 	var order []string
 	for _, o := range x.Lines {
 		order = append(order, o.Message)
@@ -74,6 +75,7 @@
 	x, err = read(t, agent, entry[:1]).Explain("r1")
 	require.NoError(t, err)
 	require.Equal(t, explainer.VerdictEntrySilent, x.Verdict, "it did not begin anew")
+	require.Len(t, x.Reasons, 1)
 }
 
 func failed(clock int, job, peer string) string {
--- a/explainer/line.go
+++ b/explainer/line.go
@@ -85,7 +85,9 @@
 // that are set.
 func (l *Line) String() string {
 	var fields map[string]any
-	if json.Unmarshal([]byte(l.Text), &fields) != nil {
+	d := json.NewDecoder(strings.NewReader(l.Text))
+	d.UseNumber()
+	if d.Decode(&fields) != nil {
 		return l.Text
 	}
 	for _, shown := range []string{"time", "clock-us", "process", "part", "msg", "level"} {
