Split the agent's and the starter's large files

Cause: starter.go (390 lines) and server/agent.go (429) held several concepts each. Ruled out: new packages (the parts share a lock). Lines were compared: none changed. Measured: tests of both packages. Conclusion: no change of behaviour.

--- a/server/agent.go
+++ b/server/agent.go
@@ -11,7 +11,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"mustardlever.dev/mustardlever/executor"
 	"mustardlever.dev/mustardlever/messenger"
 	"mustardlever.dev/mustardlever/recorder"
 	"mustardlever.dev/mustardlever/sizer"
@@ -33,24 +32,6 @@
 // forget.
 const forgetInterval = time.Second
 
-// BackendServer is a backend server that an agent runs beside.
-type BackendServer struct {
-	Service     string
-	Address     string // host:port
-	Slots       int
-	Connections int
-	Timeout     time.Duration
-}
-
-// Backend carries out the decisions on one backend server. Start and Stop must
-// not block; the end of each run is told to Agent.Finish or FinishStopped.
-type Backend struct {
-	Start   func(starter.Run)
-	Stop    func(starter.Run)  // nil: runs cannot be stopped
-	Suspect func(suspect bool) // told whether an entry with tasks there may be gone; nil: not told
-	Close   func()
-}
-
 // AgentSettings are the settings of an Agent.
 type AgentSettings struct {
 	Identity       messenger.Identity // without incarnation
@@ -111,63 +92,6 @@
 	a.Log.Infof("Agent %s runs.", a.hub.Self.Incarnation)
 }
 
-// Offer is a backend server that an agent offers to the entries.
-type Offer struct {
-	Service  string
-	Address  string // host:port
-	Capacity sizer.Size
-	Labels   []string
-	Backend  Backend
-}
-
-func (a *Agent) newShard(o Offer) *agentShard {
-	s := &agentShard{backend: o.Backend}
-	s.starter.Settings = a.Settings.Starter
-	s.starter.Self, s.starter.Service = a.hub.Self.Incarnation, o.Service
-	s.starter.Address, s.starter.Capacity, s.starter.Labels = o.Address, o.Capacity, o.Labels
-	s.starter.Init()
-	return s
-}
-
-// Offer offers a backend server that was found after Start, or changes what is
-// offered of it.
-func (a *Agent) Offer(o Offer) {
-	a.mu.Lock()
-	s := a.shards[o.Service]
-	known := s != nil
-	if !known {
-		s = a.newShard(o)
-		a.shards[o.Service] = s
-	}
-	a.mu.Unlock()
-	to := a.act(s, func(x *starter.Starter) {
-		if known {
-			x.Offer(o.Address, o.Capacity, o.Labels)
-			return
-		}
-		for _, p := range a.hub.Peers() {
-			x.Up(p.Incarnation)
-		}
-	})
-	to.wake(&a.hub)
-}
-
-// Withdraw offers the service's backend server no more: it gets no new task.
-func (a *Agent) Withdraw(service string) {
-	if s := a.shard(service); s != nil {
-		to := a.act(s, (*starter.Starter).LeaveService)
-		to.wake(&a.hub)
-	}
-}
-
-// Hold says whether the service's backend server is silent.
-func (a *Agent) Hold(service string, held bool) {
-	if s := a.shard(service); s != nil {
-		to := a.act(s, func(x *starter.Starter) { x.Hold(held) })
-		to.wake(&a.hub)
-	}
-}
-
 func (a *Agent) shard(service string) *agentShard {
 	a.mu.RLock()
 	defer a.mu.RUnlock()
@@ -180,16 +104,6 @@
 	return slices.Collect(maps.Values(a.shards))
 }
 
-// newExecutor returns the Backend that sends tasks by HTTP.
-func (a *Agent) newExecutor(b BackendServer) Backend {
-	e := &executor.Executor{Address: b.Address, Connections: b.Connections, Timeout: b.Timeout}
-	e.Init()
-	return Backend{
-		Start: func(r starter.Run) { a.done.Go(func() { a.run(e, b.Service, r) }) },
-		Close: e.Close,
-	}
-}
-
 // Identity returns the agent's identity.
 func (a *Agent) Identity() messenger.Identity { return a.hub.Self }
 
@@ -238,41 +152,6 @@
 	a.Log.WithFields(logrus.Fields{"task": r.Request.Name, "run": r.Attempt, "entry": r.Owner}).Log(level, message)
 }
 
-// run executes one task and reports its result.
-func (a *Agent) run(x *executor.Executor, service string, r starter.Run) {
-	result := x.Run(a.ctx, r.Request)
-	e := recorder.Event{
-		Kind: "task-ran", Service: service, Task: r.Task, Peer: x.Address,
-		Owner: r.Ticket.Owner, Number: r.Ticket.Sequence,
-	}
-	switch {
-	case result == nil:
-		e.Kind, e.Reason = "task-refused", "the backend server refused the connection"
-	case result.Status == 0:
-		e.Kind, e.Reason = "task-unanswered", result.Error
-	}
-	a.Recorder.Add(e)
-	a.Finish(service, r.ID, result)
-}
-
-// Finish tells that a run of the service has ended; a nil result means that it
-// did not start.
-func (a *Agent) Finish(service string, id uint64, result *messenger.Result) {
-	if s := a.shard(service); s != nil {
-		to := a.act(s, func(x *starter.Starter) { x.Finish(id, result) })
-		to.flush(&a.hub)
-	}
-}
-
-// FinishStopped tells that the backend server has ended a run of the service
-// before it was done.
-func (a *Agent) FinishStopped(service string, id uint64) {
-	if s := a.shard(service); s != nil {
-		to := a.act(s, func(x *starter.Starter) { x.FinishStopped(id) })
-		to.flush(&a.hub)
-	}
-}
-
 func (a *Agent) deliver(from messenger.Identity, m messenger.Message) {
 	if m.Entries != nil {
 		a.Learn(m.Entries.Addresses)
@@ -350,23 +229,6 @@
 	}
 }
 
-// suspect tells a backend server's executor when an entry with tasks there falls
-// silent, and when none is any more.
-func (a *Agent) suspect(s *agentShard) {
-	if s.backend.Suspect == nil || a.Settings.SuspectAfter <= 0 {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	suspect := slices.ContainsFunc(s.starter.Owners(), func(entry string) bool {
-		return !a.hub.Reachable(entry, a.Settings.SuspectAfter)
-	})
-	if suspect != s.suspect {
-		s.suspect = suspect
-		s.backend.Suspect(suspect)
-	}
-}
-
 // Running returns the number of tasks that run.
 func (a *Agent) Running() int {
 	n := 0
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"mustardlever.dev/mustardlever/dispatcher"
 	"mustardlever.dev/mustardlever/messenger"
 	"mustardlever.dev/mustardlever/sizer"
 )
@@ -53,34 +52,6 @@
 	Stops    []Run
 }
 
-type pair struct{ owner, witness string }
-
-type state int
-
-const (
-	running state = iota
-	done
-	refused
-)
-
-// mark is what is known of one task of one ticket.
-type mark struct {
-	state   state
-	attempt int // of the start that made the mark
-	refusal messenger.Refusal
-	result  *messenger.Result // nil when dropped for room
-	notify  []string          // entries that get the outcome
-}
-
-type ticketMarks map[int]*mark
-
-// ledger holds the marks of the tickets of one owner and one witness.
-type ledger struct {
-	tickets map[uint64]ticketMarks
-	sealed  bool
-	below   uint64 // tickets below are closed, by the witness
-}
-
 // run is a start that was accepted: it waits for room, runs or is being
 // stopped, and takes room until Finish.
 type run struct {
@@ -268,126 +239,7 @@
 	}
 }
 
-// keep holds a result for witnesses, and drops the oldest beyond KeptBytes.
-func (s *Starter) keep(k *mark) {
-	s.results = append(s.results, k)
-	s.bytes += size(k.result)
-	for s.bytes > s.Settings.KeptBytes && len(s.results) > 0 {
-		s.drop(s.results[0])
-		s.results = s.results[1:]
-	}
-}
-
-// drop lets go of a mark's result.
-func (s *Starter) drop(k *mark) {
-	if k.result == nil {
-		return
-	}
-	s.bytes -= size(k.result)
-	k.result = nil
-}
-
-func size(r *messenger.Result) int { return len(r.Body) + len(r.Error) }
-
-// load returns the room to tell an entry, and notes that it was told.
-func (s *Starter) load(entry string) dispatcher.Load {
-	free := s.free()
-	s.told[entry] = free
-	return dispatcher.Load{Free: free, Received: s.received[entry]}
-}
-
-// Hold says whether the backend server is silent. Meanwhile
-// nothing new is started there: if it has crashed, whatever came would be lost.
-func (s *Starter) Hold(held bool) {
-	if s.held == held {
-		return
-	}
-	s.held = held
-	s.admit()
-	for range s.turns {
-		s.TellLoad()
-	}
-}
-
-// free is the room to tell.
-func (s *Starter) free() sizer.Size {
-	f := s.Capacity.Minus(s.room.taken())
-	if s.held {
-		f.CPU = min(f.CPU, 0)
-	}
-	return f
-}
-
-// TellLoad tells the room to one entry that heard of another last, the next in
-// turn. It is to be called at intervals, which bounds the messages. Entries that
-// heard of the same room at the same moment would all send a task for it, and
-// all but one would be refused.
-func (s *Starter) TellLoad() {
-	if s.leaving {
-		return
-	}
-	free := s.free()
-	for i, e := range s.turns {
-		if s.told[e] != free && !s.awaiting[e] {
-			s.turns = append(slices.Delete(s.turns, i, i+1), e)
-			l := s.load(e)
-			s.send(e, messenger.Message{Load: &l})
-			return
-		}
-	}
-}
-
 func (s *Starter) send(to string, m messenger.Message) {
 	m.Service = s.Service
 	s.decided.Messages = append(s.decided.Messages, Output{to, m})
 }
-
-func (s *Starter) find(p pair, sequence uint64, task int) *mark {
-	l := s.ledgers[p]
-	if l == nil {
-		return nil
-	}
-	return l.tickets[sequence][task]
-}
-
-func (s *Starter) ledger(p pair) *ledger {
-	l := s.ledgers[p]
-	if l == nil {
-		l = &ledger{tickets: make(map[uint64]ticketMarks)}
-		s.ledgers[p] = l
-	}
-	return l
-}
-
-func (s *Starter) put(p pair, sequence uint64, task int, k *mark) {
-	l := s.ledger(p)
-	if l.tickets[sequence] == nil {
-		l.tickets[sequence] = make(ticketMarks)
-	}
-	if l.tickets[sequence][task] == nil {
-		s.marks++
-	}
-	l.tickets[sequence][task] = k
-}
-
-// remove forgets a mark.
-func (s *Starter) remove(p pair, sequence uint64, task int) {
-	l := s.ledgers[p]
-	if l == nil || l.tickets[sequence][task] == nil {
-		return
-	}
-	s.marks--
-	delete(l.tickets[sequence], task)
-	if len(l.tickets[sequence]) == 0 {
-		delete(l.tickets, sequence)
-	}
-}
-
-func appendNew(list []string, s string) []string {
-	for _, x := range list {
-		if x == s {
-			return list
-		}
-	}
-	return append(list, s)
-}
