--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -352,3 +352,20 @@
 	b.answer(h, Answer{Clock: running.Clock, Born: testBorn, Ended: []Ended{{1, "a", 1, HowStopped}}})
 	require.Positive(t, b.start(2, "b").Until)
 }
+
+// Answers of several holds overtake each other: one that waited lists a run in
+// doubt, and one that was sent later but looked before the run began comes after
+// it. The run is there all the while.
+func TestAnswerOfAnEarlierLookDoesNotEndARun(t *testing.T) {
+	b := newRunningBench(t)
+	waiting := b.take(KindHold)
+	b.answer(b.start(2, "b"), Answer{Verdict: VerdictNone})
+	early := b.take(KindHold)
+	lost := b.start(3, "c")
+	require.Equal(t, early.Fence, lost.Fence, "so that the start may follow that hold")
+	b.answer(lost, Answer{Verdict: VerdictNone})
+	b.answer(waiting, Answer{Clock: 5050, Born: testBorn, Active: []Active{{"a", 1}, {"b", 1}, {"c", 1}}})
+	b.answer(early, Answer{Clock: 5050, Born: testBorn, Active: []Active{{"a", 1}, {"b", 1}}})
+	require.Empty(t, b.ended)
+	require.Equal(t, 3, b.Running())
+}
