--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -27,6 +27,11 @@
 #else
 #define RAISE afence++
 #endif
+#ifdef NO_KNOWN
+#define KNOWN skip
+#else
+#define KNOWN fresh = false
+#endif
 #ifdef NO_REBORN_DOUBT
 #define REBORN_SETTLES starting = false; started = false; bound = false
 #else
@@ -53,6 +58,15 @@
 byte raises;
 byte restarts;
 
+byte startFence; /* of the start that is not settled, or of the run */
+
+/* A hold that the backend server has answered, whose answer is on its way. */
+bool pending;
+bool shown;      /* it lists the newest run */
+bool fresh;      /* it was sent after the run was last seen */
+byte holdFence;
+byte holdLife;
+
 /* The entry. */
 bool bound; /* the task was sent to this agent and is not settled */
 bool other; /* it runs elsewhere */
@@ -107,13 +121,33 @@
 		:: else ->
 			xfence = afence;
 			if
-			:: running -> starting = false; started = true
+			:: running -> starting = false; started = true; KNOWN
 			:: else -> starting = false; started = false; bound = false
 			fi
 		fi
 	fi
 }
 
+/* A start, whose run no answer on its way can list. */
+inline start(i) {
+	bound = true; starting = true; sent[i] = true; fenceOf[i] = afence; startFence = afence; shown = false
+}
+
+/* The answer to a hold arrives late, after answers to others. */
+inline lateAnswer() {
+	pending = false;
+	if
+	:: holdLife != knownLife || !clean
+	:: else ->
+		if
+		:: shown && (starting || started) -> starting = false; started = true; KNOWN
+		:: !shown && started && fresh -> started = false; bound = false
+		:: !shown && starting && holdFence > startFence -> starting = false; bound = false
+		:: else
+		fi
+	fi
+}
+
 inline look() {
 	knownLife = life;
 	if
@@ -137,16 +171,20 @@
 	/* A look, and the announcement that follows. */
 	:: atomic { !clean && raises < RAISES -> raises++; afence++; look() }
 	/* A start, sent while nothing is unsettled. */
-	:: atomic { clean && !bound && !other && !sent[0] -> bound = true; starting = true; sent[0] = true; fenceOf[0] = afence }
-	:: atomic { clean && !bound && !other && !sent[1] -> bound = true; starting = true; sent[1] = true; fenceOf[1] = afence }
-	:: atomic { clean && !bound && !other && !sent[2] -> bound = true; starting = true; sent[2] = true; fenceOf[2] = afence }
+	:: atomic { clean && !bound && !other && !sent[0] -> start(0) }
+	:: atomic { clean && !bound && !other && !sent[1] -> start(1) }
+	:: atomic { clean && !bound && !other && !sent[2] -> start(2) }
 	/* The start was not answered in time. */
 	:: atomic { clean && starting && raises < RAISES -> raises++; RAISE; settle() }
 	/* A hold while it runs. */
 	:: atomic { clean && started -> settle() }
+	/* A hold is answered by the backend server, and its answer comes later. */
+	:: atomic { clean && !pending && afence >= xfence && life == knownLife ->
+		pending = true; shown = running; fresh = true; holdFence = afence; xfence = afence; holdLife = life }
+	:: atomic { pending -> lateAnswer() }
 	/* The agent's process is replaced: it knows nothing, and its clock may have gone back. */
 	:: atomic { restarts < RESTARTS && crashes == 0 ->
-		restarts++; starting = false; started = false; afence = 1; raises = 0; leapt = false;
+		restarts++; starting = false; started = false; pending = false; afence = 1; raises = 0; leapt = false;
 #ifdef NO_LOOK
 		clean = true; bound = false; knownLife = life
 #else
