--- a/leaser/answer.go
+++ b/leaser/answer.go
@@ -160,7 +160,8 @@
 	there := active[Active{r.task, r.number}]
 	switch {
 	case r.state == doubtful && there:
-		r.state, r.known = running, l.serial // an answer to an earlier call may still come, and may be older than the run
+		// Answers to calls sent before may still come, and may be older than the run.
+		r.state, r.known = running, l.serial
 		if r.stopping {
 			l.stop(now, r)
 		}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -43,7 +43,7 @@
 	spec     json.RawMessage
 	state    state
 	since    time.Time // when the start was sent
-	known    uint64    // serial of the newest call when the start was answered
+	known    uint64    // serial of the newest call when it was first seen to run
 	fence    int64     // of the last start that was sent
 	tries    int
 	stopping bool
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -304,7 +304,7 @@
 	require.Equal(t, 1, b.Running())
 }
 
-// running returns a bench on which a run has been started.
+// newRunningBench returns a bench on which a run has been started.
 func newRunningBench(t *testing.T) *bench {
 	b := newBench(t)
 	b.answer(b.start(1, "a"), Answer{Clock: 5001, Born: testBorn})
--- a/server/backend.go
+++ b/server/backend.go
@@ -131,7 +131,7 @@
 	}
 }
 
-// suspect tells a backend server's executor when an entry with tasks there falls
+// suspect tells the backend server's side when an entry with tasks there falls
 // silent, and when none is any more.
 func (a *Agent) suspect(s *agentShard) {
 	if s.backend.Suspect == nil || a.Settings.SuspectAfter <= 0 {
@@ -142,8 +142,15 @@
 	suspect := slices.ContainsFunc(s.starter.Owners(), func(entry string) bool {
 		return !a.hub.Reachable(entry, a.Settings.SuspectAfter)
 	})
-	if suspect != s.suspect {
-		s.suspect = suspect
-		s.backend.Suspect(suspect)
+	if suspect == s.suspect {
+		return
+	}
+	s.suspect = suspect
+	s.backend.Suspect(suspect)
+	l := a.Log.WithField("service", s.starter.Service)
+	if suspect {
+		l.WithField("silent-ms", a.Settings.SuspectAfter.Milliseconds()).Warn("Agent renews no leases: an entry with tasks here is silent.")
+		return
 	}
+	l.Info("Agent renews leases again.")
 }
