Refuse a connection that begins for a session given up since

A process gives a session up while the beginning of a connection is on its way from the other side: it was taken for the new session, and the messages that follow it, numbered for the earlier one, were delivered and counted. The other side then heard of more messages than it had sent. Change: a beginning has to name the present session, else its connection is closed. Test: messenger.TestBeginningOfAnEarlierSessionIsRefused, red before.

--- a/messenger/accept.go
+++ b/messenger/accept.go
@@ -83,6 +83,10 @@
 		return &Error{Op: "begin", Kind: KindHello, Err: err}
 	}
 	s := h.session(peer.Identity)
+	if s != nil && !s.meant(peer.PeerEpoch) {
+		w.close() // the peer dials again, and hears of the new session
+		return &Error{Op: "begin", Kind: KindHello, Detail: "it was meant for a session that was given up"}
+	}
 	if s == nil || !h.attach(w, s, peer, peer.Identity.Name < h.Self.Name) {
 		return &Error{Op: "begin", Kind: KindHello, Detail: "there is a better connection"}
 	}
--- a/messenger/attach_test.go
+++ b/messenger/attach_test.go
@@ -1,6 +1,7 @@
 package messenger
 
 import (
+	"encoding/json"
 	"net"
 	"testing"
 
@@ -43,3 +44,21 @@
 	defer s.mu.Unlock()
 	require.Len(t, s.next(10).Messages, 1)
 }
+
+// A connection's beginning arrives after this process has given up the session
+// that it was meant for: what follows on it is numbered for that session.
+func TestBeginningOfAnEarlierSessionIsRefused(t *testing.T) {
+	h := &Hub{Self: Identity{Name: "a", Role: RoleEntry}.WithNewIncarnation()}
+	h.Start(nil)
+	t.Cleanup(h.Stop)
+	peer := Identity{Name: "b", Role: RoleAgent}.WithNewIncarnation()
+	before := h.session(peer)
+	late := hello{Identity: peer, Epoch: 7, PeerEpoch: before.epoch}
+	h.giveUp(before)
+	near, far := net.Pipe()
+	t.Cleanup(func() { far.Close() })
+	params, err := json.Marshal(late)
+	require.NoError(t, err)
+	require.Error(t, h.begin(h.newWire(near), params))
+	require.False(t, h.Queue(peer.Incarnation, Message{Close: &Close{}}), "no session is open")
+}
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -56,6 +56,13 @@
 	return peerEpoch < s.peerEpoch
 }
 
+// meant tells whether a connection that begins names this session of ours.
+func (s *session) meant(epoch uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return epoch == s.epoch
+}
+
 // detach closes the present connection.
 func (s *session) detach() {
 	if s.wire == nil {
