Show operators what each process knows now, and count by kind of request

Pages /v1/jobs, /v1/configuration, /v1/backend-server, and more in /v1/services (room, speed, pauses, when an agent was heard last), with versions and ages; mustardctl jobs, configuration, backend-servers. `check` takes a process's settings and the platform's configuration as well, each mistake by file, line and column.

Metrics by route (the first 64, the others together), of the store's calls, of leases and sessions; processes of the product's own interface serve metrics too, and log JSON lines as those on the platform do.

Found on the way and mended: wrong use of mustardctl ended with code 1 where 2 is documented, an unknown command with 3, which means that a job failed; a file that could not be read printed a stack. Rows of the store and of a backend server's lists that could not be read were passed over in silence.

Cost of a log line: names of fields are sorted in a buffer that is used again, and the encoder does not look for duplicate names, which a map cannot have.

Tried and reverted: lines handed to the pipe by the goroutine that logs, after a poll, so that no goroutine has to be woken for a line.

--- a/cmd/mustardctl/job.go
+++ b/cmd/mustardctl/job.go
@@ -41,7 +41,7 @@
 func submit(ctx context.Context, c *cli.Command) error {
 	body, err := submission(c)
 	if err != nil {
-		return cli.Exit(err, exitUsage)
+		return fail(err, exitUsage)
 	}
 	s := client(c)
 	ticket := c.String("ticket")
@@ -79,7 +79,7 @@
 	if errors.As(err, &r) {
 		return cli.Exit(fmt.Sprintf("refused (%s): %s; may have run: %t", r.Failure.Kind, r.Failure.Message, r.Failure.MayHaveRun), exitRefused)
 	}
-	return cli.Exit(err, exitFailed)
+	return fail(err, exitFailed)
 }
 
 func printAnswer(c *cli.Command, a *caller.Answer) error {
--- a/cmd/mustardctl/logs.go
+++ b/cmd/mustardctl/logs.go
@@ -39,7 +39,7 @@
 func readFiles(names []string, read func(io.Reader) error) error {
 	for _, name := range names {
 		if err := readFile(name, read); err != nil {
-			return cli.Exit(errors.Wrap(err, name), exitUsage)
+			return fail(errors.Wrap(err, name), exitUsage)
 		}
 	}
 	return nil
@@ -77,9 +77,9 @@
 	x, err := log.Explain(c.Args().First())
 	switch {
 	case fault.KindOf[explainer.Kind](err) == explainer.KindNotFound:
-		return cli.Exit(err, exitFailed)
+		return fail(err, exitFailed)
 	case err != nil:
-		return cli.Exit(err, exitUsage)
+		return fail(err, exitUsage)
 	case wantsJSON(c):
 		return printJSON(x)
 	}
@@ -136,11 +136,11 @@
 	}
 	f, err := os.Create(c.String("out"))
 	if err != nil {
-		return cli.Exit(err, exitFailed)
+		return fail(err, exitFailed)
 	}
 	if err := r.Write(f); err != nil {
 		f.Close()
-		return cli.Exit(err, exitFailed)
+		return fail(err, exitFailed)
 	}
 	return f.Close()
 }
--- /dev/null
+++ b/cmd/mustardctl/views.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"mustardlever.dev/mustardlever/executor"
+	"mustardlever.dev/mustardlever/keeper"
+	"mustardlever.dev/mustardlever/operator"
+	"mustardlever.dev/mustardlever/server"
+	"mustardlever.dev/mustardlever/sizer"
+)
+
+// viewCommands show what processes know at present.
+func viewCommands() []*cli.Command {
+	return []*cli.Command{
+		viewCommand("process", "", "show processes, their peers and traffic", "/v1/process", printProcess),
+		viewCommand("services", "", "show services and their agents, as each entry sees them", "/v1/services", printServices),
+		viewCommand("jobs", "", "show the unfinished jobs of entries, the oldest first", "/v1/jobs", printJobs),
+		viewCommand("configuration", "config", "show the configuration in force at entries, its version and age", "/v1/configuration", printConfiguration),
+		viewCommand("backend-servers", "executors", "show the backend servers of agents, their leases and what runs there", "/v1/backend-server", printBackendServer),
+	}
+}
+
+func printProcess(p operator.Process) {
+	fmt.Printf("%-8s %-28s %-14s ready %-5t peers %-3d running %-4d frames in %d out %d bytes in %d out %d\n",
+		p.Identity.Role, p.Identity.Incarnation, p.Identity.Zone, p.Ready, len(p.Peers), p.Running,
+		p.Traffic.FramesIn, p.Traffic.FramesOut, p.Traffic.BytesIn, p.Traffic.BytesOut)
+}
+
+func printServices(views []server.ServiceView) {
+	for _, v := range views {
+		fmt.Printf("%-20s agents %d, suspect %d, jobs %d, unfinished %d, waiting tasks %d, free cores %s\n",
+			v.Service, v.Counts.Agents, v.Counts.Suspect, v.Counts.Jobs, v.Counts.Active, v.Counts.Waiting, cores(v.Counts.RoomCPU))
+		for _, a := range v.Agents {
+			fmt.Printf("  %-28s %-22s running %-4d free cores %s of %s, heard %s ago, speed %.2f%s\n", a.Agent, a.Address, a.Running,
+				cores(a.Room.CPU), cores(a.Capacity.CPU), age(a.HeardMs), speed(a.Slowness), health(a))
+		}
+	}
+}
+
+// health says what keeps an agent from ordinary work.
+func health(a server.AgentView) string {
+	switch {
+	case a.Leaving:
+		return ", leaving"
+	case a.PausedMs > 0:
+		return fmt.Sprintf(", paused for %s after %d failures", age(a.PausedMs), a.Failures)
+	case a.OnTrial:
+		return ", on trial"
+	case a.Failures > 0:
+		return fmt.Sprintf(", %d failures in a row", a.Failures)
+	}
+	return ""
+}
+
+func speed(slowness float64) float64 {
+	if slowness <= 0 {
+		return 0
+	}
+	return 1 / slowness
+}
+
+func printJobs(views []server.JobsView) {
+	for _, v := range views {
+		fmt.Printf("%-20s unfinished %d, shown %d\n", v.Service, v.Unfinished, len(v.Jobs))
+		for _, j := range v.Jobs {
+			fmt.Printf("  %-18s age %s, due %s, tasks %d: waiting %d, sent %d, ran %d, lapsing %d, unknown %d; starts %d%s\n",
+				jobName(j), age(j.AgeMs), due(j), j.Tasks, j.Waiting, j.Sent, j.Ran, j.Lapsing, j.Unknown, j.Starts, stopping(j))
+		}
+	}
+}
+
+func jobName(j keeper.JobView) string {
+	if j.Name != "" {
+		return j.Name
+	}
+	return j.Owner + "/" + strconv.FormatUint(j.Number, 10)
+}
+
+func due(j keeper.JobView) string {
+	switch {
+	case j.DueMs == nil:
+		return "not stated"
+	case *j.DueMs < 0:
+		return age(-*j.DueMs) + " ago"
+	}
+	return "in " + age(*j.DueMs)
+}
+
+func stopping(j keeper.JobView) string {
+	if j.Stopping == "" {
+		return ""
+	}
+	return ", stopping: " + j.Stopping
+}
+
+func printConfiguration(v server.ConfigurationView) {
+	if v.Version == 0 {
+		fmt.Println("no configuration yet")
+		return
+	}
+	fmt.Printf("version %d, taken %s ago from %s, %d bytes, %d routes\n", v.Version, age(v.AgeMs), v.Source, v.Bytes, len(v.Routes))
+	for peer, newer := range v.Peers {
+		fmt.Printf("  %s has version %d\n", peer, newer)
+	}
+	for _, r := range v.Routes {
+		fmt.Printf("  %-20s %s%s to %s, priority %d, attempts %d, %.1f times its tasks and %s\n",
+			r.Name, r.Host, r.Prefix, r.Service, r.Priority, r.Attempts, r.Stretch, r.Allowed)
+	}
+}
+
+func printBackendServer(v executor.View) {
+	if v.ReportMs < 0 {
+		fmt.Println("no backend server has reported yet")
+		return
+	}
+	fmt.Printf("%s of %s at %s, offered %t, report %s ago, answered %s ago, clean %t, silent %t, renewing %t, lease left %s, %s\n",
+		v.ID, v.Service, v.Address, v.Offered, age(v.ReportMs), age(v.HeardMs), v.Clean, v.Silent, v.Renewing, age(v.LeaseMs), size(v.Capacity))
+	for _, r := range v.Runs {
+		fmt.Printf("  %-24s run %d %s for %s, stopping %t\n", r.Task, r.Number, r.State, age(r.AgeMs), r.Stopping)
+	}
+}
+
+func size(s sizer.Size) string {
+	return fmt.Sprintf("%s cores, %d MiB, %d accelerators", cores(s.CPU), s.Memory, s.GPU)
+}
+
+func cores(thousandths int) string { return strconv.FormatFloat(float64(thousandths)/1000, 'f', 1, 64) }
+
+// age formats milliseconds, of which -1 stands for never.
+func age(ms int64) string {
+	if ms < 0 {
+		return "never"
+	}
+	return (time.Duration(ms) * time.Millisecond).String()
+}
--- a/cmd/mustardleverd/hosted.go
+++ b/cmd/mustardleverd/hosted.go
@@ -6,6 +6,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"mustardlever.dev/mustardlever/configurer"
+	"mustardlever.dev/mustardlever/counter"
 	"mustardlever.dev/mustardlever/messenger"
 	"mustardlever.dev/mustardlever/platform"
 	"mustardlever.dev/mustardlever/registrar"
@@ -46,6 +48,13 @@
 	Peers() []messenger.Identity
 }
 
+// newStore returns the process's client of the platform's store.
+func newStore(p configurer.Process, log *logrus.Entry, n *counter.Counter) *platform.Store {
+	s := platform.NewStore(p.Platform.Store)
+	s.Log, s.Called = log, n.Stored
+	return s
+}
+
 // newRegistrar returns what finds entries through the store.
 func newRegistrar(store *platform.Store, self *registrar.Line, p process, log *logrus.Entry) *registrar.Registrar {
 	return &registrar.Registrar{
--- a/cmd/mustardleverd/hosted_agent.go
+++ b/cmd/mustardleverd/hosted_agent.go
@@ -26,17 +26,17 @@
 		Log:      log, Recorder: r,
 	}
 	settings.learn = a.Learn
-	store := platform.NewStore(p.Platform.Store)
+	store := newStore(p, log, n)
 	x := newLeased(p, a, store, log)
 	reports := &http.Server{
 		Handler:           platform.ReportsHandler(log, func(r executor.Report) { x.Heard(r) }, x.Left),
 		ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout,
 	}
 	x.Called = func(k leaser.Kind, v leaser.Verdict, took time.Duration) { n.Called(k.String(), v.String(), took) }
-	n.Gauge("running_tasks", func() float64 { return float64(a.Running()) })
-	n.Gauge("entries", func() float64 { return float64(len(a.Peers())) })
-	source := agentSource(a, r)
-	source.Metrics = n.Write
+	gaugeAgent(a, n)
+	gaugeBackendServer(x, n)
+	source := agentSource(a, r, n)
+	source.BackendServer = x.View
 	operators := operator.New(source)
 	ctx, cancel := context.WithCancel(context.Background())
 	l.Append(fx.Hook{
--- a/cmd/mustardleverd/hosted_entry.go
+++ b/cmd/mustardleverd/hosted_entry.go
@@ -32,8 +32,8 @@
 	settings.learn = e.Learn
 	front := callersServer(&platform.Front{Submit: e.Submit, Cancel: e.Cancel, Look: e.Look})
 	ready := &http.Server{Handler: readiness(e), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	source := entrySource(e, r)
-	source.Metrics = n.Write
+	source := entrySource(e, r, n)
+	source.Configuration = e.Configuration
 	operators := operator.New(source)
 	ctx, cancel := context.WithCancel(context.Background())
 	l.Append(fx.Hook{
@@ -41,7 +41,7 @@
 			log.WithField("settings", p.Platform).Info("Entry starts.")
 			e.Start(links)
 			publish(e.Traffic(), r)
-			store := platform.NewStore(p.Platform.Store)
+			store := newStore(p, log, n)
 			go hostedFollower(store, e, log).Run(ctx)
 			go newRegistrar(store, &registrar.Line{Name: p.Name, Address: e.Identity().Address}, e, log).Run(ctx)
 			for s, address := range map[*http.Server]string{front: p.CallerAddress, ready: p.Platform.Ready, operators: p.OperatorAddress} {
@@ -71,39 +71,18 @@
 		Log: log, Recorder: r,
 		ReadRoutes: func(document []byte) (*router.Table, error) { return platform.DecodeTable(document, time.Now()) },
 		Decided:    func(service string, d keeper.Decision) { noteDecision(log, n, service, d) },
-		Answered: func(service string, r server.Reply, took time.Duration) {
-			n.Answered(service, string(r.Outcome), string(r.Reason), took)
+		Answered: func(route *router.Route, r server.Reply, took time.Duration) {
+			a := counter.Answer{Outcome: string(r.Outcome), Cause: string(r.Reason), Took: took}
+			if route != nil {
+				a.Route, a.Service = route.Name, route.Service
+			}
+			n.Answered(a)
 		},
 	}
 	gaugeEntry(e, n)
 	return e
 }
 
-// gaugeEntry offers the figures that are read when they are asked for.
-func gaugeEntry(e *server.Entry, n *counter.Counter) {
-	n.Gauge("configuration_version", func() float64 { return float64(e.Routes.Version()) })
-	n.Gauge("configuration_age_seconds", func() float64 {
-		if t := e.Routes.Table(); t != nil {
-			return time.Since(t.Taken).Seconds()
-		}
-		return -1 // none yet
-	})
-	sum := func(of func(keeper.Counts) int) func() float64 {
-		return func() float64 {
-			total := 0
-			for _, v := range e.Services() {
-				total += of(v.Counts)
-			}
-			return float64(total)
-		}
-	}
-	n.Gauge("agents", sum(func(c keeper.Counts) int { return c.Agents }))
-	n.Gauge("suspect_agents", sum(func(c keeper.Counts) int { return c.Suspect }))
-	n.Gauge("waiting_tasks", sum(func(c keeper.Counts) int { return c.Waiting }))
-	n.Gauge("unfinished_jobs", sum(func(c keeper.Counts) int { return c.Active }))
-	n.Gauge("room_cores", func() float64 { return sum(func(c keeper.Counts) int { return c.RoomCPU })() / 1000 })
-}
-
 // noteDecision counts a decision, and logs it unless the answer to its job
 // tells it.
 func noteDecision(log *logrus.Entry, n *counter.Counter, service string, d keeper.Decision) {
--- a/cmd/mustardleverd/main.go
+++ b/cmd/mustardleverd/main.go
@@ -47,14 +47,14 @@
 func load(path string) (configurer.Process, configurer.Configuration, error) {
 	p, err := configurer.ReadProcess(path)
 	if err != nil {
-		return p, configurer.Configuration{}, cli.Exit(err, exitSettings)
+		return p, configurer.Configuration{}, cli.Exit(err.Error(), exitSettings)
 	}
 	if p.Platform != nil {
 		return p, configurer.Configuration{}, nil
 	}
 	c, err := configurer.ReadConfiguration(p.Configuration)
 	if err != nil {
-		return p, c, cli.Exit(err, exitSettings)
+		return p, c, cli.Exit(err.Error(), exitSettings)
 	}
 	return p, c, nil
 }
--- a/cmd/mustardleverd/run.go
+++ b/cmd/mustardleverd/run.go
@@ -73,23 +73,16 @@
 	return app.Stop(ctx)
 }
 
-// newLog returns the process's log: on the users' platform JSON lines of bounded
-// number on standard output, otherwise text on standard error.
+// newLog returns the process's log: JSON lines of bounded number on standard
+// output.
 func newLog(p configurer.Process, n *counter.Counter, r *recorder.Recorder) *logrus.Entry {
 	level, err := logrus.ParseLevel(p.LogLevel)
 	if err != nil {
 		level = logrus.InfoLevel
 	}
-	fields := logrus.Fields{"part": p.Role, "process": p.Name}
-	if p.Platform != nil {
-		log, w := logger.New(os.Stdout, level, fields, logger.Settings{Clock: r.Now})
-		n.Gauge("log_lines_dropped", func() float64 { return float64(w.Dropped()) })
-		return log
-	}
-	l := logrus.New()
-	l.SetOutput(os.Stderr)
-	l.SetLevel(level)
-	return l.WithFields(fields)
+	log, w := logger.New(os.Stdout, level, logrus.Fields{"part": p.Role, "process": p.Name}, logger.Settings{Clock: r.Now})
+	n.Gauge("log_lines_dropped", func() float64 { return float64(w.Dropped()) })
+	return log
 }
 
 // watchSettings runs the reloader while the process runs.
@@ -116,8 +109,13 @@
 	}
 }
 
-func newEntry(p configurer.Process, c configurer.Configuration, log *logrus.Entry, r *recorder.Recorder) *server.Entry {
-	return &server.Entry{Settings: entrySettings(p, c), Log: log, Recorder: r}
+func newEntry(p configurer.Process, c configurer.Configuration, log *logrus.Entry, r *recorder.Recorder, n *counter.Counter) *server.Entry {
+	e := &server.Entry{
+		Settings: entrySettings(p, c), Log: log, Recorder: r,
+		Decided: func(service string, d keeper.Decision) { noteDecision(log, n, service, d) },
+	}
+	gaugeEntry(e, n)
+	return e
 }
 
 func entrySettings(p configurer.Process, c configurer.Configuration) server.EntrySettings {
@@ -166,14 +164,14 @@
 
 // serveEntry listens for processes, callers and operators, and drains at the
 // stop: callers first, then jobs, then sessions.
-func serveEntry(l fx.Lifecycle, p configurer.Process, e *server.Entry, r *recorder.Recorder, settings *reloader) error {
+func serveEntry(l fx.Lifecycle, p configurer.Process, e *server.Entry, r *recorder.Recorder, settings *reloader, n *counter.Counter) error {
 	settings.learn = e.Learn
 	links, err := net.Listen("tcp", p.LinkAddress)
 	if err != nil {
 		return err
 	}
 	callers := answerer.New(e)
-	operators := operator.New(entrySource(e, r))
+	operators := operator.New(entrySource(e, r, n))
 	l.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			e.Start(links)
@@ -213,9 +211,10 @@
 	return d
 }
 
-func serveAgent(l fx.Lifecycle, p configurer.Process, a *server.Agent, r *recorder.Recorder, settings *reloader) {
+func serveAgent(l fx.Lifecycle, p configurer.Process, a *server.Agent, r *recorder.Recorder, settings *reloader, n *counter.Counter) {
+	gaugeAgent(a, n)
 	settings.learn = a.Learn
-	operators := operator.New(agentSource(a, r))
+	operators := operator.New(agentSource(a, r, n))
 	l.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			a.Start()
--- a/cmd/mustardleverd/source.go
+++ b/cmd/mustardleverd/source.go
@@ -3,14 +3,16 @@
 import (
 	"expvar"
 
+	"mustardlever.dev/mustardlever/counter"
 	"mustardlever.dev/mustardlever/messenger"
 	"mustardlever.dev/mustardlever/operator"
 	"mustardlever.dev/mustardlever/recorder"
 	"mustardlever.dev/mustardlever/server"
 )
 
-func entrySource(e *server.Entry, r *recorder.Recorder) operator.Source {
+func entrySource(e *server.Entry, r *recorder.Recorder, n *counter.Counter) operator.Source {
 	return operator.Source{
+		Metrics: n.Write,
 		Process: func() operator.Process {
 			return operator.Process{
 				Identity: e.Identity(), Ready: e.Ready(), Traffic: operator.Read(e.Traffic()),
@@ -18,12 +20,14 @@
 			}
 		},
 		Services: e.Services,
+		Jobs:     e.Jobs,
 		Recorder: r,
 	}
 }
 
-func agentSource(a *server.Agent, r *recorder.Recorder) operator.Source {
+func agentSource(a *server.Agent, r *recorder.Recorder, n *counter.Counter) operator.Source {
 	return operator.Source{
+		Metrics: n.Write,
 		Process: func() operator.Process {
 			return operator.Process{
 				Identity: a.Identity(), Ready: a.Ready(), Traffic: operator.Read(a.Traffic()),
--- a/configurer/check.go
+++ b/configurer/check.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 
+	"github.com/pkg/errors"
 	"github.com/tailscale/hujson"
 )
 
@@ -16,6 +17,7 @@
 	name     string
 	text     []byte
 	offsets  map[string]int
+	lenient  bool // keys that are not known are passed over
 	mistakes []Mistake
 }
 
@@ -23,19 +25,41 @@
 // types are returned together.
 func decode(name string, text []byte, v any) (*file, error) {
 	f := &file{name: name, text: text, offsets: make(map[string]int)}
-	tree, err := hujson.Parse(terminated(text))
+	return f, f.decode(v)
+}
+
+func (f *file) decode(v any) error {
+	tree, err := hujson.Parse(terminated(f.text))
 	if err != nil {
-		return f, &Error{Op: "parse " + name, Kind: KindSyntax, Detail: "expected JSON with comments", Err: err}
+		return &Error{Op: "parse " + f.name, Kind: KindSyntax, Detail: "expected JSON with comments", Err: err}
 	}
 	f.check(tree, reflect.TypeOf(v).Elem(), "")
 	if err := mistakes(f.mistakes); err != nil {
-		return f, err
+		return err
 	}
 	tree.Standardize()
 	if err := json.Unmarshal(tree.Pack(), v); err != nil {
-		return f, &Error{Op: "parse " + name, Kind: KindSyntax, Err: err}
+		return &Error{Op: "parse " + f.name, Kind: KindSyntax, Err: err}
 	}
-	return f, nil
+	return nil
+}
+
+// Check decodes a JSON document that others own into v, a pointer to a struct: keys
+// that v does not have are passed over. Examine looks at what was decoded; it
+// calls reject with the path of each value that is wrong, such as "routes/0/name".
+// All mistakes are returned together, by line and column.
+func Check(name string, text []byte, v any, examine func(reject func(path, format string, args ...any))) error {
+	f := &file{name: name, text: text, offsets: make(map[string]int), lenient: true}
+	var syntax *json.SyntaxError
+	if err := json.Unmarshal(text, new(any)); errors.As(err, &syntax) {
+		f.complain(max(int(syntax.Offset)-1, 0), "%s", syntax.Error())
+		return &Error{Op: "parse", Kind: KindSyntax, Detail: f.mistakes[0].String()}
+	}
+	if err := f.decode(v); err != nil {
+		return err
+	}
+	examine(f.reject)
+	return mistakes(f.mistakes)
 }
 
 // terminated ends the text's last line, which may be a comment.
@@ -106,6 +130,9 @@
 		if t.Kind() == reflect.Map {
 			element, ok = t.Elem(), true
 		}
+		if !ok && f.lenient {
+			continue
+		}
 		if !ok {
 			f.complain(m.Name.StartOffset, "unknown key %q; %s", key, hint(key, names))
 			continue
@@ -124,13 +151,15 @@
 	case 't', 'f':
 		ok = t.Kind() == reflect.Bool
 	case '0':
-		ok = t.Kind() == reflect.Float64 || t.Kind() == reflect.Int && !strings.ContainsAny(string(x), ".eE")
+		ok = t.Kind() == reflect.Float64 || isInt(t) && !strings.ContainsAny(string(x), ".eE")
 	}
 	if !ok {
 		f.complain(offset, "found %s, expected %s", string(x), describe(t))
 	}
 }
 
+func isInt(t reflect.Type) bool { return t.Kind() == reflect.Int || t.Kind() == reflect.Int64 }
+
 // fields returns the JSON names of a struct's fields with their types.
 func fields(t reflect.Type) map[string]reflect.Type {
 	names := make(map[string]reflect.Type)
@@ -151,7 +180,7 @@
 		return "a string"
 	case reflect.Bool:
 		return "true or false"
-	case reflect.Int:
+	case reflect.Int, reflect.Int64:
 		return "a whole number"
 	case reflect.Float64:
 		return "a number"
--- a/configurer/error.go
+++ b/configurer/error.go
@@ -1,7 +1,9 @@
 package configurer
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 
 	"mustardlever.dev/mustardlever/internal/fault"
@@ -33,11 +35,14 @@
 	return fmt.Sprintf("%s:%d:%d: %s", m.File, m.Line, m.Column, m.Text)
 }
 
-// mistakes makes one error of all mistakes, nil if there are none.
+// mistakes makes one error of all mistakes, in the order of the file, nil if
+// there are none.
 func mistakes(list []Mistake) error {
 	if len(list) == 0 {
 		return nil
 	}
+	list = slices.Clone(list)
+	slices.SortStableFunc(list, func(a, b Mistake) int { return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column)) })
 	lines := make([]string, len(list))
 	for i, m := range list {
 		lines[i] = m.String()
--- a/counter/counter_test.go
+++ b/counter/counter_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,16 +14,30 @@
 
 func TestSeries(t *testing.T) {
 	c := counter.New()
-	c.Answered("desk", "complete", "", 70*time.Millisecond)
-	c.Answered("desk", "complete", "", 90*time.Millisecond)
+	c.Answered(counter.Answer{Route: "checks", Service: "desk", Outcome: "complete", Took: 70 * time.Millisecond})
+	c.Answered(counter.Answer{Route: "checks", Service: "desk", Outcome: "complete", Took: 90 * time.Millisecond})
+	c.Stored("feed", "done", time.Second)
 	c.Decided("task-lapsing")
 	c.Called("hold", "none", time.Millisecond)
 	c.Gauge("configuration_version", func() float64 { return 7 })
 	var b bytes.Buffer
 	c.Write(&b)
-	require.Contains(t, b.String(), `mustardlever_answers_total{service="desk",outcome="complete",cause=""} 2`)
-	require.Contains(t, b.String(), `mustardlever_answer_seconds_count{service="desk",outcome="complete"} 2`)
+	require.Contains(t, b.String(), `mustardlever_answers_total{route="checks",service="desk",outcome="complete",cause=""} 2`)
+	require.Contains(t, b.String(), `mustardlever_answer_seconds_count{route="checks",outcome="complete"} 2`)
 	require.Contains(t, b.String(), `mustardlever_decisions_total{kind="task-lapsing"} 1`)
 	require.Contains(t, b.String(), `mustardlever_backend_calls_total{call="hold",verdict="none"} 1`)
 	require.Contains(t, b.String(), "mustardlever_configuration_version 7")
+	require.Contains(t, b.String(), `mustardlever_store_calls_total{call="feed",verdict="done"} 1`)
+}
+
+// A configuration with thousands of routes does not make thousands of series.
+func TestSeriesAreBounded(t *testing.T) {
+	c := counter.New()
+	for i := range 3000 {
+		c.Answered(counter.Answer{Route: fmt.Sprint("route-", i), Service: "desk", Outcome: "complete"})
+	}
+	var b bytes.Buffer
+	c.Write(&b)
+	require.Equal(t, 65, strings.Count(b.String(), "mustardlever_answers_total{"))
+	require.Contains(t, b.String(), `mustardlever_answers_total{route="other",service="desk",outcome="complete",cause=""} 2936`)
 }
--- a/executor/leased.go
+++ b/executor/leased.go
@@ -178,6 +178,9 @@
 			"waited-ms": time.Since(begin).Milliseconds(),
 		}).Warn("Backend server did not carry out a call.")
 	}
+	if a.Unread > 0 {
+		x.Log.WithFields(fields(to)).WithField("rows", a.Unread).Warn("Backend server lists runs that cannot be read.")
+	}
 	x.act(func(l *leaser.Leaser, now time.Time) {
 		x.doubt(a)
 		l.Answered(now, c, a)
--- a/keeper/agent.go
+++ b/keeper/agent.go
@@ -80,24 +80,3 @@
 		k.advance(now, j)
 	}
 }
-
-// AgentView is what operators see of an agent.
-type AgentView struct {
-	Agent   string `json:"agent"`
-	Address string `json:"backend-server"`
-	Running int    `json:"running"`
-	Leaving bool   `json:"leaving"`
-}
-
-// Agents lists the agents with a session.
-func (k *Keeper) Agents() []AgentView {
-	views := make([]AgentView, 0, len(k.agents))
-	for _, a := range k.agents {
-		v := AgentView{Agent: a.name, Address: a.address, Leaving: a.leaving}
-		for _, tasks := range a.inflight {
-			v.Running += len(tasks)
-		}
-		views = append(views, v)
-	}
-	return views
-}
--- a/leaser/call.go
+++ b/leaser/call.go
@@ -91,6 +91,7 @@
 	Born    int64
 	Active  []Active
 	Ended   []Ended
+	Unread  int // rows of both lists that could not be read
 }
 
 // End tells that a run has ended, or surely did not start (Started is false).
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -35,6 +35,9 @@
 	running
 )
 
+// String names the state.
+func (s state) String() string { return [...]string{"starting", "doubtful", "running"}[s] }
+
 // run is a run that this process has started.
 type run struct {
 	id       uint64
--- a/logger/format.go
+++ b/logger/format.go
@@ -23,10 +23,12 @@
 	clashPrefix  = "fields."
 )
 
-// writer is a buffer with the encoder that fills it.
+// writer is a buffer with the encoder that fills it, and room for the names of a
+// line's fields.
 type writer struct {
 	buffer  bytes.Buffer
 	encoder jsontext.Encoder
+	names   []string
 }
 
 var writers = sync.Pool{New: func() any { return new(writer) }}
@@ -39,7 +41,7 @@
 	defer writers.Put(x)
 	x.buffer.Reset()
 	w := &x.encoder
-	w.Reset(&x.buffer, jsontext.AllowInvalidUTF8(true))
+	w.Reset(&x.buffer, jsontext.AllowInvalidUTF8(true), jsontext.AllowDuplicateNames(true)) // a map has no duplicates
 	tokens := []jsontext.Token{
 		jsontext.BeginObject,
 		jsontext.String(fieldTime), jsontext.String(e.Time.Format(timeFormat)),
@@ -51,7 +53,9 @@
 			return nil, err
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(e.Data)) {
+	x.names = slices.AppendSeq(x.names[:0], maps.Keys(e.Data))
+	slices.Sort(x.names)
+	for _, name := range x.names {
 		if err := writeField(w, name, e.Data[name]); err != nil {
 			return nil, err
 		}
--- a/messenger/hub.go
+++ b/messenger/hub.go
@@ -181,6 +181,21 @@
 	return s.wire != nil && time.Since(s.heard) < d
 }
 
+// HeardMillis returns the milliseconds since the peer was heard, -1 while there
+// is no connection to it.
+func (h *Hub) HeardMillis(incarnation string) int64 {
+	s := h.find(incarnation)
+	if s == nil {
+		return -1
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.wire == nil {
+		return -1
+	}
+	return time.Since(s.heard).Milliseconds()
+}
+
 // Ping asks the peer for a sign of life and waits for it.
 func (h *Hub) Ping(ctx context.Context, incarnation string) error {
 	s := h.find(incarnation)
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -7,6 +7,9 @@
 //	GET /debug/vars    metrics (expvar)
 //	GET /v1/process    identity, traffic, peers
 //	GET /v1/services   services and their agents (entries)
+//	GET /v1/jobs       unfinished jobs of each service (entries)
+//	GET /v1/configuration  the configuration in force (entries)
+//	GET /v1/backend-server  the backend server and what runs there (agents on the users' platform)
 //	GET /v1/events     the record; query owner, number, service, kind, since
 package operator
 
@@ -19,6 +22,7 @@
 
 	"github.com/gin-gonic/gin"
 
+	"mustardlever.dev/mustardlever/executor"
 	"mustardlever.dev/mustardlever/messenger"
 	"mustardlever.dev/mustardlever/recorder"
 	"mustardlever.dev/mustardlever/server"
@@ -59,13 +63,16 @@
 	}
 }
 
-// Source is where the answers come from. Services is nil for an agent, Metrics
-// where there are none.
+// Source is where the answers come from. A page whose function is nil is not
+// served.
 type Source struct {
-	Metrics  func(w io.Writer)
-	Process  func() Process
-	Services func() []server.ServiceView
-	Recorder *recorder.Recorder
+	Metrics       func(w io.Writer)
+	Process       func() Process
+	Services      func() []server.ServiceView
+	Jobs          func() []server.JobsView
+	Configuration func() server.ConfigurationView
+	BackendServer func() executor.View
+	Recorder      *recorder.Recorder
 }
 
 // New returns the HTTP server of a process's operators.
@@ -81,14 +88,22 @@
 	if s.Metrics != nil {
 		g.GET("/metrics", func(c *gin.Context) { s.Metrics(c.Writer) })
 	}
-	if s.Services != nil {
-		g.GET("/v1/services", func(c *gin.Context) { c.JSON(http.StatusOK, s.Services()) })
-	}
+	page(g, "/v1/services", s.Services)
+	page(g, "/v1/jobs", s.Jobs)
+	page(g, "/v1/configuration", s.Configuration)
+	page(g, "/v1/backend-server", s.BackendServer)
 	return &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 }
 
+// page serves what read returns, unless it is nil.
+func page[T any](g *gin.Engine, path string, read func() T) {
+	if read != nil {
+		g.GET(path, func(c *gin.Context) { c.JSON(http.StatusOK, read()) })
+	}
+}
+
 func (s Source) ready(c *gin.Context) {
 	if s.Process().Ready {
 		c.String(http.StatusOK, "ready\n")
--- a/router/offers.go
+++ b/router/offers.go
@@ -45,6 +45,21 @@
 // Lost forgets a peer.
 func (o *Offers) Lost(peer string) { delete(o.peers, peer) }
 
+// Newer returns the versions above held that peers told of, by peer; nil when
+// there are none.
+func (o *Offers) Newer(held int64) map[string]int64 {
+	var newer map[string]int64
+	for name, x := range o.peers {
+		if x.version > held {
+			if newer == nil {
+				newer = make(map[string]int64)
+			}
+			newer[name] = x.version
+		}
+	}
+	return newer
+}
+
 // Due returns the peer to ask now by a process that holds a version, 0 for
 // none; empty when there is nothing to ask.
 func (o *Offers) Due(now time.Time, held int64) string {
--- a/router/router.go
+++ b/router/router.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -11,15 +12,15 @@
 
 // Route leads from a host and the beginning of a path to a service.
 type Route struct {
-	Name     string
-	Host     string
-	Prefix   string        // of the path
-	Service  string        // runs the tasks
-	Priority int           // 0 comes first
-	Attempts int           // how often a task may fail; 1 or more
-	Stretch  float64       // how many times its longest chain of tasks a job may take; 0: not stated
-	Allowed  time.Duration // how much longer a job may take
-	Timeout  time.Duration // of a request; 0: not stated
+	Name     string        `json:"name"`
+	Host     string        `json:"host"`
+	Prefix   string        `json:"prefix"`     // of the path
+	Service  string        `json:"service"`    // runs the tasks
+	Priority int           `json:"priority"`   // 0 comes first
+	Attempts int           `json:"attempts"`   // how often a task may fail; 1 or more
+	Stretch  float64       `json:"stretch"`    // how many times its longest chain of tasks a job may take; 0: not stated
+	Allowed  time.Duration `json:"allowed-ns"` // how much longer a job may take
+	Timeout  time.Duration `json:"timeout-ns"` // of a request; 0: not stated
 }
 
 // Due returns the time in which a job whose longest chain of tasks takes chain
@@ -60,6 +61,15 @@
 	return &c
 }
 
+// Routes returns the routes by host, the longest prefix of each host first.
+func (t *Table) Routes() []Route {
+	var routes []Route
+	for _, host := range slices.Sorted(maps.Keys(t.byHost)) {
+		routes = append(routes, t.byHost[host]...)
+	}
+	return routes
+}
+
 // normal is a host name without its port, in lower case.
 func normal(host string) string {
 	host, _, _ = strings.Cut(host, ":")
--- a/server/direct.go
+++ b/server/direct.go
@@ -136,7 +136,7 @@
 		f["tasks"], f["starts"] = len(a.Tasks), a.Starts
 	}
 	if e.Answered != nil {
-		e.Answered(service, r, took)
+		e.Answered(route, r, took)
 	}
 	l := e.Log.WithFields(f)
 	if r.Outcome == OutcomeComplete {
--- a/server/entry.go
+++ b/server/entry.go
@@ -38,8 +38,9 @@
 	Recorder *recorder.Recorder
 	Decided  func(service string, d keeper.Decision) // told of each decision, under the shard's lock; may be nil
 
-	// Answered is told of each answer to a direct job; it may be nil.
-	Answered func(service string, r Reply, took time.Duration)
+	// Answered is told of each answer to a direct job; route is nil where none
+	// leads there. It may be nil.
+	Answered func(route *router.Route, r Reply, took time.Duration)
 
 	// Routes is the configuration in force; ReadRoutes reads one that another
 	// entry has sent, nil where there is none.
@@ -54,11 +55,12 @@
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 
-	mu       sync.Mutex
-	known    map[string]bool // link addresses of entries
-	offers   router.Offers
-	draining bool
-	yielded  bool
+	mu         sync.Mutex
+	known      map[string]bool // link addresses of entries
+	offers     router.Offers
+	routesFrom string // where the configuration in force came from
+	draining   bool
+	yielded    bool
 }
 
 // job names a job over all owners.
@@ -203,30 +205,6 @@
 	}
 }
 
-// ServiceView is what operators see of a service.
-type ServiceView struct {
-	Service string             `json:"service"`
-	Counts  keeper.Counts      `json:"counts"`
-	Agents  []keeper.AgentView `json:"agents"`
-}
-
-// Services returns what operators see of each service, by name.
-func (e *Entry) Services() []ServiceView {
-	var views []ServiceView
-	for _, s := range e.shards.list() {
-		s.mu.Lock()
-		views = append(views, ServiceView{s.service, s.keeper.Counts(), s.keeper.Agents()})
-		s.mu.Unlock()
-	}
-	slices.SortFunc(views, func(a, b ServiceView) int {
-		if a.Service < b.Service {
-			return -1
-		}
-		return 1
-	})
-	return views
-}
-
 // Ready reports whether the entry takes new work.
 func (e *Entry) Ready() bool {
 	e.mu.Lock()
--- a/server/routes.go
+++ b/server/routes.go
@@ -16,6 +16,9 @@
 	if !e.Routes.Adopt(t) {
 		return
 	}
+	e.mu.Lock()
+	e.routesFrom = source
+	e.mu.Unlock()
 	e.Log.WithFields(logrus.Fields{"configuration": t.Version, "before": before, "source": source}).
 		Info("Entry takes a new configuration.")
 	m := messenger.Message{Configuration: &messenger.Configuration{Version: t.Version}}
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -33,19 +33,20 @@
 	readyTimeout = 20 * time.Second
 )
 
-var daemon string // path of the built mustardleverd
+// Paths of the built programs.
+var daemon, controller string
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "mustardlever")
 	if err != nil {
 		panic(err)
 	}
-	daemon = filepath.Join(dir, "mustardleverd")
-	args := []string{"build", "-o", daemon}
+	daemon, controller = filepath.Join(dir, "mustardleverd"), filepath.Join(dir, "mustardctl")
+	args := []string{"build", "-o", dir}
 	if os.Getenv("RACE") != "" { // .ci/run sets it
 		args = append(args, "-race")
 	}
-	if out, err := exec.Command("go", append(args, "../cmd/mustardleverd")...).CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", append(args, "../cmd/mustardleverd", "../cmd/mustardctl")...).CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
 		os.Exit(1)
 	}
@@ -196,18 +197,7 @@
 }
 
 func get(address, path string, v any) error {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
-	if err != nil {
-		return err
-	}
-	p, err := http.DefaultClient.Do(q)
-	if err != nil {
-		return err
-	}
-	defer p.Body.Close()
-	return json.NewDecoder(p.Body).Decode(v)
+	return operator.Get(context.Background(), address, path, v)
 }
 
 // ready tells whether each entry sees all peers and has a witness that
