Take the time to a job's first start apart in the report

The page of mustardctl report has a table of its parts: wait at the entry, message, agent, backend server. The entry's answer line tells when the first start was sent, an agent's line at level debug how long the call took.

--- a/executor/leased.go
+++ b/executor/leased.go
@@ -169,13 +169,17 @@
 	defer cancel()
 	begin := time.Now()
 	a := x.Call(ctx, to, c)
+	took := time.Since(begin)
 	if x.Called != nil {
-		x.Called(c.Kind, a.Verdict, time.Since(begin))
+		x.Called(c.Kind, a.Verdict, took)
+	}
+	if c.Kind == leaser.KindStart && a.Verdict == leaser.VerdictDone && x.Log.Logger.IsLevelEnabled(logrus.DebugLevel) {
+		x.Log.WithFields(logrus.Fields{"task": c.Task, "run": c.Number, "took-us": took.Microseconds()}).Debug("Backend server has started a task.")
 	}
 	if a.Verdict != leaser.VerdictDone {
 		x.Log.WithFields(logrus.Fields{
 			"call": c.Kind.String(), "task": c.Task, "run": c.Number, "fence": c.Fence, "verdict": a.Verdict.String(),
-			"waited-ms": time.Since(begin).Milliseconds(),
+			"waited-ms": took.Milliseconds(),
 		}).Warn("Backend server did not carry out a call.")
 	}
 	if a.Unread > 0 {
--- a/explainer/line.go
+++ b/explainer/line.go
@@ -29,7 +29,10 @@
 	Peer          string          `json:"peer"`
 	Configuration int64           `json:"configuration"`
 	TookMillis    int64           `json:"took-ms"`
+	TookMicros    int64           `json:"took-us"`
+	FirstSent     int64           `json:"first-sent-us"` // from the job's arrival until its first start was sent
 	Tasks         int             `json:"tasks"`
+	Starts        int             `json:"starts"` // sent for the job
 	Waiting       int             `json:"waiting-tasks"`
 	RoomCPU       int             `json:"room-cpu"`
 	Agents        int             `json:"agents"`
@@ -44,6 +47,7 @@
 	MessageTakes         = "Entry takes a job."
 	MessageAnswered      = "Entry answered a job."
 	MessageStarts        = "Agent starts a task."
+	MessageStarted       = "Backend server has started a task." // at log level debug
 	MessageEntryBegin    = "Entry starts."
 	MessageEntryStop     = "Entry stops as planned."
 	MessageLeftOut       = "Log left out lines."
@@ -68,13 +72,22 @@
 	return l, true
 }
 
+// TaskName returns the name of the task that an agent's line is about, empty
+// for none.
+func (l *Line) TaskName() string {
+	var task string
+	if json.Unmarshal(l.Task, &task) != nil {
+		return "" // an entry's line has the task's index, or none
+	}
+	return task
+}
+
 // JobID returns the job that the line is about, empty for none.
 func (l *Line) JobID() string {
 	if l.Job != "" {
 		return l.Job
 	}
-	var task string
-	if json.Unmarshal(l.Task, &task) == nil {
+	if task := l.TaskName(); task != "" {
 		job, _, _ := strings.Cut(task, ".")
 		return job
 	}
--- a/keeper/job.go
+++ b/keeper/job.go
@@ -61,6 +61,7 @@
 	Reason messenger.Reason
 	Tasks  []TaskAnswer
 	Starts int           // how many starts were sent
+	ToSend time.Duration // from the job's arrival until the first start was sent; zero: none was
 	Wait   time.Duration // when to come back after an answer that nothing ran; zero: nothing is known
 }
 
@@ -124,11 +125,12 @@
 	submitted time.Time
 	deadline  time.Time
 
-	name     string   // caller's own id
-	restarts bool     // tasks are bound to this entry and may be started again
-	attempts int      // how often a task may fail
-	starts   int      // sent so far
-	avoided  []string // agents on which a task of it failed or stood still
+	name      string    // caller's own id
+	restarts  bool      // tasks are bound to this entry and may be started again
+	attempts  int       // how often a task may fail
+	starts    int       // sent so far
+	firstSent time.Time // when the first start was sent
+	avoided   []string  // agents on which a task of it failed or stood still
 
 	waitsSeal   bool             // taken over, the seal is not complete
 	stopping    messenger.Reason // no further task is started
@@ -203,6 +205,9 @@
 // newAnswer builds the final answer of a job.
 func (j *job) newAnswer(s State, r messenger.Reason) *Answer {
 	a := &Answer{State: s, Reason: r, Starts: j.starts, Tasks: make([]TaskAnswer, len(j.tasks))}
+	if j.starts > 0 {
+		a.ToSend = j.firstSent.Sub(j.submitted)
+	}
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		a.Tasks[i] = TaskAnswer{State: t.told(), Agent: t.agent, Result: t.result}
--- a/keeper/progress.go
+++ b/keeper/progress.go
@@ -40,6 +40,9 @@
 func (k *Keeper) startTask(now time.Time, j *job, a *agent) {
 	i := j.nextPending()
 	t := &j.tasks[i]
+	if j.starts == 0 {
+		j.firstSent = now
+	}
 	j.starts++
 	t.state, t.agent, t.sent, t.stopped = sent, a.name, now, false
 	if a.inflight[j] == nil {
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -20,6 +20,7 @@
 	Omitted       float64
 	Plots         []template.HTML
 	Starts        []bar
+	Parts         []Part
 	Pages         int
 	Metrics       []bar
 }
@@ -35,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	p := page{Title: r.Title, Extent: r.Log.Extent(), Omitted: d.omitted, Plots: plots, Starts: bars(d.starts)}
+	p := page{Title: r.Title, Extent: r.Log.Extent(), Omitted: d.omitted, Plots: plots, Starts: bars(d.starts), Parts: Parts(r.Log.Lines)}
 	if r.Metrics != nil {
 		p.Pages, p.Metrics = r.Metrics.Pages, r.Metrics.table()
 	}
@@ -97,6 +98,10 @@
 <p>{{.Extent}}.{{if .Omitted}} The processes left out {{printf "%.0f" .Omitted}} lines; jobs and answers among them are counted in the second after.{{end}}</p>
 {{range .Plots}}{{.}}
 {{end}}
+<h2>Time to the first start</h2>
+<table><tr><th>part</th><th>jobs</th><th>median</th><th>99th percentile</th></tr>
+{{range .Parts}}<tr><td>{{.Name}}</td><td>{{.Jobs}}</td><td>{{.Median}}</td><td>{{.Tail}}</td></tr>
+{{end}}</table>
 {{if .Pages}}<h2>Metrics, summed over {{.Pages}} pages</h2>
 <table>{{range .Metrics}}<tr><td>{{.Name}}</td><td>{{printf "%.6g" .Value}}</td></tr>
 {{end}}</table>{{end}}
--- a/reporter/reporter_test.go
+++ b/reporter/reporter_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -49,3 +50,27 @@
 	err = new(reporter.Metrics).Read(strings.NewReader("a{ 1\n"))
 	require.Equal(t, reporter.KindMetrics, fault.KindOf[reporter.Kind](err))
 }
+
+// The time to the first start is taken apart from the lines of entry and agent.
+func TestParts(t *testing.T) {
+	at := func(ms int) string { return time.UnixMilli(int64(ms)).UTC().Format(time.RFC3339Nano) }
+	var b strings.Builder
+	line := func(ms int, process, message, fields string) {
+		fmt.Fprintf(&b, `{"clock-us":%d,"time":"%s","process":"%s","msg":"%s",%s}`+"\n", ms*1000, at(ms), process, message, fields)
+	}
+	for i := range 3 {
+		line(100, "entry-1", "Entry takes a job.", fmt.Sprintf(`"request-id":"r%d","job":"j%d"`, i, i))
+		line(107+i, "agent-1", "Agent starts a task.", fmt.Sprintf(`"task":"j%d.0.0.4"`, i))
+		line(108, "agent-1", "Agent starts a task.", fmt.Sprintf(`"task":"j%d.0.0.1"`, i))
+		line(112+i, "agent-1", "Backend server has started a task.", fmt.Sprintf(`"task":"j%d.0.0.4","took-us":4000`, i))
+		line(200, "entry-1", "Entry answered a job.", fmt.Sprintf(`"request-id":"r%d","path":"/x/j%d","starts":2,"first-sent-us":5000`, i, i))
+	}
+	l := new(explainer.Log)
+	require.NoError(t, l.Read(strings.NewReader(b.String())))
+	l.Sort()
+	var got []string
+	for _, p := range reporter.Parts(l.Lines) {
+		got = append(got, fmt.Sprint(p.Jobs, " ", p.Median, " ", p.Tail))
+	}
+	require.Equal(t, []string{"3 5ms 5ms", "3 3ms 3ms", "2 1ms 1ms", "2 4ms 4ms"}, got)
+}
--- a/reporter/series.go
+++ b/reporter/series.go
@@ -115,9 +115,8 @@
 	for _, s := range slices.Sorted(maps.Keys(d.took)) {
 		list := d.took[s]
 		slices.Sort(list)
-		at := func(q float64) float64 { return list[int(q*float64(len(list)-1))] }
-		half.points = append(half.points, point{float64(s), at(median)})
-		most.points = append(most.points, point{float64(s), at(tail)})
+		half.points = append(half.points, point{float64(s), quantile(list, median)})
+		most.points = append(most.points, point{float64(s), quantile(list, tail)})
 	}
 	return []curve{half, most}
 }
--- a/server/direct.go
+++ b/server/direct.go
@@ -133,7 +133,7 @@
 	}
 	if a != nil {
 		r.Reason = a.Reason
-		f["tasks"], f["starts"] = len(a.Tasks), a.Starts
+		f["tasks"], f["starts"], f["first-sent-us"] = len(a.Tasks), a.Starts, a.ToSend.Microseconds()
 	}
 	if e.Answered != nil {
 		e.Answered(route, r, took)
