Agents write lines of information together

Change: a line of information of an agent waits up to 100 ms for others; a warning writes at once what waits; the end of a process flushes. Entries do not wait: the line that tells that an entry took a job is the only trace of a job that is lost with its entry, while what an agent started is told by the entry's lines too.

--- a/cmd/mustardleverd/run.go
+++ b/cmd/mustardleverd/run.go
@@ -29,6 +29,10 @@
 	// balancerGrace is the time between an entry's turning unready and its
 	// closing of the callers' listener, in which the balancer leaves it.
 	balancerGrace = time.Second
+	// agentLinger merges the lines of a calm agent, some 20 a second, by two or three.
+	agentLinger = 100 * time.Millisecond
+	// flushLimit bounds the wait for the log's reader at the end.
+	flushLimit = 200 * time.Millisecond
 	// yieldMargin is the time before the end of a planned stop at which jobs
 	// that have not ended are given up to their witnesses.
 	yieldMargin = time.Second
@@ -74,13 +78,19 @@
 }
 
 // newLog returns the process's log: JSON lines of bounded number on standard
-// output.
-func newLog(p configurer.Process, n *counter.Counter, r *recorder.Recorder) *logrus.Entry {
+// output. What an agent starts is told by the entry's lines too, so that its
+// lines may wait for each other.
+func newLog(l fx.Lifecycle, p configurer.Process, n *counter.Counter, r *recorder.Recorder) *logrus.Entry {
 	level, err := logrus.ParseLevel(p.LogLevel)
 	if err != nil {
 		level = logrus.InfoLevel
 	}
-	log, w := logger.New(os.Stdout, level, logrus.Fields{"part": p.Role, "process": p.Name}, logger.Settings{Clock: r.Now})
+	s := logger.Settings{Clock: r.Now}
+	if p.Role == configurer.RoleAgent {
+		s.Linger = agentLinger
+	}
+	log, w := logger.New(os.Stdout, level, logrus.Fields{"part": p.Role, "process": p.Name}, s)
+	l.Append(fx.StopHook(func() { w.Flush(flushLimit) }))
 	n.Gauge("log_lines_dropped", func() float64 { return float64(w.Dropped()) })
 	return log
 }
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -14,10 +14,11 @@
 )
 
 const (
-	defaultRoutine = 100  // lines a second of information
-	defaultUrgent  = 300  // lines a second of warnings and errors
-	queueLines     = 2048 // waiting for the reader; some 1 MB
-	maxCounted     = 64   // messages counted one by one; the rest together
+	defaultRoutine = 100      // lines a second of information
+	defaultUrgent  = 300      // lines a second of warnings and errors
+	queueLines     = 2048     // waiting for the reader; some 1 MB
+	batchBytes     = 64 << 10 // written at once; what a pipe holds
+	maxCounted     = 64       // messages counted one by one; the rest together
 	otherMessages  = "other messages"
 	leftOut        = "Log left out lines."
 )
@@ -27,6 +28,12 @@
 	Routine int          // lines a second of information; default 100
 	Urgent  int          // lines a second of warnings and errors; default 300
 	Clock   func() int64 // hybrid logical clock, put on every line; nil: none
+
+	// Linger is how long a line of information waits for others, so that they
+	// are written together: a write costs more than all else of a line. A
+	// warning and what waits before it are written at once. A process that is
+	// killed loses what waits. Default: no wait.
+	Linger time.Duration
 }
 
 // clockField is the field of a line's hybrid logical clock reading.
@@ -36,6 +43,9 @@
 type Logger struct {
 	settings Settings
 	lines    chan []byte
+	hurry    chan struct{} // ends the wait of lines for others
+	pressing atomic.Bool   // a warning was formatted, and is about to be queued
+	queued   atomic.Int64  // lines that are queued and not written yet
 	dropped  atomic.Int64
 
 	mu      sync.Mutex
@@ -54,7 +64,7 @@
 		s.Urgent = defaultUrgent
 	}
 	w := &Logger{
-		settings: s, lines: make(chan []byte, queueLines), omitted: make(map[string]int),
+		settings: s, lines: make(chan []byte, queueLines), hurry: make(chan struct{}, 1), omitted: make(map[string]int),
 	}
 	l := logrus.New()
 	l.SetLevel(level)
@@ -67,12 +77,59 @@
 // Dropped returns how many lines were left out so far.
 func (w *Logger) Dropped() int64 { return w.dropped.Load() }
 
-// run hands the lines to the reader.
+// run hands the lines to the reader, those that wait together.
 func (w *Logger) run(out io.Writer) {
+	var batch []byte
 	for line := range w.lines {
-		if _, err := out.Write(line); err != nil {
-			w.dropped.Add(1)
+		w.linger()
+		batch = append(batch[:0], line...)
+		count := 1
+		for more := true; more && len(batch) < batchBytes; {
+			select {
+			case line, more = <-w.lines:
+				if more {
+					batch = append(batch, line...)
+					count++
+				}
+			default:
+				more = false
+			}
+		}
+		if _, err := out.Write(batch); err != nil {
+			w.dropped.Add(int64(count))
 		}
+		w.queued.Add(-int64(count))
+	}
+}
+
+// linger waits for further lines, unless a warning is among those that wait.
+func (w *Logger) linger() {
+	if w.settings.Linger <= 0 {
+		return
+	}
+	t := time.NewTimer(w.settings.Linger)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-w.hurry:
+	}
+}
+
+// Flush returns when the lines logged so far are written, at the latest after
+// limit.
+func (w *Logger) Flush(limit time.Duration) {
+	end := time.Now().Add(limit)
+	for w.queued.Load() > 0 && time.Now().Before(end) {
+		w.press()
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// press ends the wait of lines for others.
+func (w *Logger) press() {
+	select {
+	case w.hurry <- struct{}{}:
+	default:
 	}
 }
 
@@ -81,11 +138,16 @@
 	if len(line) == 0 {
 		return 0, nil
 	}
+	w.queued.Add(1)
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
+		w.queued.Add(-1)
 		w.dropped.Add(1)
 	}
+	if w.pressing.Swap(false) {
+		w.press()
+	}
 	return len(line), nil
 }
 
@@ -111,6 +173,9 @@
 	if !ok {
 		return b, nil
 	}
+	if e.Level <= logrus.WarnLevel {
+		w.pressing.Store(true)
+	}
 	w.stamp(e)
 	line, err := format(e)
 	return append(b, line...), err
--- a/logger/logger_test.go
+++ b/logger/logger_test.go
@@ -106,3 +106,34 @@
 	require.NoError(t, err)
 	require.JSONEq(t, string(want), string(line))
 }
+
+// Lines of information are written together; a warning does not wait, nor does
+// the end of the process.
+func TestLinesLinger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := new(buffer)
+		log, w := New(out, logrus.InfoLevel, nil, Settings{Linger: 100 * time.Millisecond})
+		written := func() int {
+			synctest.Wait()
+			out.mu.Lock()
+			defer out.mu.Unlock()
+			return bytes.Count(out.b.Bytes(), []byte("\n"))
+		}
+		log.Info("First.")
+		log.Info("Second.")
+		time.Sleep(99 * time.Millisecond)
+		require.Zero(t, written())
+		time.Sleep(time.Millisecond)
+		require.Equal(t, 2, written())
+
+		log.Info("Third.")
+		log.Warn("Fourth.")
+		require.Equal(t, 4, written())
+
+		log.Info("Fifth.")
+		w.Flush(time.Second)
+		require.Equal(t, 5, written())
+		require.Equal(t, "Fifth.", out.lines(t)[4]["msg"])
+		close(w.lines)
+	})
+}
