--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -6,14 +6,11 @@
 	"encoding/json"
 	"flag"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -21,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mustardlever.dev/mustardlever/caller"
+	"mustardlever.dev/mustardlever/internal/relayer"
 	"mustardlever.dev/mustardlever/internal/standin"
 	"mustardlever.dev/mustardlever/operator"
 	"mustardlever.dev/mustardlever/server"
@@ -73,7 +71,7 @@
 	callers  string // base URL, entries
 	ready    string // URL that the balancer asks, entries on the platform
 	operator string
-	relay    *relay // before the link address, entries
+	relay    *relayer.Relay // before the link address, entries
 	command  *exec.Cmd
 	log      *bytes.Buffer
 	exited   chan struct{}
@@ -89,15 +87,6 @@
 	backends []*standin.Backend
 }
 
-var addresses atomic.Int64 // given out so far
-
-// freeAddress returns an address that no other test and no outgoing connection
-// uses: each has an IP number of its own in the loopback network.
-func freeAddress() string {
-	n := addresses.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d:7000", 1+os.Getpid()%250, 1+n/250, 1+n%250)
-}
-
 // newFleet starts entries and agents and waits until all know each other.
 func newFleet(t testing.TB, entries, agents int) *fleet {
 	return newFleetDraining(t, entries, agents, time.Minute)
@@ -122,19 +111,19 @@
 func (f *fleet) links() []string {
 	list := []string{}
 	for _, e := range f.entries {
-		list = append(list, e.relay.address)
+		list = append(list, e.relay.Address())
 	}
 	return list
 }
 
 func (f *fleet) addEntry(i int) {
-	p := &process{name: fmt.Sprintf("entry-%d", i+1), operator: freeAddress()}
-	link, callers := freeAddress(), freeAddress()
+	p := &process{name: fmt.Sprintf("entry-%d", i+1), operator: relayer.Address()}
+	link, callers := relayer.Address(), relayer.Address()
 	p.callers = "http://" + callers
 	p.relay = newRelay(f.t, link)
 	f.start(p, map[string]any{
 		"name": p.name, "role": "entry", "zone": fmt.Sprintf("zone-%d", i+1),
-		"link-address": link, "link-advertised": p.relay.address,
+		"link-address": link, "link-advertised": p.relay.Address(),
 		"caller-address": callers, "operator-address": p.operator, "entries": f.links(),
 		"ticket-key": strings.Repeat("k", 32), "drain-ms": f.drain.Milliseconds(), "configuration": map[string]string{"base": "base.json"},
 	})
@@ -145,7 +134,7 @@
 	b := &standin.Backend{Name: fmt.Sprintf("backend-%d", i+1)}
 	require.NoError(f.t, b.Start("127.0.0.1:0"))
 	f.backends = append(f.backends, b)
-	p := &process{name: fmt.Sprintf("agent-%d", i+1), operator: freeAddress()}
+	p := &process{name: fmt.Sprintf("agent-%d", i+1), operator: relayer.Address()}
 	f.start(p, map[string]any{
 		"name": p.name, "role": "agent", "zone": fmt.Sprintf("zone-%d", i%3+1),
 		"operator-address": p.operator, "entries": f.links(),
@@ -189,7 +178,7 @@
 		}
 	}
 	for _, p := range f.entries {
-		p.relay.close()
+		p.relay.Stop()
 	}
 	for _, b := range f.backends {
 		b.Stop()
@@ -369,109 +358,14 @@
 	}
 }
 
-// relay passes TCP connections on to an entry's link address, and can cut
-// those of a peer.
-type relay struct {
-	address string
-	target  string
-	l       net.Listener
-
-	mu    sync.Mutex
-	cuts  map[string]bool
-	conns map[net.Conn]string // by the dialing peer's name
-}
-
-func newRelay(t testing.TB, target string) *relay {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	r := &relay{address: l.Addr().String(), target: target, l: l, cuts: map[string]bool{}, conns: map[net.Conn]string{}}
-	go r.accept()
+// newRelay returns a relay to an entry's link address, which tells peers apart
+// by the names in their hellos.
+func newRelay(t testing.TB, target string) *relayer.Relay {
+	r := &relayer.Relay{Target: target, Name: func(first []byte) string {
+		_, rest, _ := strings.Cut(string(first), `"name":"`)
+		name, _, _ := strings.Cut(rest, `"`)
+		return name
+	}}
+	require.NoError(t, r.Start())
 	return r
 }
-
-func (r *relay) accept() {
-	for {
-		c, err := r.l.Accept()
-		if err != nil {
-			return
-		}
-		go r.serve(c)
-	}
-}
-
-// serve reads the first chunk, which holds the hello with the peer's name, and
-// then copies both ways.
-func (r *relay) serve(c net.Conn) {
-	defer c.Close()
-	first := make([]byte, 4096)
-	n, err := c.Read(first)
-	if err != nil {
-		return
-	}
-	_, rest, _ := strings.Cut(string(first[:n]), `"name":"`)
-	name, _, _ := strings.Cut(rest, `"`)
-	d, err := net.Dial("tcp", r.target)
-	if err != nil {
-		return
-	}
-	defer d.Close()
-	r.mu.Lock()
-	cut := r.cuts[name]
-	r.conns[c] = name
-	r.mu.Unlock()
-	if cut {
-		return
-	}
-	d.Write(first[:n])
-	go func() {
-		copyAll(c, d)
-		c.Close()
-	}()
-	copyAll(d, c)
-	r.mu.Lock()
-	delete(r.conns, c)
-	r.mu.Unlock()
-}
-
-func copyAll(to, from net.Conn) {
-	b := make([]byte, 64<<10)
-	for {
-		n, err := from.Read(b)
-		if err != nil {
-			return
-		}
-		if _, err := to.Write(b[:n]); err != nil {
-			return
-		}
-	}
-}
-
-// cut ends and refuses the connections of the peers named.
-func (r *relay) cut(names ...string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, n := range names {
-		r.cuts[n] = true
-	}
-	for c, name := range r.conns {
-		if r.cuts[name] {
-			c.Close()
-		}
-	}
-}
-
-// mend lets all peers pass again.
-func (r *relay) mend() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	clear(r.cuts)
-}
-
-func (r *relay) close() {
-	r.l.Close()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for c := range r.conns {
-		c.Close()
-	}
-}
--- a/tests/hosted_test.go
+++ b/tests/hosted_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mustardlever.dev/mustardlever/internal/relayer"
 	"mustardlever.dev/mustardlever/platform/standin"
 )
 
@@ -64,23 +65,23 @@
 }
 
 func (h *hosted) addHostedEntry(i int, links []string) string {
-	p := &process{name: fmt.Sprintf("entry-%d", i+1), operator: freeAddress()}
-	link, callers, ready := freeAddress(), freeAddress(), freeAddress()
+	p := &process{name: fmt.Sprintf("entry-%d", i+1), operator: relayer.Address()}
+	link, callers, ready := relayer.Address(), relayer.Address(), relayer.Address()
 	p.callers, p.ready = "http://"+callers, "http://"+ready+"/readyz"
 	p.relay = newRelay(h.t, link)
 	h.settings[p.name] = map[string]any{
-		"name": p.name, "role": "entry", "zone": fmt.Sprintf("zone-%d", i+1), "link-address": link, "link-advertised": p.relay.address,
+		"name": p.name, "role": "entry", "zone": fmt.Sprintf("zone-%d", i+1), "link-address": link, "link-advertised": p.relay.Address(),
 		"caller-address": callers, "operator-address": p.operator, "entries": append([]string{}, links...),
 		"platform": map[string]any{"store-address": h.store.Address(), "ready-address": ready},
 	}
 	h.start(p, h.settings[p.name])
 	h.entries = append(h.entries, p)
-	return p.relay.address
+	return p.relay.Address()
 }
 
 func (h *hosted) addHostedAgent(i int, links []string) {
-	p := &process{name: fmt.Sprintf("agent-%d", i+1), operator: freeAddress()}
-	reports := freeAddress()
+	p := &process{name: fmt.Sprintf("agent-%d", i+1), operator: relayer.Address()}
+	reports := relayer.Address()
 	h.settings[p.name] = map[string]any{
 		"name": p.name, "role": "agent", "zone": fmt.Sprintf("zone-%d", i+1), "operator-address": p.operator, "entries": links,
 		"platform": map[string]any{"store-address": h.store.Address(), "reports-address": reports, "service": service},
@@ -275,9 +276,9 @@
 func TestHostedEntryCutOff(t *testing.T) {
 	h := newHosted(t, 2, 2)
 	h.servesThrough(30, 50*time.Millisecond, 600*time.Millisecond, func() {
-		h.entries[0].relay.cut("agent-1", "agent-2", "entry-2")
+		h.entries[0].relay.Set(relayer.Faults{Refuse: true}, "agent-1", "agent-2", "entry-2")
 		time.Sleep(2500 * time.Millisecond)
-		h.entries[0].relay.mend()
+		h.entries[0].relay.Mend()
 	})
 }
 
--- a/tests/operate_test.go
+++ b/tests/operate_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mustardlever.dev/mustardlever/executor"
+	"mustardlever.dev/mustardlever/internal/relayer"
 	"mustardlever.dev/mustardlever/platform/standin"
 	"mustardlever.dev/mustardlever/server"
 )
@@ -135,6 +136,6 @@
 		require.Equal(t, 2, code, fmt.Sprint(name, ": ", out))
 		require.NotContains(t, out, "runtime.main", name)
 	}
-	out, code = control(t, "jobs", "--operator", freeAddress())
+	out, code = control(t, "jobs", "--operator", relayer.Address())
 	require.Equal(t, 1, code, out)
 }
--- a/tests/whole_test.go
+++ b/tests/whole_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mustardlever.dev/mustardlever/caller"
+	"mustardlever.dev/mustardlever/internal/relayer"
 )
 
 // prompt is the longest time, beyond the tasks' own, from the owner's death to
@@ -149,9 +150,9 @@
 	ticket := f.ticket(0)
 	p := f.submit(f.client(0), ticket, job("cut", 60, 300))
 	f.awaitServing(24)
-	f.entries[0].relay.cut("agent-1", "agent-2", "agent-3")
+	f.entries[0].relay.Set(relayer.Faults{Refuse: true}, "agent-1", "agent-2", "agent-3")
 	time.Sleep(700 * time.Millisecond)
-	f.entries[0].relay.mend()
+	f.entries[0].relay.Mend()
 	a := p.wait(t)
 	requireTruth(t, a, "cut", f.starts())
 	require.Equal(t, caller.StateComplete, a.State, "a short cut must not cost the job")
@@ -164,15 +165,15 @@
 	first := f.submit(f.client(0), ticket, body)
 	f.awaitServing(24)
 	w := f.witness(ticket)
-	f.entries[0].relay.cut("entry-2", "entry-3")
-	f.entries[1].relay.cut("entry-1")
-	f.entries[2].relay.cut("entry-1")
+	f.entries[0].relay.Set(relayer.Faults{Refuse: true}, "entry-2", "entry-3")
+	f.entries[1].relay.Set(relayer.Faults{Refuse: true}, "entry-1")
+	f.entries[2].relay.Set(relayer.Faults{Refuse: true}, "entry-1")
 	second := f.submit(f.client(w), ticket, body)
 	a := second.wait(t)
 	requireTruth(t, a, "split", f.starts())
 	require.Equal(t, caller.StateComplete, a.State, a.Reason)
 	for _, e := range f.entries {
-		e.relay.mend()
+		e.relay.Mend()
 	}
 	requireTruth(t, first.wait(t), "split", f.starts())
 }
