Simple policies to compare the present one with

Round robin, random, the less used of two, and the present choice of agents with jobs in the order of their arrival. A build tag of the daemon selects one; what is delivered has none.

--- a/cmd/mustardleverd/hosted_entry.go
+++ b/cmd/mustardleverd/hosted_entry.go
@@ -11,6 +11,7 @@
 
 	"mustardlever.dev/mustardlever/configurer"
 	"mustardlever.dev/mustardlever/counter"
+	"mustardlever.dev/mustardlever/dispatcher"
 	"mustardlever.dev/mustardlever/keeper"
 	"mustardlever.dev/mustardlever/messenger"
 	"mustardlever.dev/mustardlever/operator"
@@ -66,7 +67,8 @@
 	e := &server.Entry{
 		Settings: server.EntrySettings{
 			Identity: identity(p), Entries: p.Entries, Open: true, Messenger: hostedTiming(),
-			Keeper: keeper.Settings{Deadline: hostedDeadline, Useful: hostedUseful, LapseWait: hostedLost + hostedStopping + hostedRenewing + hostedLease},
+			Keeper: keeper.Settings{Deadline: hostedDeadline, Useful: hostedUseful, LapseWait: hostedLost + hostedStopping + hostedRenewing + hostedLease,
+				Dispatcher: dispatcher.Settings{Baseline: baseline}},
 		},
 		Log: log, Recorder: r,
 		ReadRoutes: func(document []byte) (*router.Table, error) { return platform.DecodeTable(document, time.Now()) },
--- a/dispatcher/agent.go
+++ b/dispatcher/agent.go
@@ -92,10 +92,12 @@
 // agent, with a preference for agents with room and for those where the last
 // task did not fail: one that fails at once is always empty.
 func (a *agent) cost(estimate float64) float64 {
-	used := a.capacity.Minus(a.room).Share(a.capacity)
-	return estimate * a.slowness * (1 + busyPenalty*used) * (1 + failurePenalty*float64(a.failures))
+	return estimate * a.slowness * (1 + busyPenalty*a.used()) * (1 + failurePenalty*float64(a.failures))
 }
 
+// used is the part of the agent's capacity that is in use.
+func (a *agent) used() float64 { return a.capacity.Minus(a.room).Share(a.capacity) }
+
 // AddAgent adds an agent, or brings its capacity up to date. It has no room
 // before its first Report.
 func (d *Dispatcher[J]) AddAgent(name string, capacity sizer.Size, labels []string) {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -27,7 +27,8 @@
 
 // Settings tunes a Dispatcher. Zero fields take the defaults.
 type Settings struct {
-	Ageing float64 // seconds of remaining work forgiven for each second waited and agent; default 0.05
+	Ageing   float64  // seconds of remaining work forgiven for each second waited and agent; default 0.05
+	Baseline Baseline // simple policy in place of the present one, for comparisons; default: none
 }
 
 // Job is a job's place in the queue: tasks of one size. Value is the caller's
@@ -69,6 +70,7 @@
 	measured time.Time
 	mean     float64    // seconds a task, over all agents
 	largest  sizer.Size // the most of each resource that any agent ever had
+	turn     int        // agent used last, under BaselineRoundRobin
 }
 
 // Init prepares the Dispatcher.
@@ -133,6 +135,9 @@
 // demote moves jobs that can no longer be in time behind the others. One of
 // which a task was started keeps its place: its room is spent already.
 func (d *Dispatcher[J]) demote(now time.Time) {
+	if d.Settings.Baseline != "" {
+		return
+	}
 	var late []*Job[J]
 	d.jobs.Ascend(func(j *Job[J]) bool {
 		if j.begun {
@@ -243,6 +248,9 @@
 // orders jobs as subtracting the time waited does, and needs no update as time
 // passes.
 func (d *Dispatcher[J]) rank(j *Job[J]) float64 {
+	if d.Settings.Baseline != "" {
+		return j.Arrived.Sub(d.epoch).Seconds()
+	}
 	key := d.rankWaiting(j)
 	if j.begun {
 		key += begunOffset
@@ -326,6 +334,9 @@
 // end soonest, nil when there is none. While a job can still be in time no
 // agent is used that is too slow for that: to wait for another one is better.
 func (d *Dispatcher[J]) best(now time.Time, j *Job[J], eligible func(J, string) bool) *agent {
+	if b := d.Settings.Baseline; b != "" && b != BaselineArrival {
+		return d.choose(j, eligible)
+	}
 	estimate := d.expected(j.Estimate)
 	limit := math.Inf(1)
 	if !j.Due.IsZero() && !j.late && now.Before(d.latestStart(j)) {
