Soak: long tasks, which still run when their callers send them again; recovery

With tasks of at most 250 ms two runs at once could hardly happen: callers send again after 1.3 s. One job of eight now has tasks of 1.2 to 2.5 s.

--- a/cmd/mustardsoak/main.go
+++ b/cmd/mustardsoak/main.go
@@ -41,6 +41,7 @@
 			&cli.IntFlag{Name: "agents", Usage: "`NUMBER` of agents", Value: 5},
 			&cli.IntFlag{Name: "callers", Usage: "`NUMBER` of callers", Value: 20},
 			&cli.StringFlag{Name: "report", Usage: "`FILE` for what was seen of each seed, JSON lines"},
+			&cli.BoolFlag{Name: "recovery", Usage: "measure instead how soon service comes back after losses"},
 			&cli.BoolFlag{Name: "quiet", Usage: "tell only what each seed came to"},
 		},
 		Action: run,
@@ -52,6 +53,9 @@
 }
 
 func run(_ context.Context, c *cli.Command) error {
+	if c.Bool("recovery") {
+		return recovery(c)
+	}
 	broken := 0
 	for n := range c.Int("seeds") {
 		r, err := play(c, c.Uint64("seed")+uint64(n))
@@ -68,17 +72,16 @@
 	return nil
 }
 
-// play plays one seed and writes what was seen.
-func play(c *cli.Command, seed uint64) (*soaker.Report, error) {
+// settings returns the settings of a seed, with a new directory.
+func settings(c *cli.Command, seed uint64) (soaker.Settings, error) {
 	daemon, err := filepath.Abs(c.String("daemon"))
 	if err != nil {
-		return nil, err
+		return soaker.Settings{}, err
 	}
 	dir, err := os.MkdirTemp("", fmt.Sprintf("mustardsoak-%d-", seed))
 	if err != nil {
-		return nil, err
+		return soaker.Settings{}, err
 	}
-	say := func(format string, a ...any) { fmt.Printf(format+"\n", a...) }
 	s := soaker.Settings{
 		Seed: seed, Length: time.Duration(c.Float("minutes") * float64(time.Minute)), Daemon: daemon, Dir: dir,
 		Entries: c.Int("entries"), Agents: c.Int("agents"), Callers: c.Int("callers"), Say: say,
@@ -86,6 +89,35 @@
 	if c.Bool("quiet") {
 		s.Say = func(string, ...any) {}
 	}
+	return s, nil
+}
+
+func say(format string, a ...any) { fmt.Printf(format+"\n", a...) }
+
+// recovery measures how soon service comes back.
+func recovery(c *cli.Command) error {
+	s, err := settings(c, c.Uint64("seed"))
+	if err != nil {
+		return err
+	}
+	s.Say = func(string, ...any) {}
+	list, err := soaker.Recover(s, soaker.Losses())
+	if err != nil {
+		return cli.Exit(err.Error(), exitFailed)
+	}
+	say("%-32s %12s %12s %12s", "loss", "before, 1/s", "to half", "to 0.9")
+	for _, r := range list {
+		say("%-32s %12.1f %12s %12s", r.Loss, r.Before, r.Half, r.Almost)
+	}
+	return os.RemoveAll(s.Dir)
+}
+
+// play plays one seed and writes what was seen.
+func play(c *cli.Command, seed uint64) (*soaker.Report, error) {
+	s, err := settings(c, seed)
+	if err != nil {
+		return nil, err
+	}
 	r, err := soaker.Run(s)
 	if err != nil {
 		return nil, err
@@ -93,11 +125,11 @@
 	say("seed %d: %.0f s, %d faults, %d jobs in %d tries, %d completed, %d failed as they must, %d unserved, %d promises broken",
 		seed, r.Seconds, len(r.Faults), r.Jobs, r.Tries, r.Completed, r.Failed, r.Unserved, len(r.Broken))
 	if len(r.Broken) > 0 {
-		say("  logs are kept in %s", dir)
+		say("  logs are kept in %s", s.Dir)
 		for _, b := range r.Broken {
 			say("  %s", b)
 		}
-	} else if err := os.RemoveAll(dir); err != nil {
+	} else if err := os.RemoveAll(s.Dir); err != nil {
 		return nil, err
 	}
 	return r, write(c.String("report"), r)
--- a/internal/soaker/check.go
+++ b/internal/soaker/check.go
@@ -13,7 +13,7 @@
 const (
 	inForce    = 6 * time.Second        // a change of the configuration is in force everywhere
 	lookEvery  = 200 * time.Millisecond // at the configuration in force
-	calmAnswer = 3 * time.Second        // of a job that comes when the system has recovered
+	calmAnswer = 3 * time.Second        // of a job that comes when the system has recovered, beyond its longest task
 	calmAgain  = 0.02                   // part of those jobs, and one, that may take several tries
 )
 
@@ -52,7 +52,7 @@
 			continue
 		}
 		jobs++
-		if !j.served() || j.took > calmAnswer {
+		if !j.served() || j.took > calmAnswer+j.work {
 			k.broken("job %s came when the system had recovered: status %d after %s and %d tries", j.id, j.status, j.took.Round(time.Millisecond), j.tries)
 		}
 		if j.tries > 1 {
--- a/internal/soaker/load.go
+++ b/internal/soaker/load.go
@@ -22,6 +22,9 @@
 	taskCPU     = 1500
 	taskLeast   = 20 // ms
 	taskMost    = 250
+	longOf      = 8 // one job of so many is long: it still runs when its caller sends it again
+	longLeast   = 1200
+	longMost    = 2500
 	failsOf     = 20 // one job of so many fails
 	asksEvery   = 250 * time.Millisecond
 )
@@ -37,6 +40,7 @@
 	id     string
 	tasks  int
 	fails  bool
+	work   time.Duration // of each task
 	begin  time.Time
 	took   time.Duration
 	tries  int
@@ -114,10 +118,15 @@
 // submit has one job done, as callers of the platform do.
 func (c *caller) submit() *job {
 	c.jobs++
+	millis := taskLeast + c.rand.IntN(taskMost-taskLeast)
+	if c.rand.IntN(longOf) == 0 {
+		millis = longLeast + c.rand.IntN(longMost-longLeast)
+	}
 	j := &job{
-		id: fmt.Sprintf("%08x%08x", c.number+1, c.jobs), tasks: 1 + c.rand.IntN(maxTasks), fails: c.rand.IntN(failsOf) == 0, begin: time.Now(),
+		id: fmt.Sprintf("%08x%08x", c.number+1, c.jobs), tasks: 1 + c.rand.IntN(maxTasks), fails: c.rand.IntN(failsOf) == 0,
+		work: time.Duration(millis) * time.Millisecond, begin: time.Now(),
 	}
-	body := standin.Job(j.tasks, standin.Work{Millis: taskLeast + c.rand.IntN(taskMost-taskLeast), CPU: taskCPU, Fail: j.fails})
+	body := standin.Job(j.tasks, standin.Work{Millis: millis, CPU: taskCPU, Fail: j.fails})
 	alone := true
 	for !j.served() && time.Since(j.begin) < deadline {
 		wait := c.try(j, body, alone)
