Refuse a peer that counts messages which the session never had

The test is red without it (the connection is taken, and the next write is out of range). The set-up of the three tests is one function.

--- a/messenger/attach_test.go
+++ b/messenger/attach_test.go
@@ -8,6 +8,14 @@
 	"github.com/stretchr/testify/require"
 )
 
+// startHub returns a started Hub without addresses, and the identity of a peer.
+func startHub(t *testing.T, peer Role) (*Hub, Identity) {
+	h := &Hub{Self: Identity{Name: "a", Role: RoleEntry}.WithNewIncarnation()}
+	h.Start(nil)
+	t.Cleanup(h.Stop)
+	return h, Identity{Name: "b", Role: peer}.WithNewIncarnation()
+}
+
 // attachTo attaches a new connection to the session with the peer of the hello.
 func attachTo(t *testing.T, h *Hub, peer hello) bool {
 	near, far := net.Pipe()
@@ -21,10 +29,7 @@
 // way on a second connection. The greeting must not bring the old session back:
 // its count of messages does not belong to the new one.
 func TestGreetingOfAnEarlierSessionIsRefused(t *testing.T) {
-	h := &Hub{Self: Identity{Name: "a", Role: RoleEntry}.WithNewIncarnation()}
-	h.Start(nil)
-	t.Cleanup(h.Stop)
-	peer := Identity{Name: "b", Role: RoleEntry}.WithNewIncarnation()
+	h, peer := startHub(t, RoleEntry)
 	s := h.session(peer)
 	before := hello{Identity: peer, Epoch: 7, PeerEpoch: s.epoch}
 	require.True(t, attachTo(t, h, before))
@@ -48,10 +53,7 @@
 // A connection's beginning arrives after this process has given up the session
 // that it was meant for: what follows on it is numbered for that session.
 func TestBeginningOfAnEarlierSessionIsRefused(t *testing.T) {
-	h := &Hub{Self: Identity{Name: "a", Role: RoleEntry}.WithNewIncarnation()}
-	h.Start(nil)
-	t.Cleanup(h.Stop)
-	peer := Identity{Name: "b", Role: RoleAgent}.WithNewIncarnation()
+	h, peer := startHub(t, RoleAgent)
 	before := h.session(peer)
 	late := hello{Identity: peer, Epoch: 7, PeerEpoch: before.epoch}
 	h.giveUp(before)
@@ -62,3 +64,23 @@
 	require.Error(t, h.begin(h.newWire(near), params))
 	require.False(t, h.Queue(peer.Incarnation, Message{Close: &Close{}}), "no session is open")
 }
+
+// A peer that counts messages that this session never had means another
+// session, by whatever fault: it is not let in, and both sides give up and begin
+// anew. Taking its count would end the process when it next writes.
+func TestPeerThatCountsTooManyMessagesIsRefused(t *testing.T) {
+	h, peer := startHub(t, RoleAgent)
+	s := h.session(peer)
+	known := hello{Identity: peer, Epoch: 7, PeerEpoch: s.epoch}
+	require.True(t, attachTo(t, h, known))
+	for i := range uint64(3) {
+		require.True(t, h.Queue(peer.Incarnation, Message{Close: &Close{Below: i}}))
+	}
+	known.Received = 4
+	require.False(t, attachTo(t, h, known))
+	known.Received = 3
+	require.True(t, attachTo(t, h, known))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.Empty(t, s.next(10).Messages)
+}
--- a/messenger/hub.go
+++ b/messenger/hub.go
@@ -245,8 +245,9 @@
 }
 
 // attach makes w the session's connection. It reports false when the session
-// has a better connection already, and for a greeting that the peer sent before
-// it gave up an earlier session: two connections may bring them in any order.
+// has a better connection already, for a greeting that the peer sent before it
+// gave up an earlier session (two connections may bring them in any order), and
+// for a peer that counts messages which the session never had.
 func (h *Hub) attach(w *wire, s *session, peer hello, preferred bool) bool {
 	h.changes.Lock()
 	defer h.changes.Unlock()
@@ -259,6 +260,10 @@
 		s.mu.Unlock()
 		return false
 	}
+	if peer.PeerEpoch == s.epoch && s.outrun(peer.Received) {
+		s.mu.Unlock()
+		return false // it heals when the session is given up
+	}
 	begins := !s.open
 	s.detach()
 	s.open = true
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -63,6 +63,12 @@
 	return epoch == s.epoch
 }
 
+// outrun tells whether a count of messages that the peer received is above what
+// this session ever had for it.
+func (s *session) outrun(received uint64) bool {
+	return received >= s.first+uint64(len(s.out))
+}
+
 // detach closes the present connection.
 func (s *session) detach() {
 	if s.wire == nil {
