Soak: a load that fits; callers of the platform in one place

And 20 callers with one long job in eight asked for some 64 cores of 40, so that refusals were right.

Bounds as they were.

The stand-in's callers (one try of a job, what its answer means, when it comes again) are in platform/standin; tests and soak have no copy of the platform's names for them.

--- a/cmd/mustardsoak/main.go
+++ b/cmd/mustardsoak/main.go
@@ -39,7 +39,7 @@
 			&cli.FloatFlag{Name: "minutes", Usage: "length of each seed; one round at least is played", Value: 0.5},
 			&cli.IntFlag{Name: "entries", Usage: "`NUMBER` of entries", Value: 3},
 			&cli.IntFlag{Name: "agents", Usage: "`NUMBER` of agents", Value: 5},
-			&cli.IntFlag{Name: "callers", Usage: "`NUMBER` of callers", Value: 20},
+			&cli.IntFlag{Name: "callers", Usage: "`NUMBER` of callers, each with one job at a time", Value: 14},
 			&cli.StringFlag{Name: "report", Usage: "`FILE` for what was seen of each seed, JSON lines"},
 			&cli.BoolFlag{Name: "recovery", Usage: "measure instead how soon service comes back after losses"},
 			&cli.BoolFlag{Name: "quiet", Usage: "tell only what each seed came to"},
--- a/internal/soaker/check.go
+++ b/internal/soaker/check.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"mustardlever.dev/mustardlever/operator"
@@ -23,22 +22,21 @@
 		return
 	}
 	switch {
-	case j.body == completed && j.fails:
+	case j.answer.Completed() && j.fails:
 		k.broken("job %s fails and is told as completed", j.id)
-	case j.body == failed && !j.fails:
+	case j.answer.Failed() && !j.fails:
 		k.broken("job %s can be done and is told as failed", j.id)
-	case j.body == completed && k.judge.Done(j.id) < j.tasks:
+	case j.answer.Completed() && k.judge.Done(j.id) < j.tasks:
 		k.broken("job %s is told as completed with %d of %d tasks done", j.id, k.judge.Done(j.id), j.tasks)
-	case j.body != completed && j.body != failed:
-		k.broken("job %s has the answer %q", j.id, j.body)
+	case !j.answer.Completed() && !j.answer.Failed():
+		k.broken("job %s has the answer %q", j.id, j.answer.Body)
 	}
 }
 
 // checkAttempt checks that a job that is told as not run has not run, unless an
 // earlier try of it may have been at work.
 func (k *soak) checkAttempt(a attempt) {
-	refused := a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests
-	if refused && a.alone && a.starts > 0 {
+	if a.answer.Refused() && a.alone && a.starts > 0 {
 		k.broken("job %s was refused by entry-%d and has run", a.id, a.entry+1)
 	}
 }
@@ -53,7 +51,7 @@
 		}
 		jobs++
 		if !j.served() || j.took > calmAnswer+j.work {
-			k.broken("job %s came when the system had recovered: status %d after %s and %d tries", j.id, j.status, j.took.Round(time.Millisecond), j.tries)
+			k.broken("job %s came when the system had recovered: status %d after %s and %d tries", j.id, j.answer.Status, j.took.Round(time.Millisecond), j.tries)
 		}
 		if j.tries > 1 {
 			again++
@@ -70,7 +68,7 @@
 // checkPlanned checks that planned work cut no request that was being served.
 func (k *soak) checkPlanned(x span) {
 	for _, a := range k.attempts {
-		if x.holds(a.end) && a.status == 0 && a.starts > 0 {
+		if x.holds(a.end) && a.answer.Status == 0 && a.starts > 0 {
 			k.broken("job %s was cut at entry-%d by planned work", a.id, a.entry+1)
 		}
 	}
--- a/internal/soaker/load.go
+++ b/internal/soaker/load.go
@@ -1,12 +1,9 @@
 package soaker
 
 import (
-	"fmt"
-	"io"
+	"context"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -15,24 +12,17 @@
 
 // How callers behave: as the platform's do, with the times that its pages give.
 const (
-	resendAfter = 1300 * time.Millisecond // after no answer, 502 or 504
-	deadline    = 8 * time.Second
-	thinkMost   = 250 * time.Millisecond // between two jobs of one caller
-	maxTasks    = 6
-	taskCPU     = 1500
-	taskLeast   = 20 // ms
-	taskMost    = 250
-	longOf      = 8 // one job of so many is long: it still runs when its caller sends it again
-	longLeast   = 1200
-	longMost    = 2500
-	failsOf     = 20 // one job of so many fails
-	asksEvery   = 250 * time.Millisecond
-)
-
-// Bodies of final answers.
-const (
-	completed = `{"state":"completed"}`
-	failed    = `{"state":"failed"}`
+	deadline  = 8 * time.Second
+	thinkMost = 250 * time.Millisecond // between two jobs of one caller
+	maxTasks  = 6
+	taskCPU   = 1500
+	taskLeast = 20 // ms
+	taskMost  = 250
+	longOf    = 8 // one job of so many is long: it still runs when its caller sends it again
+	longLeast = 1200
+	longMost  = 2500
+	failsOf   = 20 // one job of so many fails
+	asksEvery = 250 * time.Millisecond
 )
 
 // job is what a caller has done, told of its last answer.
@@ -44,12 +34,11 @@
 	begin  time.Time
 	took   time.Duration
 	tries  int
-	status int // of the last try; 0: no answer
-	body   string
+	answer standin.Answer // to the last try
 }
 
 // served tells whether the job had its final answer.
-func (j *job) served() bool { return j.status == http.StatusOK }
+func (j *job) served() bool { return j.answer.Status == http.StatusOK }
 
 // attempt is one try of a job.
 type attempt struct {
@@ -57,7 +46,7 @@
 	id     string
 	begin  time.Time
 	end    time.Time
-	status int
+	answer standin.Answer
 	starts int  // seen of the job while the try went on
 	alone  bool // no earlier try of the job may still be at work
 }
@@ -119,65 +108,40 @@
 func (c *caller) submit() *job {
 	c.jobs++
 	millis := taskLeast + c.rand.IntN(taskMost-taskLeast)
-	if c.rand.IntN(longOf) == 0 {
+	fails := c.rand.IntN(failsOf) == 0
+	if !fails && c.rand.IntN(longOf) == 0 {
 		millis = longLeast + c.rand.IntN(longMost-longLeast)
 	}
 	j := &job{
-		id: fmt.Sprintf("%08x%08x", c.number+1, c.jobs), tasks: 1 + c.rand.IntN(maxTasks), fails: c.rand.IntN(failsOf) == 0,
+		id: standin.JobID(uint64(c.number+1)<<32 | uint64(c.jobs)), tasks: 1 + c.rand.IntN(maxTasks), fails: fails,
 		work: time.Duration(millis) * time.Millisecond, begin: time.Now(),
 	}
 	body := standin.Job(j.tasks, standin.Work{Millis: millis, CPU: taskCPU, Fail: j.fails})
 	alone := true
 	for !j.served() && time.Since(j.begin) < deadline {
-		wait := c.try(j, body, alone)
-		alone = alone && j.status != 0 && j.status != http.StatusGatewayTimeout && j.status != http.StatusBadGateway
+		c.try(j, body, alone)
+		alone = alone && !j.answer.MayHaveRun()
 		if !j.served() {
-			time.Sleep(wait)
+			time.Sleep(j.answer.Again())
 		}
 	}
 	j.took = time.Since(j.begin)
 	return j
 }
 
-// try sends the job once and returns when to come back.
-func (c *caller) try(j *job, body string, alone bool) time.Duration {
+// try sends the job once.
+func (c *caller) try(j *job, body string, alone bool) {
 	before := c.soak.judge.Starts(j.id)
 	a := attempt{entry: c.entry, id: j.id, begin: time.Now(), alone: alone}
-	var retry string
-	j.status, j.body, retry = c.post(j.id, body, deadline-time.Since(j.begin))
+	address := c.soak.entries[c.entry].callers
+	j.answer = standin.Submit(context.Background(), c.client, address, host, prefix, j.id, body, deadline-time.Since(j.begin))
 	j.tries++
-	a.end, a.status, a.starts = time.Now(), j.status, c.soak.judge.Starts(j.id)-before
+	a.end, a.answer, a.starts = time.Now(), j.answer, c.soak.judge.Starts(j.id)-before
 	c.soak.attempted(a)
-	if j.status == 0 {
+	if !j.served() {
 		c.client.CloseIdleConnections()
-		c.connect()
-	}
-	seconds, err := strconv.Atoi(retry)
-	if err != nil || j.status == 0 || j.status >= http.StatusGatewayTimeout {
-		return resendAfter
-	}
-	c.connect() // a refused job comes back over another connection
-	return time.Duration(seconds) * time.Second
-}
-
-func (c *caller) post(id, body string, left time.Duration) (status int, answer, retry string) {
-	q, err := http.NewRequest(http.MethodPost, "http://"+c.soak.entries[c.entry].callers+prefix+id, strings.NewReader(body))
-	if err != nil {
-		return 0, "", ""
-	}
-	q.Host, q.GetBody = host, nil // the library must not send it again
-	q.Header.Set("Deadline-Ms", strconv.FormatInt(left.Milliseconds(), 10))
-	q.Header.Set("Request-Id", "r-"+id)
-	p, err := c.client.Do(q)
-	if err != nil {
-		return 0, "", ""
-	}
-	defer p.Body.Close()
-	b, err := io.ReadAll(p.Body)
-	if err != nil {
-		return 0, "", ""
+		c.connect() // it comes back over another connection
 	}
-	return p.StatusCode, string(b), p.Header.Get("Retry-After")
 }
 
 // askReady asks an entry again and again whether it takes connections.
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -213,7 +213,7 @@
 	r.Jobs++
 	r.Tries += j.tries
 	switch {
-	case j.body == completed:
+	case j.answer.Completed():
 		r.Completed++
 		r.Slowest = max(r.Slowest, j.took)
 	case j.served():
