mustardctl load: jobs as a plan says, against a running system

Arrivals do not wait for answers; rates, bursts, sizes, work and failures by kind come from a file; times by hdrhistogram. Kinds go by the product's own interface or as callers of the platform do, which send again. configurer.Decode reads files of our own for packages beside it.

--- a/cmd/mustardctl/main.go
+++ b/cmd/mustardctl/main.go
@@ -34,6 +34,7 @@
   mustardctl timeline --log entry-1.log --log agent-1.log --job 61833a07cca50439
   mustardctl report --log entry-1.log --metrics entry-1.prom --out day.html
   mustardctl check --base base.json --overlay brazos.json
+  mustardctl load examples/load.json --entry 127.0.0.1:7601
   mustardctl check --settings entry-1.json
   mustardctl check --platform-configuration platform-config.json
 
@@ -46,7 +47,7 @@
 		Usage:       "operate mustardlever",
 		Description: description,
 		Commands: append([]*cli.Command{
-			submitCommand(), ticketsCommand(), jobCommand(), timelineCommand(), explainCommand(), reportCommand(), checkCommand(),
+			submitCommand(), ticketsCommand(), jobCommand(), timelineCommand(), explainCommand(), reportCommand(), checkCommand(), loadCommand(),
 		}, viewCommands()...),
 		Flags:                 []cli.Flag{outputFlag()},
 		EnableShellCompletion: true,
--- a/configurer/check.go
+++ b/configurer/check.go
@@ -44,6 +44,17 @@
 	return nil
 }
 
+// Decode decodes a file of our own, JSON with comments, into v, a pointer to a
+// struct: keys that v does not have are mistakes. Examine is as for Check.
+func Decode(name string, text []byte, v any, examine func(reject func(path, format string, args ...any))) error {
+	f, err := decode(name, text, v)
+	if err != nil {
+		return err
+	}
+	examine(f.reject)
+	return mistakes(f.mistakes)
+}
+
 // Check decodes a JSON document that others own into v, a pointer to a struct: keys
 // that v does not have are passed over. Examine looks at what was decoded; it
 // calls reject with the path of each value that is wrong, such as "routes/0/name".
--- /dev/null
+++ b/loader/loader_test.go
@@ -0,0 +1,80 @@
+package loader_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mustardlever.dev/mustardlever/loader"
+)
+
+const plan = `{
+  // Two kinds, and a burst.
+  "seconds": 10, "seed": 3, "entries": ["a", "b"],
+  "bursts": [{"at-s": 4, "for-s": 2, "times": 5}],
+  "kinds": [
+    {"name": "short", "service": "desk", "rate": 50, "tasks": {"least": 1, "most": 4}, "work-ms": {"least": 20, "most": 60}, "due-ms": 50},
+    {"name": "long", "host": "h", "prefix": "/l/", "rate": 5, "tasks": {"least": 9, "most": 9}, "work-ms": {"least": 900, "most": 900}, "fails": 0.5}
+  ]
+}`
+
+func TestRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, err := loader.Parse("plan.json", []byte(plan))
+		require.NoError(t, err)
+		var burst atomic.Int64
+		begin := time.Now()
+		l := loader.Loader{Plan: p, Submit: func(_ context.Context, j loader.Job) (loader.Outcome, int) {
+			if at := time.Since(begin); at >= 4*time.Second && at < 6*time.Second {
+				burst.Add(1)
+			}
+			time.Sleep(time.Duration(j.Millis) * time.Millisecond)
+			if j.Fails {
+				return loader.OutcomeFailed, 3
+			}
+			return loader.OutcomeCompleted, 1
+		}}
+		results := l.Run(t.Context())
+		short, long := results[0], results[1]
+		require.InDelta(t, 50*8+50*5*2, short.Asked, 100, "arrivals do not wait for answers")
+		require.InDelta(t, 275*2, burst.Load(), 120)
+		require.Equal(t, short.Asked, short.Completed)
+		require.InDelta(t, 40, short.Median, 3)
+		require.InDelta(t, 60, short.Most, 1)
+		require.InDelta(t, 0.75, float64(short.InTime)/float64(short.Asked), 0.1)
+		require.Equal(t, long.Asked, long.Completed+long.Failed)
+		require.Equal(t, long.Asked+2*long.Failed, long.Tries)
+		require.InDelta(t, 900, long.Median, 1)
+	})
+}
+
+func TestPlanTellsItsMistakes(t *testing.T) {
+	_, err := loader.Parse("plan.json", []byte(`{"seconds": 0, "entries": [], "sead": 1}`))
+	require.ErrorContains(t, err, `plan.json:1:31: unknown key "sead"; did you mean "seed"?`)
+	_, err = loader.Parse("plan.json", []byte(`{"seconds": 1, "entries": ["a"], "kinds": [{"name": "x", "rate": 1, "tasks": {"least": 5, "most": 2}}]}`))
+	require.ErrorContains(t, err, "kinds/0: expected a service, or a host and a prefix")
+	require.ErrorContains(t, err, "kinds/0/tasks: found 5 to 2, expected a span within 1 to 270")
+}
+
+func TestExampleIsAPlan(t *testing.T) {
+	text, err := os.ReadFile("../examples/load.json")
+	require.NoError(t, err)
+	p, err := loader.Parse("load.json", text)
+	require.NoError(t, err)
+	require.Len(t, p.Kinds, 1)
+}
+
+func ExampleParse() {
+	_, err := loader.Parse("plan.json", []byte(`{"seconds": -1}`))
+	fmt.Println(err)
+	// Output:
+	// check: invalid: plan.json:1:1: entries: expected the address of an entry
+	// plan.json:1:1: kinds: expected a kind of jobs
+	// plan.json:1:13: seconds: found -1, expected more than 0
+}
