Soak: tell when the machine stood still, and judge no time over it

Change: the soak watches itself. Promises of time over a span in which it did not run for 0.4 s are reported as not judged, with the stall; two runs at a time, false refusals, wrong answers and configurations that go back are judged as ever. No bound was changed.

--- a/cmd/mustardsoak/main.go
+++ b/cmd/mustardsoak/main.go
@@ -122,8 +122,11 @@
 	if err != nil {
 		return nil, err
 	}
-	say("seed %d: %.0f s, %d faults, %d jobs in %d tries, %d completed, %d failed as they must, %d unserved, %d promises broken",
-		seed, r.Seconds, len(r.Faults), r.Jobs, r.Tries, r.Completed, r.Failed, r.Unserved, len(r.Broken))
+	say("seed %d: %.0f s, %d faults, %d jobs in %d tries, %d completed, %d failed as they must, %d unserved, %d promises broken, %d not judged",
+		seed, r.Seconds, len(r.Faults), r.Jobs, r.Tries, r.Completed, r.Failed, r.Unserved, len(r.Broken), len(r.Void))
+	for _, x := range r.Stalls {
+		say("  this process did not run: %s", x)
+	}
 	if len(r.Broken) > 0 {
 		say("  logs are kept in %s", s.Dir)
 		for _, b := range r.Broken {
--- a/internal/soaker/check.go
+++ b/internal/soaker/check.go
@@ -44,6 +44,7 @@
 // checkCalm checks the jobs that came while nothing was wrong: they are served
 // soon, and as a rule at once.
 func (k *soak) checkCalm(x span) {
+	judged := span{x.from.Add(-settleTime), x.to.Add(deadline)}
 	jobs, again := 0, 0
 	for _, j := range k.jobs {
 		if !x.holds(j.begin) {
@@ -51,17 +52,17 @@
 		}
 		jobs++
 		if !j.served() || j.took > calmAnswer+j.work {
-			k.broken("job %s came when the system had recovered: status %d after %s and %d tries", j.id, j.answer.Status, j.took.Round(time.Millisecond), j.tries)
+			k.late(judged, "job %s came when the system had recovered: status %d after %s and %d tries", j.id, j.answer.Status, j.took.Round(time.Millisecond), j.tries)
 		}
 		if j.tries > 1 {
 			again++
 		}
 	}
 	if jobs == 0 {
-		k.broken("no job came after the system had recovered")
+		k.late(judged, "no job came after the system had recovered")
 	}
 	if float64(again) > 1+calmAgain*float64(jobs) {
-		k.broken("%d of %d jobs that came when the system had recovered took several tries", again, jobs)
+		k.late(judged, "%d of %d jobs that came when the system had recovered took several tries", again, jobs)
 	}
 }
 
@@ -69,7 +70,7 @@
 func (k *soak) checkPlanned(x span) {
 	for _, a := range k.attempts {
 		if x.holds(a.end) && a.answer.Status == 0 && a.starts > 0 {
-			k.broken("job %s was cut at entry-%d by planned work", a.id, a.entry+1)
+			k.late(x, "job %s was cut at entry-%d by planned work", a.id, a.entry+1)
 		}
 	}
 }
@@ -105,7 +106,7 @@
 		}
 		newest = max(newest, v.Version)
 		if due, since := k.dueConfiguration(); newest < due && p.calmSince(since) {
-			k.broken("%s has configuration %d; %d was written over %s ago", p.name, newest, due, inForce)
+			k.late(span{since, time.Now()}, "%s has configuration %d; %d was written over %s ago", p.name, newest, due, inForce)
 		}
 	}
 }
--- a/internal/soaker/check_test.go
+++ b/internal/soaker/check_test.go
@@ -66,3 +66,18 @@
 		})
 	}
 }
+
+// A promise of time is not judged over a span in which the soak itself stood
+// still; others are.
+func TestStallsVoidPromisesOfTime(t *testing.T) {
+	k := newSoak()
+	now := time.Now()
+	k.stalls = []span{{now, now.Add(time.Second)}}
+	k.checkCalm(span{now.Add(2 * time.Second), now.Add(4 * time.Second)})
+	require.Empty(t, k.report.Broken)
+	require.Len(t, k.report.Void, 1)
+	k.checkCalm(span{now.Add(20 * time.Second), now.Add(24 * time.Second)})
+	require.Len(t, k.report.Broken, 1)
+	k.checkAttempt(attempt{answer: standin.Answer{Status: http.StatusServiceUnavailable}, starts: 1, alone: true})
+	require.Len(t, k.report.Broken, 2)
+}
--- a/internal/soaker/inject.go
+++ b/internal/soaker/inject.go
@@ -131,8 +131,9 @@
 
 // stopAsPlanned has a process end as planned, and starts it again.
 func (k *soak) stopAsPlanned(p *process) {
+	told := time.Now()
 	if !p.stop() {
-		k.broken("%s did not end %s after it was told to", p.name, stopTimeout)
+		k.late(span{told, time.Now()}, "%s did not end %s after it was told to", p.name, stopTimeout)
 		p.kill()
 	}
 	if err := p.start(); err != nil {
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 )
@@ -34,6 +35,8 @@
 	Tries     int           `json:"tries"`
 	Slowest   time.Duration `json:"slowest-ns"`
 	Broken    []string      `json:"broken"` // promises, with when
+	Stalls    []string      `json:"stalls"` // spans in which this process itself did not run
+	Void      []string      `json:"void"`   // promises of time that could not be judged for a stall
 }
 
 // soak is a run.
@@ -49,6 +52,7 @@
 	changes  []change
 	calm     []span // in which nothing was wrong
 	planned  []span // of planned work
+	stalls   []span // in which this process did not run, nor the others as a rule
 }
 
 // span is a span of time.
@@ -60,6 +64,7 @@
 	readyTimeout = 20 * time.Second
 	maxBroken    = 100 // lines kept
 	watchEvery   = 50 * time.Millisecond
+	stallLeast   = 400 * time.Millisecond // a process is suspected after 300 ms of silence
 )
 
 // Run plays the rounds of a seed and reports what was seen. It errors when the
@@ -79,6 +84,7 @@
 		helpers.Go(func() { k.watchConfiguration(e, quit) })
 	}
 	helpers.Go(func() { k.watchProcesses(quit) })
+	helpers.Go(func() { k.watchStalls(quit) })
 	if !k.awaitReady() {
 		close(quit)
 		helpers.Wait()
@@ -192,6 +198,40 @@
 	k.report.Seconds = time.Since(k.begin).Seconds()
 }
 
+// watchStalls notes when this process did not run: on a machine that stands
+// still nobody keeps a promise of time, and nobody can judge one.
+func (k *soak) watchStalls(quit <-chan struct{}) {
+	for last := time.Now(); ; {
+		select {
+		case <-quit:
+			return
+		case <-time.After(watchEvery):
+		}
+		now := time.Now()
+		if now.Sub(last) > stallLeast {
+			k.mu.Lock()
+			k.stalls = append(k.stalls, span{last, now})
+			k.report.Stalls = append(k.report.Stalls, fmt.Sprintf("%7.2f s: %s", now.Sub(k.begin).Seconds(), now.Sub(last).Round(time.Millisecond)))
+			k.mu.Unlock()
+		}
+		last = now
+	}
+}
+
+// late notes a promise of time that was not kept in a span, as void when this
+// process did not run meanwhile.
+func (k *soak) late(x span, format string, a ...any) {
+	k.mu.Lock()
+	stalled := slices.ContainsFunc(k.stalls, func(s span) bool { return s.from.Before(x.to) && s.to.After(x.from) })
+	if stalled {
+		k.report.Void = append(k.report.Void, fmt.Sprintf(format, a...))
+	}
+	k.mu.Unlock()
+	if !stalled {
+		k.broken(format, a...)
+	}
+}
+
 // broken notes a promise that was not kept.
 func (k *soak) broken(format string, a ...any) {
 	line := fmt.Sprintf("%7.2f s: ", time.Since(k.begin).Seconds()) + fmt.Sprintf(format, a...)
