--- a/internal/soaker/recovery.go
+++ b/internal/soaker/recovery.go
@@ -90,7 +90,7 @@
 	r := Recovery{Loss: l.Name, Before: k.rate(time.Now(), beforeLoss)}
 	k.store.SetFaults(l.Store)
 	lost := map[Kind][]*process{KillEntry: k.entries[:1], KillAgent: k.agents[:1], KillEntries: k.entries, KillAll: k.processes()}[l.Kind]
-	k.restart(lost, func() { time.Sleep(l.Absent) })
+	k.restart(Fault{For: l.Absent}, lost...)
 	returned := time.Now()
 	time.Sleep(afterLoss)
 	r.Half, r.Almost = k.reached(returned, half*r.Before), k.reached(returned, almost*r.Before)
