--- a/cmd/mustardleverd/gauges.go
+++ b/cmd/mustardleverd/gauges.go
@@ -6,7 +6,7 @@
 	"mustardlever.dev/mustardlever/counter"
 	"mustardlever.dev/mustardlever/executor"
 	"mustardlever.dev/mustardlever/keeper"
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/server"
 )
 
@@ -28,8 +28,8 @@
 			return float64(total)
 		}
 	}
-	gaugeSessions(n, "sessions_with_entries", messenger.RoleEntry, e.Peers)
-	gaugeSessions(n, "sessions_with_agents", messenger.RoleAgent, e.Peers)
+	gaugeSessions(n, "sessions_with_entries", protocol.RoleEntry, e.Peers)
+	gaugeSessions(n, "sessions_with_agents", protocol.RoleAgent, e.Peers)
 	n.Gauge("agents", sum(func(c keeper.Counts) int { return c.Agents }))
 	n.Gauge("suspect_agents", sum(func(c keeper.Counts) int { return c.Suspect }))
 	n.Gauge("waiting_tasks", sum(func(c keeper.Counts) int { return c.Waiting }))
@@ -39,7 +39,7 @@
 
 // gaugeSessions offers the number of peers of a role with which there is a
 // session.
-func gaugeSessions(n *counter.Counter, name string, role messenger.Role, peers func() []messenger.Identity) {
+func gaugeSessions(n *counter.Counter, name string, role protocol.Role, peers func() []protocol.Identity) {
 	n.Gauge(name, func() float64 {
 		count := 0
 		for _, p := range peers() {
@@ -54,7 +54,7 @@
 // gaugeAgent offers the figures of an agent.
 func gaugeAgent(a *server.Agent, n *counter.Counter) {
 	n.Gauge("running_tasks", func() float64 { return float64(a.Running()) })
-	gaugeSessions(n, "sessions_with_entries", messenger.RoleEntry, a.Peers)
+	gaugeSessions(n, "sessions_with_entries", protocol.RoleEntry, a.Peers)
 }
 
 // gaugeBackendServer offers the figures of a backend server under leases.
--- a/cmd/mustardleverd/hosted.go
+++ b/cmd/mustardleverd/hosted.go
@@ -10,6 +10,7 @@
 	"mustardlever.dev/mustardlever/counter"
 	"mustardlever.dev/mustardlever/messenger"
 	"mustardlever.dev/mustardlever/platform"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/registrar"
 )
 
@@ -45,7 +46,7 @@
 // process is an entry or an agent.
 type process interface {
 	Learn(addresses []string)
-	Peers() []messenger.Identity
+	Peers() []protocol.Identity
 }
 
 // newStore returns the process's client of the platform's store.
@@ -61,7 +62,7 @@
 		Self: self, List: store.ListEntries, Write: store.WriteEntry, Drop: store.DropEntry,
 		Learn: p.Learn, Log: log,
 		Lonely: func() bool {
-			return !slices.ContainsFunc(p.Peers(), func(i messenger.Identity) bool { return i.Role == messenger.RoleEntry })
+			return !slices.ContainsFunc(p.Peers(), func(i protocol.Identity) bool { return i.Role == protocol.RoleEntry })
 		},
 	}
 }
--- a/cmd/mustardleverd/hosted_agent.go
+++ b/cmd/mustardleverd/hosted_agent.go
@@ -12,9 +12,9 @@
 	"mustardlever.dev/mustardlever/counter"
 	"mustardlever.dev/mustardlever/executor"
 	"mustardlever.dev/mustardlever/leaser"
-	"mustardlever.dev/mustardlever/messenger"
 	"mustardlever.dev/mustardlever/operator"
 	"mustardlever.dev/mustardlever/platform"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/recorder"
 	"mustardlever.dev/mustardlever/server"
 )
@@ -75,7 +75,7 @@
 		Log:      log, Call: backends.Call,
 		Hold:          func(held bool) { a.Hold(service, held) },
 		Withdraw:      func(executor.Report) { a.Withdraw(service) },
-		Finish:        func(id uint64, result *messenger.Result) { a.Finish(service, id, result) },
+		Finish:        func(id uint64, result *protocol.Result) { a.Finish(service, id, result) },
 		FinishStopped: func(id uint64) { a.FinishStopped(service, id) },
 	}
 	x.Offer = func(r executor.Report) {
--- a/cmd/mustardleverd/hosted_entry.go
+++ b/cmd/mustardleverd/hosted_entry.go
@@ -13,9 +13,9 @@
 	"mustardlever.dev/mustardlever/counter"
 	"mustardlever.dev/mustardlever/dispatcher"
 	"mustardlever.dev/mustardlever/keeper"
-	"mustardlever.dev/mustardlever/messenger"
 	"mustardlever.dev/mustardlever/operator"
 	"mustardlever.dev/mustardlever/platform"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/recorder"
 	"mustardlever.dev/mustardlever/registrar"
 	"mustardlever.dev/mustardlever/router"
@@ -136,7 +136,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit-stopAnswers/2)
 	defer cancel()
 	e.LeaveBalancer()
-	give := time.AfterFunc(limit-stopAnswers, func() { e.Abandon(messenger.ReasonStopping) })
+	give := time.AfterFunc(limit-stopAnswers, func() { e.Abandon(protocol.ReasonStopping) })
 	defer give.Stop()
 	waker.Pause(ctx, balancerLeaves)
 	front.SetKeepAlivesEnabled(false)
--- a/cmd/mustardleverd/run.go
+++ b/cmd/mustardleverd/run.go
@@ -17,8 +17,8 @@
 	"mustardlever.dev/mustardlever/counter"
 	"mustardlever.dev/mustardlever/keeper"
 	"mustardlever.dev/mustardlever/logger"
-	"mustardlever.dev/mustardlever/messenger"
 	"mustardlever.dev/mustardlever/operator"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/recorder"
 	"mustardlever.dev/mustardlever/server"
 )
@@ -112,9 +112,9 @@
 
 func newRecorder() *recorder.Recorder { return new(recorder.Recorder) }
 
-func identity(p configurer.Process) messenger.Identity {
-	return messenger.Identity{
-		Name: p.Name, Role: messenger.Role(p.Role), Zone: p.Zone,
+func identity(p configurer.Process) protocol.Identity {
+	return protocol.Identity{
+		Name: p.Name, Role: protocol.Role(p.Role), Zone: p.Zone,
 		Address: p.LinkAdvertised, Operator: p.OperatorAddress,
 	}
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -15,7 +15,7 @@
 
 	"github.com/pkg/errors"
 
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 )
 
 // Limits and defaults.
@@ -67,7 +67,7 @@
 // connection to the backend server came about, so that no byte was sent: only
 // then did the task not start. POST without a replayable body is never sent
 // again by net/http once a byte was written.
-func (e *Executor) Run(ctx context.Context, r messenger.Request) *messenger.Result {
+func (e *Executor) Run(ctx context.Context, r protocol.Request) *protocol.Result {
 	timeout := e.Timeout
 	if r.TimeoutMillis > 0 {
 		timeout = min(timeout, time.Duration(r.TimeoutMillis)*time.Millisecond)
@@ -82,10 +82,10 @@
 	return result
 }
 
-func (e *Executor) send(ctx context.Context, r messenger.Request) *messenger.Result {
+func (e *Executor) send(ctx context.Context, r protocol.Request) *protocol.Result {
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Address+r.Path, bytes.NewReader(r.Body))
 	if err != nil {
-		return &messenger.Result{Error: err.Error()}
+		return &protocol.Result{Error: err.Error()}
 	}
 	q.GetBody = nil // a body that cannot be read again is never sent again
 	q.Header.Set("Content-Type", "application/json")
@@ -94,17 +94,17 @@
 		return nil
 	}
 	if err != nil {
-		return &messenger.Result{Error: errors.Cause(err).Error()}
+		return &protocol.Result{Error: errors.Cause(err).Error()}
 	}
 	defer p.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(p.Body, MaxResultBytes+1))
 	switch {
 	case err != nil:
-		return &messenger.Result{Status: p.StatusCode, Error: err.Error()}
+		return &protocol.Result{Status: p.StatusCode, Error: err.Error()}
 	case len(body) > MaxResultBytes:
-		return &messenger.Result{Status: p.StatusCode, Error: "the result is larger than 1 MiB"}
+		return &protocol.Result{Status: p.StatusCode, Error: "the result is larger than 1 MiB"}
 	}
-	result := &messenger.Result{Status: p.StatusCode}
+	result := &protocol.Result{Status: p.StatusCode}
 	result.Body, result.Encoding = wire(body)
 	return result
 }
--- a/executor/leased.go
+++ b/executor/leased.go
@@ -8,7 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"mustardlever.dev/mustardlever/leaser"
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/sizer"
 	"mustardlever.dev/mustardlever/starter"
 )
@@ -54,7 +54,7 @@
 	// started meanwhile.
 	Hold func(held bool)
 	// Finish tells the end of a run; a nil result means that it did not start.
-	Finish func(id uint64, result *messenger.Result)
+	Finish func(id uint64, result *protocol.Result)
 	// FinishStopped tells that a run ended before it was done.
 	FinishStopped func(id uint64)
 
@@ -196,9 +196,9 @@
 	case !e.Started:
 		x.FinishStopped(e.ID)
 	case e.How == leaser.HowDone:
-		x.Finish(e.ID, &messenger.Result{Status: runSucceeded, ServeMicros: e.Took.Microseconds()})
+		x.Finish(e.ID, &protocol.Result{Status: runSucceeded, ServeMicros: e.Took.Microseconds()})
 	case e.How == leaser.HowFailed:
-		x.Finish(e.ID, &messenger.Result{Status: runFailed, Error: "the task failed", ServeMicros: e.Took.Microseconds()})
+		x.Finish(e.ID, &protocol.Result{Status: runFailed, Error: "the task failed", ServeMicros: e.Took.Microseconds()})
 	default:
 		x.FinishStopped(e.ID)
 	}
--- a/executor/leased_test.go
+++ b/executor/leased_test.go
@@ -14,7 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mustardlever.dev/mustardlever/leaser"
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/sizer"
 	"mustardlever.dev/mustardlever/starter"
 )
@@ -95,7 +95,7 @@
 				d.note("go on")
 			}
 		},
-		Finish:        func(id uint64, r *messenger.Result) { d.end(id, r.Status) },
+		Finish:        func(id uint64, r *protocol.Result) { d.end(id, r.Status) },
 		FinishStopped: func(id uint64) { d.end(id, 0) },
 	}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -110,7 +110,7 @@
 }
 
 func run(x *Leased, id uint64) {
-	x.Run(starter.Run{ID: id, Attempt: 1, Request: messenger.Request{Name: "task"}})
+	x.Run(starter.Run{ID: id, Attempt: 1, Request: protocol.Request{Name: "task"}})
 }
 
 func TestTaskRunsAndEnds(t *testing.T) {
@@ -145,7 +145,7 @@
 		d.mu.Lock()
 		d.silent = true
 		d.mu.Unlock()
-		x.Run(starter.Run{ID: 8, Attempt: 1, Request: messenger.Request{Name: "unanswered"}})
+		x.Run(starter.Run{ID: 8, Attempt: 1, Request: protocol.Request{Name: "unanswered"}})
 		time.Sleep(200 * time.Millisecond)
 		require.Equal(t, []string{"offer", "hold"}, d.list())
 		require.Empty(t, d.results())
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -15,6 +15,7 @@
 	"mustardlever.dev/mustardlever/internal/standin"
 	"mustardlever.dev/mustardlever/keeper"
 	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/recorder"
 	"mustardlever.dev/mustardlever/server"
 )
@@ -90,7 +91,7 @@
 	name := fmt.Sprintf("entry-%d", n)
 	e := &server.Entry{
 		Settings: server.EntrySettings{
-			Identity:  messenger.Identity{Name: name, Role: messenger.RoleEntry, Zone: fmt.Sprintf("zone-%d", n)},
+			Identity:  protocol.Identity{Name: name, Role: protocol.RoleEntry, Zone: fmt.Sprintf("zone-%d", n)},
 			Entries:   c.links,
 			TicketKey: []byte(ticketKey),
 			Services:  map[string]keeper.Settings{Service: c.Settings.Keeper},
@@ -123,7 +124,7 @@
 	}
 	a := &server.Agent{
 		Settings: server.AgentSettings{
-			Identity: messenger.Identity{Name: name, Role: messenger.RoleAgent, Zone: fmt.Sprintf("zone-%d", n)},
+			Identity: protocol.Identity{Name: name, Role: protocol.RoleAgent, Zone: fmt.Sprintf("zone-%d", n)},
 			Entries:  c.links,
 			BackendServers: []server.BackendServer{
 				{Service: Service, Address: b.Address(), Slots: c.Settings.Slots},
--- a/keeper/agent.go
+++ b/keeper/agent.go
@@ -3,13 +3,13 @@
 import (
 	"time"
 
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 )
 
 // announce takes an agent's offer of its backend server. A new incarnation
 // announces itself when nothing of an earlier one runs any more, so that tasks
 // bound to that one can start elsewhere at once.
-func (k *Keeper) announce(now time.Time, from string, m *messenger.Announce) {
+func (k *Keeper) announce(now time.Time, from string, m *protocol.Announce) {
 	a := k.agents[from]
 	if a == nil {
 		a = &agent{name: from, inflight: make(map[*job]map[int]bool)}
@@ -17,7 +17,7 @@
 		delete(k.gone, from)
 		k.tellRoster(from)
 		k.ackWaiting(from)
-		k.endLapses(now, func(t *task) bool { return messenger.NameOf(t.agent) == messenger.NameOf(from) })
+		k.endLapses(now, func(t *task) bool { return protocol.NameOf(t.agent) == protocol.NameOf(from) })
 	}
 	a.address, a.leaving = m.Address, m.Leaving
 	if m.Leaving {
@@ -59,7 +59,7 @@
 		k.decide("task-lapsing", j, i, t.agent, "agent lost")
 		return
 	}
-	t.state, j.doubt = unknown, messenger.ReasonAgentLost
+	t.state, j.doubt = unknown, protocol.ReasonAgentLost
 	k.decide("task-unknown", j, i, t.agent, "agent lost")
 }
 
--- a/keeper/bench_test.go
+++ b/keeper/bench_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/sizer"
 )
 
@@ -15,16 +15,16 @@
 
 // benchLoad is the load of an agent with free slots that has received every
 // start.
-var benchLoad = messenger.Load{Free: sizer.Slots(benchSlots), Received: 1 << 32}
+var benchLoad = protocol.Load{Free: sizer.Slots(benchSlots), Received: 1 << 32}
 
 // loaded returns a Keeper with agents whose slots are all in use, and about
 // waiting tasks in the queue, in jobs of 50.
-func loaded(b *testing.B, agents, waiting int) (*Keeper, []*messenger.Start) {
+func loaded(b *testing.B, agents, waiting int) (*Keeper, []*protocol.Start) {
 	k := &Keeper{Self: "self.1", Service: "s", Settings: Settings{QueueTasks: 1 << 30, KeptJobs: 1 << 30, KeptBytes: 1 << 40}}
 	k.Init(testStart)
 	for i := range agents {
 		name := fmt.Sprintf("agent-%d.1", i)
-		k.Receive(testStart, name, messenger.Message{Announce: &messenger.Announce{
+		k.Receive(testStart, name, protocol.Message{Announce: &protocol.Announce{
 			Capacity: sizer.Slots(benchSlots), Load: benchLoad,
 		}})
 	}
@@ -37,7 +37,7 @@
 func submitBench(b *testing.B, k *Keeper, tasks int) {
 	t, err := k.Issue(testStart, 1)
 	if err == nil {
-		_, err = k.Submit(testStart, t[0].Ticket, Job{Tasks: make([]messenger.Request, tasks)})
+		_, err = k.Submit(testStart, t[0].Ticket, Job{Tasks: make([]protocol.Request, tasks)})
 	}
 	if err != nil {
 		b.Fatal(err)
@@ -51,13 +51,13 @@
 		for _, waiting := range []int{1000, 10_000, 55_000} {
 			b.Run(fmt.Sprintf("agents-%d/waiting-%d", agents, waiting), func(b *testing.B) {
 				k, running := loaded(b, agents, waiting)
-				result := &messenger.Result{Status: 200, ServeMicros: 1000}
+				result := &protocol.Result{Status: 200, ServeMicros: 1000}
 				b.ReportAllocs()
 				b.ResetTimer()
 				for i := 0; b.Loop(); i++ {
 					s := running[0]
 					running = running[1:]
-					k.Receive(testStart, s.Agent, messenger.Message{Outcome: &messenger.Outcome{
+					k.Receive(testStart, s.Agent, protocol.Message{Outcome: &protocol.Outcome{
 						Ticket: s.Ticket, Task: s.Task, Result: result, Load: benchLoad,
 					}})
 					if i%50 == 49 {
@@ -95,8 +95,8 @@
 					for list := starts(k); len(list) > 0; list = starts(k) {
 						for _, s := range list {
 							body := []byte(strings.Repeat("x", 100))
-							k.Receive(testStart, s.Agent, messenger.Message{Outcome: &messenger.Outcome{
-								Ticket: s.Ticket, Task: s.Task, Result: &messenger.Result{Status: 200, Body: body}, Load: benchLoad,
+							k.Receive(testStart, s.Agent, protocol.Message{Outcome: &protocol.Outcome{
+								Ticket: s.Ticket, Task: s.Task, Result: &protocol.Result{Status: 200, Body: body}, Load: benchLoad,
 							}})
 						}
 					}
--- a/keeper/direct.go
+++ b/keeper/direct.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 )
 
 // minComeBack and maxComeBack bound the time after which a caller is asked to
@@ -34,7 +34,7 @@
 	k.next++
 	j := k.newJob(now, key{k.Self, number}, in)
 	if k.queue.TooLarge(j.place.Need) {
-		k.stop(now, j, messenger.ReasonNoFit)
+		k.stop(now, j, protocol.ReasonNoFit)
 	} else {
 		k.enqueue(j)
 		k.dispatch(now)
@@ -45,7 +45,7 @@
 // CancelRun ends a job that Run took, because its caller has left.
 func (k *Keeper) CancelRun(now time.Time, number uint64) {
 	if j := k.jobs[key{k.Self, number}]; j != nil {
-		k.stop(now, j, messenger.ReasonCancelled)
+		k.stop(now, j, protocol.ReasonCancelled)
 	}
 }
 
@@ -54,7 +54,7 @@
 func (k *Keeper) CancelName(now time.Time, name string) bool {
 	j := k.names[name]
 	if j != nil {
-		k.stop(now, j, messenger.ReasonCancelled)
+		k.stop(now, j, protocol.ReasonCancelled)
 	}
 	return j != nil
 }
@@ -71,7 +71,7 @@
 }
 
 // AbandonRuns ends all jobs that Run took, for one reason.
-func (k *Keeper) AbandonRuns(now time.Time, r messenger.Reason) {
+func (k *Keeper) AbandonRuns(now time.Time, r protocol.Reason) {
 	for j := range k.active {
 		if j.restarts {
 			k.stop(now, j, r)
@@ -100,7 +100,7 @@
 // out.
 func (j *job) touched() bool {
 	for i := range j.tasks {
-		if j.tasks[i].told() != messenger.TaskNotRun {
+		if j.tasks[i].told() != protocol.TaskNotRun {
 			return true
 		}
 	}
--- a/keeper/direct_test.go
+++ b/keeper/direct_test.go
@@ -6,20 +6,20 @@
 
 	"github.com/stretchr/testify/require"
 
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/sizer"
 )
 
 // direct is a job of two tasks that may fail three times each.
 func direct(name string) Job {
 	return Job{
-		Name: name, Tasks: []messenger.Request{{EstimateMillis: 100}, {EstimateMillis: 100}},
+		Name: name, Tasks: []protocol.Request{{EstimateMillis: 100}, {EstimateMillis: 100}},
 		Restarts: Restarts{Attempts: 3, First: 50}, Due: 300 * time.Millisecond,
 	}
 }
 
 // full is the load of an agent without room.
-var full = messenger.Load{Received: 1 << 32}
+var full = protocol.Load{Received: 1 << 32}
 
 func mustRun(t *testing.T, k *Keeper, in Job) uint64 {
 	number, a, err := k.Run(testStart, in)
@@ -28,8 +28,8 @@
 	return number
 }
 
-func refuse(k *Keeper, now time.Time, s *messenger.Start, r messenger.Refusal, l messenger.Load) {
-	k.Receive(now, testAgent, messenger.Message{Outcome: &messenger.Outcome{
+func refuse(k *Keeper, now time.Time, s *protocol.Start, r protocol.Refusal, l protocol.Load) {
+	k.Receive(now, testAgent, protocol.Message{Outcome: &protocol.Outcome{
 		Ticket: s.Ticket, Task: s.Task, Attempt: s.Attempt, Refusal: r, Load: l,
 	}})
 }
@@ -37,19 +37,19 @@
 // addAgents adds agents with four free slots each.
 func addAgents(k *Keeper, names ...string) {
 	for _, a := range names {
-		k.Receive(testStart, a, messenger.Message{Announce: &messenger.Announce{Capacity: sizer.Slots(4), Load: roomy}})
+		k.Receive(testStart, a, protocol.Message{Announce: &protocol.Announce{Capacity: sizer.Slots(4), Load: roomy}})
 	}
 	k.Drain()
 }
 
-func failOn(k *Keeper, now time.Time, agent string, s *messenger.Start) {
-	k.Receive(now, agent, messenger.Message{Outcome: &messenger.Outcome{
-		Ticket: s.Ticket, Task: s.Task, Attempt: s.Attempt, Result: &messenger.Result{Status: 500}, Load: roomy,
+func failOn(k *Keeper, now time.Time, agent string, s *protocol.Start) {
+	k.Receive(now, agent, protocol.Message{Outcome: &protocol.Outcome{
+		Ticket: s.Ticket, Task: s.Task, Attempt: s.Attempt, Result: &protocol.Result{Status: 500}, Load: roomy,
 	}})
 }
 
 // ending returns the only ending decided since the last call, and the stops.
-func ending(t *testing.T, k *Keeper) (*Answer, []*messenger.Stop) {
+func ending(t *testing.T, k *Keeper) (*Answer, []*protocol.Stop) {
 	out, endings, _ := k.Drain()
 	require.Len(t, endings, 1)
 	return endings[0].Answer, stopsIn(out)
@@ -81,7 +81,7 @@
 	require.Equal(t, 52, list[0].Attempt)
 	failOn(k, testStart, list[0].Agent, list[0])
 	a, stops := ending(t, k)
-	require.Equal(t, messenger.ReasonTask, a.Reason)
+	require.Equal(t, protocol.ReasonTask, a.Reason)
 	require.Len(t, stops, 1, "the other task is stopped")
 }
 
@@ -93,7 +93,7 @@
 	starts(k)
 	k.AgentLost(testStart, testAgent)
 	other := "other.1"
-	k.Receive(testStart, other, messenger.Message{Announce: &messenger.Announce{Capacity: sizer.Slots(4), Load: roomy}})
+	k.Receive(testStart, other, protocol.Message{Announce: &protocol.Announce{Capacity: sizer.Slots(4), Load: roomy}})
 	k.Tick(testStart.Add(k.Settings.LapseWait - time.Millisecond))
 	require.Empty(t, starts(k))
 	k.Tick(testStart.Add(k.Settings.LapseWait))
@@ -107,7 +107,7 @@
 	mustRun(t, k, direct("a"))
 	starts(k)
 	k.AgentLost(testStart, testAgent)
-	k.Receive(testStart, "agent.2", messenger.Message{Announce: &messenger.Announce{Capacity: sizer.Slots(4), Load: roomy}})
+	k.Receive(testStart, "agent.2", protocol.Message{Announce: &protocol.Announce{Capacity: sizer.Slots(4), Load: roomy}})
 	require.Len(t, starts(k), 2, "an agent announces itself when nothing of before runs")
 }
 
@@ -115,13 +115,13 @@
 func TestNotRunIsTrue(t *testing.T) {
 	tests := []struct {
 		name    string
-		refusal messenger.Refusal
+		refusal protocol.Refusal
 		notRun  bool
 	}{
 		{"under way", "", false},
-		{"no room", messenger.RefusalNoRoom, true},
-		{"lapsed", messenger.RefusalLapsed, false},
-		{"stopped", messenger.RefusalStopped, false},
+		{"no room", protocol.RefusalNoRoom, true},
+		{"lapsed", protocol.RefusalLapsed, false},
+		{"stopped", protocol.RefusalStopped, false},
 	}
 	for _, x := range tests {
 		t.Run(x.name, func(t *testing.T) {
@@ -155,7 +155,7 @@
 	in.Tasks[1].Need = sizer.Slots(5)
 	_, a, err := k.Run(testStart, in)
 	require.NoError(t, err)
-	require.Equal(t, messenger.ReasonNoFit, a.Reason)
+	require.Equal(t, protocol.ReasonNoFit, a.Reason)
 	require.False(t, a.MayHaveRun())
 }
 
@@ -175,8 +175,8 @@
 	require.Len(t, stopsOf(k), 1)
 	k.Tick(now.Add(20 * time.Millisecond))
 	require.Empty(t, stopsOf(k), "it is told once")
-	k.Receive(now, s.Agent, messenger.Message{Outcome: &messenger.Outcome{
-		Ticket: s.Ticket, Task: s.Task, Attempt: s.Attempt, Refusal: messenger.RefusalStopped, Load: roomy,
+	k.Receive(now, s.Agent, protocol.Message{Outcome: &protocol.Outcome{
+		Ticket: s.Ticket, Task: s.Task, Attempt: s.Attempt, Refusal: protocol.RefusalStopped, Load: roomy,
 	}})
 	again := starts(k)
 	require.Len(t, again, 1)
@@ -192,13 +192,13 @@
 	require.Len(t, starts(k), 1)
 }
 
-func stopsOf(k *Keeper) []*messenger.Stop {
+func stopsOf(k *Keeper) []*protocol.Stop {
 	out, _, _ := k.Drain()
 	return stopsIn(out)
 }
 
-func stopsIn(out []Output) []*messenger.Stop {
-	var stops []*messenger.Stop
+func stopsIn(out []Output) []*protocol.Stop {
+	var stops []*protocol.Stop
 	for _, o := range out {
 		if o.Message.Stop != nil {
 			stops = append(stops, o.Message.Stop)
@@ -237,7 +237,7 @@
 				served++
 			} else {
 				refused++
-				require.Equal(t, messenger.ReasonHopeless, x.Answer.Reason)
+				require.Equal(t, protocol.ReasonHopeless, x.Answer.Reason)
 				require.False(t, x.Answer.MayHaveRun())
 				require.Positive(t, x.Answer.Wait)
 			}
--- a/keeper/ending.go
+++ b/keeper/ending.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 )
 
 // stop ends the starting of a job's tasks. It concludes when those that run
 // have ended, or at once at the deadline.
-func (k *Keeper) stop(now time.Time, j *job, r messenger.Reason) {
+func (k *Keeper) stop(now time.Time, j *job, r protocol.Reason) {
 	if j.answer != nil || j.surrendered {
 		return
 	}
@@ -21,7 +21,7 @@
 		k.abandon(now, j)
 		return
 	}
-	if r == messenger.ReasonDeadline {
+	if r == protocol.ReasonDeadline {
 		k.release(j)
 		j.mark(sent, unknown)
 	}
@@ -40,7 +40,7 @@
 		}
 	}
 	for agent, list := range tasks {
-		k.send(agent, messenger.Message{Stop: &messenger.Stop{Ticket: j.ticket(k.Self), Tasks: list}})
+		k.send(agent, protocol.Message{Stop: &protocol.Stop{Ticket: j.ticket(k.Self), Tasks: list}})
 	}
 	k.release(j)
 	j.mark(sent, unknown)
@@ -80,12 +80,12 @@
 		return
 	}
 	j.settling = now
-	m := &messenger.Settle{Ticket: j.ticket(k.Self), Reason: j.stopping, States: j.states()}
-	k.send(j.witness, messenger.Message{Settle: m})
+	m := &protocol.Settle{Ticket: j.ticket(k.Self), Reason: j.stopping, States: j.states()}
+	k.send(j.witness, protocol.Message{Settle: m})
 }
 
 // settleAck ends a job to which its witness agreed.
-func (k *Keeper) settleAck(now time.Time, from string, m *messenger.SettleAck) {
+func (k *Keeper) settleAck(now time.Time, from string, m *protocol.SettleAck) {
 	if m.Sealed {
 		k.surrenderPair(now, from)
 		return
@@ -146,6 +146,6 @@
 		j.tasks[i].result = nil
 	}
 	if j.answer != nil {
-		j.answer = j.newAnswer(StateFailed, messenger.ReasonDropped)
+		j.answer = j.newAnswer(StateFailed, protocol.ReasonDropped)
 	}
 }
--- a/keeper/job.go
+++ b/keeper/job.go
@@ -4,13 +4,13 @@
 	"time"
 
 	"mustardlever.dev/mustardlever/dispatcher"
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 )
 
 // Job is what a caller submits: 1 to 270 tasks, each one request to a backend
 // server of the service.
 type Job struct {
-	Tasks          []messenger.Request
+	Tasks          []protocol.Request
 	DeadlineMillis int64  // zero: Settings.Deadline
 	Digest         string // of the submission, to tell a resubmission from another job
 	Name           string // caller's own id, for the record
@@ -50,15 +50,15 @@
 // TaskAnswer is what became of one task. Result is set when it ran and its
 // result is known.
 type TaskAnswer struct {
-	State  messenger.TaskState
+	State  protocol.TaskState
 	Agent  string
-	Result *messenger.Result
+	Result *protocol.Result
 }
 
 // Answer is the whole answer to a job. Tasks is nil while it runs.
 type Answer struct {
 	State  State
-	Reason messenger.Reason
+	Reason protocol.Reason
 	Tasks  []TaskAnswer
 	Starts int           // how many starts were sent
 	ToSend time.Duration // from the job's arrival until the first start was sent; zero: none was
@@ -68,7 +68,7 @@
 // MayHaveRun reports whether any task ran or may have run.
 func (a *Answer) MayHaveRun() bool {
 	for _, t := range a.Tasks {
-		if t.State != messenger.TaskNotRun {
+		if t.State != protocol.TaskNotRun {
 			return true
 		}
 	}
@@ -95,7 +95,7 @@
 	lapses   time.Time
 	sent     time.Time // when the last start was sent
 	stopped  bool      // it stood still, and was told to stop
-	result   *messenger.Result
+	result   *protocol.Result
 }
 
 // rebind makes a task pending again, whose last start does not run. Begun
@@ -119,7 +119,7 @@
 	witness   string // empty for none, and for a job taken over
 	adopted   bool   // taken over from a lost owner
 	digest    string
-	requests  []messenger.Request // nil once the job has ended
+	requests  []protocol.Request // nil once the job has ended
 	tasks     []task
 	place     dispatcher.Job[*job]
 	submitted time.Time
@@ -132,12 +132,12 @@
 	firstSent time.Time // when the first start was sent
 	avoided   []string  // agents on which a task of it failed or stood still
 
-	waitsSeal   bool             // taken over, the seal is not complete
-	stopping    messenger.Reason // no further task is started
-	doubt       messenger.Reason // why a task is unknown
-	settling    time.Time        // when the witness was asked to agree
-	surrendered bool             // the witness has taken over
-	answer      *Answer          // set when ended
+	waitsSeal   bool            // taken over, the seal is not complete
+	stopping    protocol.Reason // no further task is started
+	doubt       protocol.Reason // why a task is unknown
+	settling    time.Time       // when the witness was asked to agree
+	surrendered bool            // the witness has taken over
+	answer      *Answer         // set when ended
 	ended       time.Time
 }
 
@@ -163,8 +163,8 @@
 }
 
 // ticket returns the job's ticket as it is sent by self.
-func (j *job) ticket(self string) messenger.Ticket {
-	t := messenger.Ticket{Owner: j.key.owner, Witness: j.witness, Sequence: j.key.sequence}
+func (j *job) ticket(self string) protocol.Ticket {
+	t := protocol.Ticket{Owner: j.key.owner, Witness: j.witness, Sequence: j.key.sequence}
 	if j.adopted {
 		t.Witness = self
 	}
@@ -184,26 +184,26 @@
 }
 
 // states returns the states to tell: what is pending is told as not run.
-func (j *job) states() []messenger.TaskState {
-	states := make([]messenger.TaskState, len(j.tasks))
+func (j *job) states() []protocol.TaskState {
+	states := make([]protocol.TaskState, len(j.tasks))
 	for i := range j.tasks {
 		states[i] = j.tasks[i].told()
 	}
 	return states
 }
 
-func (t *task) told() messenger.TaskState {
+func (t *task) told() protocol.TaskState {
 	switch {
 	case t.state == ran:
-		return messenger.TaskRan
+		return protocol.TaskRan
 	case t.state == pending && !t.begun:
-		return messenger.TaskNotRun
+		return protocol.TaskNotRun
 	}
-	return messenger.TaskUnknown
+	return protocol.TaskUnknown
 }
 
 // newAnswer builds the final answer of a job.
-func (j *job) newAnswer(s State, r messenger.Reason) *Answer {
+func (j *job) newAnswer(s State, r protocol.Reason) *Answer {
 	a := &Answer{State: s, Reason: r, Starts: j.starts, Tasks: make([]TaskAnswer, len(j.tasks))}
 	if j.starts > 0 {
 		a.ToSend = j.firstSent.Sub(j.submitted)
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"mustardlever.dev/mustardlever/dispatcher"
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 )
 
 // Settings bounds a Keeper. Zero fields take the defaults.
@@ -45,7 +45,7 @@
 // Output is a message to a process incarnation.
 type Output struct {
 	To      string
-	Message messenger.Message
+	Message protocol.Message
 }
 
 // Ended tells that a job has its final answer, or, with a nil Answer, that its
@@ -141,7 +141,7 @@
 	return out, endings, decisions
 }
 
-func (k *Keeper) send(to string, m messenger.Message) {
+func (k *Keeper) send(to string, m protocol.Message) {
 	m.Service = k.Service
 	k.out = append(k.out, Output{to, m})
 }
@@ -183,7 +183,7 @@
 }
 
 // Receive takes a message of this service from a peer.
-func (k *Keeper) Receive(now time.Time, from string, m messenger.Message) {
+func (k *Keeper) Receive(now time.Time, from string, m protocol.Message) {
 	switch {
 	case m.Outcome != nil:
 		k.outcome(now, from, m.Outcome)
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mustardlever.dev/mustardlever/internal/fault"
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/sizer"
 )
 
@@ -20,24 +20,24 @@
 
 // roomy is the load of an agent with four free slots that has received every
 // start.
-var roomy = messenger.Load{Free: sizer.Slots(4), Received: 1 << 32}
+var roomy = protocol.Load{Free: sizer.Slots(4), Received: 1 << 32}
 
 // newKeeper returns a Keeper with one agent that has four free slots.
 func newKeeper() *Keeper {
 	k := &Keeper{Self: "self.1", Zone: "zone-1", Service: "s"}
 	k.Init(testStart)
-	k.Receive(testStart, testAgent, messenger.Message{Announce: &messenger.Announce{
+	k.Receive(testStart, testAgent, protocol.Message{Announce: &protocol.Announce{
 		Capacity: sizer.Slots(4), Load: roomy,
 	}})
 	k.Drain()
 	return k
 }
 
-func oneTask() Job { return Job{Tasks: make([]messenger.Request, 1), Digest: "d"} }
+func oneTask() Job { return Job{Tasks: make([]protocol.Request, 1), Digest: "d"} }
 
 // starts returns the starts among the messages decided since the last call.
-func starts(k *Keeper) []*messenger.Start {
-	var list []*messenger.Start
+func starts(k *Keeper) []*protocol.Start {
+	var list []*protocol.Start
 	out, _, _ := k.Drain()
 	for _, o := range out {
 		if o.Message.Start != nil {
@@ -47,23 +47,23 @@
 	return list
 }
 
-func finish(k *Keeper, now time.Time, s *messenger.Start) {
-	k.Receive(now, testAgent, messenger.Message{Outcome: &messenger.Outcome{
-		Ticket: s.Ticket, Task: s.Task, Attempt: s.Attempt, Result: &messenger.Result{Status: 200}, Load: roomy,
+func finish(k *Keeper, now time.Time, s *protocol.Start) {
+	k.Receive(now, testAgent, protocol.Message{Outcome: &protocol.Outcome{
+		Ticket: s.Ticket, Task: s.Task, Attempt: s.Attempt, Result: &protocol.Result{Status: 200}, Load: roomy,
 	}})
 }
 
 // takeOver makes k the witness of testOwner, with one agent, and puts a job to
 // it. The agent answers the seal with reply.
-func takeOver(t *testing.T, k *Keeper, now time.Time, reply messenger.Marks) messenger.Ticket {
-	k.Receive(now, testOwner, messenger.Message{Roster: &messenger.Roster{Members: []messenger.Member{{Agent: testAgent}}}})
-	ticket := messenger.Ticket{Owner: testOwner, Witness: k.Self, Sequence: 3}
+func takeOver(t *testing.T, k *Keeper, now time.Time, reply protocol.Marks) protocol.Ticket {
+	k.Receive(now, testOwner, protocol.Message{Roster: &protocol.Roster{Members: []protocol.Member{{Agent: testAgent}}}})
+	ticket := protocol.Ticket{Owner: testOwner, Witness: k.Self, Sequence: 3}
 	a, err := k.TakeOver(now, ticket, oneTask())
 	require.NoError(t, err)
 	require.Nil(t, a)
 	require.Empty(t, starts(k), "nothing may start before the seal is complete")
 	reply.Owner = testOwner
-	k.Receive(now, testAgent, messenger.Message{Marks: &reply})
+	k.Receive(now, testAgent, protocol.Message{Marks: &reply})
 	return ticket
 }
 
@@ -89,7 +89,7 @@
 
 func TestJobTakenOverStaysUntilItsOwnerIsClosed(t *testing.T) {
 	k := newKeeper()
-	ticket := takeOver(t, k, testStart, messenger.Marks{})
+	ticket := takeOver(t, k, testStart, protocol.Marks{})
 	list := starts(k)
 	require.Len(t, list, 1)
 	finish(k, testStart, list[0])
@@ -108,24 +108,24 @@
 
 func TestTicketThatAnAgentClosedIsNotStarted(t *testing.T) {
 	k := newKeeper()
-	ticket := takeOver(t, k, testStart, messenger.Marks{ClosedBelow: 4})
+	ticket := takeOver(t, k, testStart, protocol.Marks{ClosedBelow: 4})
 	require.Empty(t, starts(k))
 	a, err := k.TakeOver(testStart, ticket, oneTask())
 	require.NoError(t, err)
 	require.Equal(t, StateFailed, a.State)
-	require.Equal(t, messenger.TaskUnknown, a.Tasks[0].State)
+	require.Equal(t, protocol.TaskUnknown, a.Tasks[0].State)
 }
 
 func TestClosedRefusalLeavesTheTaskUnknown(t *testing.T) {
 	k := newKeeper()
-	ticket := takeOver(t, k, testStart, messenger.Marks{})
+	ticket := takeOver(t, k, testStart, protocol.Marks{})
 	s := starts(k)[0]
-	k.Receive(testStart, testAgent, messenger.Message{Outcome: &messenger.Outcome{
-		Ticket: s.Ticket, Task: s.Task, Attempt: s.Attempt, Refusal: messenger.RefusalClosed,
+	k.Receive(testStart, testAgent, protocol.Message{Outcome: &protocol.Outcome{
+		Ticket: s.Ticket, Task: s.Task, Attempt: s.Attempt, Refusal: protocol.RefusalClosed,
 	}})
 	a, err := k.TakeOver(testStart, ticket, oneTask())
 	require.NoError(t, err)
-	require.Equal(t, messenger.TaskUnknown, a.Tasks[0].State)
+	require.Equal(t, protocol.TaskUnknown, a.Tasks[0].State)
 }
 
 func TestResultsBeyondTheirRoomAreDropped(t *testing.T) {
@@ -137,14 +137,14 @@
 		_, err := k.Submit(testStart, x.Ticket, oneTask())
 		require.NoError(t, err)
 		s := starts(k)[0]
-		k.Receive(testStart, testAgent, messenger.Message{Outcome: &messenger.Outcome{
-			Ticket: s.Ticket, Task: 0, Result: &messenger.Result{Status: 200, Body: []byte(`"123456"`)}, Load: roomy,
+		k.Receive(testStart, testAgent, protocol.Message{Outcome: &protocol.Outcome{
+			Ticket: s.Ticket, Task: 0, Result: &protocol.Result{Status: 200, Body: []byte(`"123456"`)}, Load: roomy,
 		}})
 	}
 	first, err := k.Find(testStart, tickets[0].Ticket)
 	require.NoError(t, err)
-	require.Equal(t, messenger.ReasonDropped, first.Reason)
-	require.Equal(t, messenger.TaskRan, first.Tasks[0].State)
+	require.Equal(t, protocol.ReasonDropped, first.Reason)
+	require.Equal(t, protocol.TaskRan, first.Tasks[0].State)
 	last, err := k.Find(testStart, tickets[2].Ticket)
 	require.NoError(t, err)
 	require.Equal(t, StateComplete, last.State)
--- a/keeper/owner.go
+++ b/keeper/owner.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"mustardlever.dev/mustardlever/dispatcher"
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/sizer"
 	"mustardlever.dev/mustardlever/ticketer"
 )
@@ -26,7 +26,7 @@
 	tickets := make([]ticketer.Ticket, n)
 	for i := range tickets {
 		tickets[i] = ticketer.Ticket{
-			Ticket:  messenger.Ticket{Owner: k.Self, Witness: w, Sequence: k.next},
+			Ticket:  protocol.Ticket{Owner: k.Self, Witness: w, Sequence: k.next},
 			Service: k.Service,
 			Expires: expires.Sub(k.start),
 		}
@@ -43,7 +43,7 @@
 // Submit takes a job under a ticket of this entry. It is idempotent: a second
 // submission finds the first one's job. A nil answer means that the job runs
 // and that Drain will report its end.
-func (k *Keeper) Submit(now time.Time, t messenger.Ticket, in Job) (*Answer, error) {
+func (k *Keeper) Submit(now time.Time, t protocol.Ticket, in Job) (*Answer, error) {
 	if t.Owner != k.Self {
 		return nil, &Error{Op: "submit", Kind: KindNotOwner}
 	}
@@ -60,7 +60,7 @@
 	j := k.newJob(now, key{t.Owner, t.Sequence}, in)
 	j.witness = t.Witness
 	if k.queue.Waiting()+len(in.Tasks) > k.Settings.QueueTasks {
-		k.stop(now, j, messenger.ReasonOverload)
+		k.stop(now, j, protocol.ReasonOverload)
 		return j.answer, nil
 	}
 	k.enqueue(j)
@@ -80,7 +80,7 @@
 }
 
 // Find returns the state of a job; a nil answer means that it runs.
-func (k *Keeper) Find(now time.Time, t messenger.Ticket) (*Answer, error) {
+func (k *Keeper) Find(now time.Time, t protocol.Ticket) (*Answer, error) {
 	if j := k.jobs[key{t.Owner, t.Sequence}]; j != nil {
 		return j.found("")
 	}
@@ -96,12 +96,12 @@
 
 // Cancel stops a job: what has not been started will not be. The answer comes
 // when the tasks that run have ended.
-func (k *Keeper) Cancel(now time.Time, t messenger.Ticket) (*Answer, error) {
+func (k *Keeper) Cancel(now time.Time, t protocol.Ticket) (*Answer, error) {
 	if a, err := k.Find(now, t); a != nil || err != nil {
 		return a, err
 	}
 	j := k.jobs[key{t.Owner, t.Sequence}]
-	k.stop(now, j, messenger.ReasonCancelled)
+	k.stop(now, j, protocol.ReasonCancelled)
 	return j.answer, nil
 }
 
--- a/keeper/progress.go
+++ b/keeper/progress.go
@@ -1,10 +1,9 @@
 package keeper
 
 import (
-	"net/http"
 	"time"
 
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 )
 
 func (k *Keeper) enqueue(j *job) {
@@ -49,7 +48,7 @@
 		a.inflight[j] = make(map[int]bool)
 	}
 	a.inflight[j][i] = true
-	k.send(a.name, messenger.Message{Start: &messenger.Start{
+	k.send(a.name, protocol.Message{Start: &protocol.Start{
 		Agent: a.name, Ticket: j.ticket(k.Self), Task: i, Attempt: j.tasks[i].attempt,
 		Request: j.requests[i], Bound: j.restarts,
 	}})
@@ -65,7 +64,7 @@
 }
 
 // outcome takes what an agent says of a task.
-func (k *Keeper) outcome(now time.Time, from string, m *messenger.Outcome) {
+func (k *Keeper) outcome(now time.Time, from string, m *protocol.Outcome) {
 	k.queue.Report(from, m.Load)
 	k.queue.Ended(from)
 	if m.Ticket.Owner == "" {
@@ -82,7 +81,7 @@
 
 // expects tells whether the outcome answers the start that the task is bound
 // by. A refusal must be of the same attempt.
-func (j *job) expects(agent string, m *messenger.Outcome) bool {
+func (j *job) expects(agent string, m *protocol.Outcome) bool {
 	if m.Task < 0 || m.Task >= len(j.tasks) {
 		return false
 	}
@@ -102,7 +101,7 @@
 }
 
 // settleTask carries out rule 2: only a refused task may be bound again.
-func (k *Keeper) settleTask(now time.Time, j *job, m *messenger.Outcome, from string) {
+func (k *Keeper) settleTask(now time.Time, j *job, m *protocol.Outcome, from string) {
 	switch {
 	case m.Result != nil && j.restarts:
 		k.takeRestartable(now, j, m, from)
@@ -112,40 +111,40 @@
 		return
 	}
 	k.decide("start-refused", j, m.Task, from, string(m.Refusal))
-	if m.Refusal == messenger.RefusalClosed {
+	if m.Refusal == protocol.RefusalClosed {
 		// The agent may have started the task and forgotten it since.
-		j.tasks[m.Task].state, j.doubt = unknown, messenger.ReasonExpired
+		j.tasks[m.Task].state, j.doubt = unknown, protocol.ReasonExpired
 		return
 	}
-	if j.tasks[m.Task].stopped && m.Refusal == messenger.RefusalStopped {
+	if j.tasks[m.Task].stopped && m.Refusal == protocol.RefusalStopped {
 		k.straggled(now, j, from)
 	}
-	j.rebind(m.Task, m.Refusal == messenger.RefusalStopped || m.Refusal == messenger.RefusalLapsed)
+	j.rebind(m.Task, m.Refusal == protocol.RefusalStopped || m.Refusal == protocol.RefusalLapsed)
 	switch m.Refusal {
-	case messenger.RefusalSealed:
+	case protocol.RefusalSealed:
 		k.surrenderPair(now, j.witness)
-	case messenger.RefusalUnreachable:
+	case protocol.RefusalUnreachable:
 		k.queue.Pause(now, from)
 	}
 }
 
 // takeResult notes a task's result. One without a status means that the
 // request was sent and not answered.
-func (k *Keeper) takeResult(j *job, m *messenger.Outcome, from string) {
+func (k *Keeper) takeResult(j *job, m *protocol.Outcome, from string) {
 	t := &j.tasks[m.Task]
 	t.state, t.result = ran, m.Result
 	k.queue.Observe(from, j.place.Estimate, time.Duration(m.Result.ServeMicros)*time.Microsecond)
 	if m.Result.Status == 0 {
-		t.state, j.doubt = unknown, messenger.ReasonNoResult
+		t.state, j.doubt = unknown, protocol.ReasonNoResult
 		k.decide("task-unknown", j, m.Task, from, m.Result.Error)
 	}
 }
 
 // takeRestartable notes that a start of a task that may be started again has
 // ended, done or failed.
-func (k *Keeper) takeRestartable(now time.Time, j *job, m *messenger.Outcome, from string) {
+func (k *Keeper) takeRestartable(now time.Time, j *job, m *protocol.Outcome, from string) {
 	t := &j.tasks[m.Task]
-	if m.Result.Status < http.StatusBadRequest {
+	if m.Result.Good() {
 		t.state, t.result = ran, m.Result
 		k.queue.Observe(from, j.place.Estimate, time.Duration(m.Result.ServeMicros)*time.Microsecond)
 		return
@@ -159,7 +158,7 @@
 		return
 	}
 	t.state, t.result = ran, m.Result
-	k.stop(now, j, messenger.ReasonTask)
+	k.stop(now, j, protocol.ReasonTask)
 }
 
 // advance moves a job on after one of its tasks changed.
--- a/keeper/straggler.go
+++ b/keeper/straggler.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 )
 
 const (
@@ -46,7 +46,7 @@
 		}
 		t.stopped = true
 		k.decide("task-stands-still", j, i, t.agent, "running for "+now.Sub(t.sent).Round(time.Millisecond).String())
-		k.send(t.agent, messenger.Message{Stop: &messenger.Stop{Ticket: j.ticket(k.Self), Tasks: []int{i}}})
+		k.send(t.agent, protocol.Message{Stop: &protocol.Stop{Ticket: j.ticket(k.Self), Tasks: []int{i}}})
 	}
 }
 
--- a/keeper/takeover.go
+++ b/keeper/takeover.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 )
 
 // never is the watermark of an owner none of whose tickets may start any more.
@@ -29,7 +29,7 @@
 // ownerState is the witness's view of an owner.
 type ownerState struct {
 	members  map[string]*member
-	settled  map[uint64]*messenger.Settle
+	settled  map[uint64]*protocol.Settle
 	below    uint64 // tickets below are closed
 	sealed   bool
 	ready    bool // every agent was sealed or is missing
@@ -43,7 +43,7 @@
 func (k *Keeper) ownerState(owner string) *ownerState {
 	w := k.owners[owner]
 	if w == nil {
-		w = &ownerState{members: make(map[string]*member), settled: make(map[uint64]*messenger.Settle)}
+		w = &ownerState{members: make(map[string]*member), settled: make(map[uint64]*protocol.Settle)}
 		k.owners[owner] = w
 	}
 	return w
@@ -51,10 +51,10 @@
 
 // roster carries out rule 3 at the witness: it acknowledges the agents that it
 // can reach itself, and none once it has sealed.
-func (k *Keeper) roster(from string, m *messenger.Roster) {
+func (k *Keeper) roster(from string, m *protocol.Roster) {
 	w := k.ownerState(from)
 	if w.sealed || k.closed[from] {
-		k.send(from, messenger.Message{RosterAck: &messenger.RosterAck{Sealed: true}})
+		k.send(from, protocol.Message{RosterAck: &protocol.RosterAck{Sealed: true}})
 		return
 	}
 	var acked []string
@@ -71,7 +71,7 @@
 		}
 	}
 	if len(acked) > 0 {
-		k.send(from, messenger.Message{RosterAck: &messenger.RosterAck{Agents: acked}})
+		k.send(from, protocol.Message{RosterAck: &protocol.RosterAck{Agents: acked}})
 	}
 }
 
@@ -83,22 +83,22 @@
 			continue
 		}
 		p.acked = true
-		k.send(owner, messenger.Message{RosterAck: &messenger.RosterAck{Agents: []string{agent}}})
+		k.send(owner, protocol.Message{RosterAck: &protocol.RosterAck{Agents: []string{agent}}})
 	}
 }
 
 // settle carries out rule 6 at the witness.
-func (k *Keeper) settle(from string, m *messenger.Settle) {
+func (k *Keeper) settle(from string, m *protocol.Settle) {
 	w := k.ownerState(from)
-	ack := &messenger.SettleAck{Ticket: m.Ticket, Sealed: w.sealed || k.closed[from]}
+	ack := &protocol.SettleAck{Ticket: m.Ticket, Sealed: w.sealed || k.closed[from]}
 	if !ack.Sealed {
 		w.settled[m.Ticket.Sequence] = m
 	}
-	k.send(from, messenger.Message{SettleAck: ack})
+	k.send(from, protocol.Message{SettleAck: ack})
 }
 
 // close notes that the owner's tickets below a number are closed.
-func (k *Keeper) close(from string, m *messenger.Close) {
+func (k *Keeper) close(from string, m *protocol.Close) {
 	w := k.owners[from]
 	if w == nil || from != m.Owner || w.sealed {
 		return
@@ -119,7 +119,7 @@
 // TakeOver takes a job whose ticket names this entry as witness, after its
 // owner could not be reached. It is idempotent. A nil answer means that the
 // job goes on here and that Drain will report its end.
-func (k *Keeper) TakeOver(now time.Time, t messenger.Ticket, in Job) (*Answer, error) {
+func (k *Keeper) TakeOver(now time.Time, t protocol.Ticket, in Job) (*Answer, error) {
 	id := key{t.Owner, t.Sequence}
 	if j := k.jobs[id]; j != nil {
 		return j.found(in.Digest)
@@ -156,7 +156,7 @@
 	return k.closed[owner] || w != nil && w.sealed
 }
 
-func settledAnswer(s *messenger.Settle) *Answer {
+func settledAnswer(s *protocol.Settle) *Answer {
 	a := &Answer{State: StateFailed, Reason: s.Reason, Tasks: make([]TaskAnswer, len(s.States))}
 	for i, state := range s.States {
 		a.Tasks[i].State = state
@@ -178,14 +178,14 @@
 			w.missing[name] = true
 		default:
 			w.waiting[name] = true
-			k.send(name, messenger.Message{Seal: &messenger.Seal{Owner: owner}})
+			k.send(name, protocol.Message{Seal: &protocol.Seal{Owner: owner}})
 		}
 	}
 	w.ready = len(w.waiting) == 0
 }
 
 // marks takes an agent's answer to a seal.
-func (k *Keeper) marks(now time.Time, from string, m *messenger.Marks) {
+func (k *Keeper) marks(now time.Time, from string, m *protocol.Marks) {
 	w := k.owners[m.Owner]
 	if w == nil || !w.sealed || !w.waiting[from] {
 		return
@@ -229,10 +229,10 @@
 	if j.key.sequence < w.below {
 		// The agents may have forgotten what they started.
 		j.mark(pending, unknown)
-		k.stop(now, j, messenger.ReasonExpired)
+		k.stop(now, j, protocol.ReasonExpired)
 		return
 	}
-	ticket := messenger.Ticket{Owner: j.key.owner, Sequence: j.key.sequence}
+	ticket := protocol.Ticket{Owner: j.key.owner, Sequence: j.key.sequence}
 	asked := make(map[string]bool)
 	for _, b := range w.marks[j.key.sequence] {
 		if b.task < 0 || b.task >= len(j.tasks) {
@@ -241,12 +241,12 @@
 		k.bind(j, b)
 		if j.tasks[b.task].state == sent && !asked[b.agent] {
 			asked[b.agent] = true
-			k.send(b.agent, messenger.Message{Fetch: &messenger.Fetch{Ticket: ticket}})
+			k.send(b.agent, protocol.Message{Fetch: &protocol.Fetch{Ticket: ticket}})
 		}
 	}
 	if w.anyMissing(j.key.sequence) && j.count(pending) > 0 {
 		j.mark(pending, unknown)
-		j.doubt = messenger.ReasonOwnerLost
+		j.doubt = protocol.ReasonOwnerLost
 	}
 	k.advance(now, j)
 	k.dispatch(now)
@@ -257,7 +257,7 @@
 	a := k.agents[b.agent]
 	if a == nil {
 		j.tasks[b.task].state, j.tasks[b.task].agent = unknown, b.agent
-		j.doubt = messenger.ReasonAgentLost
+		j.doubt = protocol.ReasonAgentLost
 		return
 	}
 	j.tasks[b.task] = task{state: sent, agent: b.agent, attempt: b.attempt}
--- a/keeper/tick.go
+++ b/keeper/tick.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 )
 
 const (
@@ -42,9 +42,9 @@
 	case !j.settling.IsZero() && now.Sub(j.settling) >= k.Settings.SettleWait:
 		k.endUnsettled(now, j)
 	case j.settling.IsZero() && !j.waitsSeal && !now.Before(j.deadline):
-		k.stop(now, j, messenger.ReasonDeadline)
+		k.stop(now, j, protocol.ReasonDeadline)
 	case k.hopeless(now, j):
-		k.stop(now, j, messenger.ReasonHopeless)
+		k.stop(now, j, protocol.ReasonHopeless)
 	}
 }
 
@@ -71,7 +71,7 @@
 	}
 	k.closeOwner(owner)
 	for name := range w.members {
-		k.send(name, messenger.Message{Close: &messenger.Close{Owner: owner, Witness: k.Self, Below: never}})
+		k.send(name, protocol.Message{Close: &protocol.Close{Owner: owner, Witness: k.Self, Below: never}})
 	}
 	delete(k.owners, owner)
 }
@@ -143,7 +143,7 @@
 		return
 	}
 	k.below = below
-	m := messenger.Message{Close: &messenger.Close{Owner: k.Self, Below: below}}
+	m := protocol.Message{Close: &protocol.Close{Owner: k.Self, Below: below}}
 	for name := range k.agents {
 		k.send(name, m)
 	}
--- a/keeper/witness.go
+++ b/keeper/witness.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 )
 
 // witness is the owner's view of an entry that may witness its tickets.
@@ -25,15 +25,15 @@
 		w = &witness{zone: zone, acked: make(map[string]bool)}
 		k.witnesses[entry] = w
 	}
-	var members []messenger.Member
+	var members []protocol.Member
 	for a := range k.agents {
-		members = append(members, messenger.Member{Agent: a})
+		members = append(members, protocol.Member{Agent: a})
 	}
 	for a, until := range k.gone {
-		members = append(members, messenger.Member{Agent: a, Until: until})
+		members = append(members, protocol.Member{Agent: a, Until: until})
 	}
 	if len(members) > 0 && !w.sealed {
-		k.send(entry, messenger.Message{Roster: &messenger.Roster{Members: members}})
+		k.send(entry, protocol.Message{Roster: &protocol.Roster{Members: members}})
 	}
 }
 
@@ -84,19 +84,19 @@
 
 // tellRoster tells the witnesses about one agent.
 func (k *Keeper) tellRoster(agent string) {
-	m := messenger.Member{Agent: agent, Until: k.gone[agent]}
+	m := protocol.Member{Agent: agent, Until: k.gone[agent]}
 	for name, w := range k.witnesses {
 		if m.Until != 0 {
 			delete(w.acked, agent)
 		}
 		if !w.sealed {
-			k.send(name, messenger.Message{Roster: &messenger.Roster{Members: []messenger.Member{m}}})
+			k.send(name, protocol.Message{Roster: &protocol.Roster{Members: []protocol.Member{m}}})
 		}
 	}
 }
 
 // rosterAck takes a witness's acknowledgement of agents.
-func (k *Keeper) rosterAck(now time.Time, from string, m *messenger.RosterAck) {
+func (k *Keeper) rosterAck(now time.Time, from string, m *protocol.RosterAck) {
 	w := k.witnesses[from]
 	if w == nil {
 		return
--- a/messenger/doc.go
+++ b/messenger/doc.go
@@ -1,5 +1,5 @@
-// Package messenger carries typed messages between the system's own
-// processes, entries and agents.
+// Package messenger carries the messages of package protocol between the
+// system's own processes, entries and agents.
 //
 // A session joins one incarnation of a process with one incarnation of
 // another. Within a session every message is delivered once and in order, over
--- a/messenger/hub.go
+++ b/messenger/hub.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"mustardlever.dev/mustardlever/protocol"
 )
 
 const (
@@ -24,11 +26,11 @@
 // receiver's as the sender last saw it, Received the number of the last message
 // the sender has in the session of the two, Entries the link addresses it knows.
 type hello struct {
-	Identity  Identity `json:"identity"`
-	Epoch     uint64   `json:"epoch"`
-	PeerEpoch uint64   `json:"peer-epoch"`
-	Received  uint64   `json:"received"`
-	Entries   []string `json:"entries,omitempty"`
+	Identity  protocol.Identity `json:"identity"`
+	Epoch     uint64            `json:"epoch"`
+	PeerEpoch uint64            `json:"peer-epoch"`
+	Received  uint64            `json:"received"`
+	Entries   []string          `json:"entries,omitempty"`
 }
 
 // Hub owns this process's sessions. Set the fields before Start. Deliver is
@@ -36,10 +38,10 @@
 // been given up. None of them may block or call back into a wait on a peer.
 type Hub struct {
 	Settings Settings
-	Self     Identity
-	Deliver  func(from Identity, m Message)
-	Up       func(peer Identity)
-	Lost     func(peer Identity)
+	Self     protocol.Identity
+	Deliver  func(from protocol.Identity, m protocol.Message)
+	Up       func(peer protocol.Identity)
+	Lost     func(peer protocol.Identity)
 	Learn    func(addresses []string)                                    // entry addresses heard of in a hello
 	Known    func() []string                                             // entry addresses to pass on
 	Dial     func(ctx context.Context, address string) (net.Conn, error) // default: TCP
@@ -136,7 +138,7 @@
 
 // Send queues m for the incarnation and has it written. It reports false when
 // there is no session with it, and then m is not delivered.
-func (h *Hub) Send(incarnation string, m Message) bool {
+func (h *Hub) Send(incarnation string, m protocol.Message) bool {
 	if !h.Queue(incarnation, m) {
 		return false
 	}
@@ -145,7 +147,7 @@
 }
 
 // Queue queues m as Send does, to be written after Wake or Flush.
-func (h *Hub) Queue(incarnation string, m Message) bool {
+func (h *Hub) Queue(incarnation string, m protocol.Message) bool {
 	s := h.find(incarnation)
 	if s == nil || !s.push(m) {
 		return false
@@ -162,8 +164,8 @@
 }
 
 // Peers returns the identities with which there is a session.
-func (h *Hub) Peers() []Identity {
-	var ids []Identity
+func (h *Hub) Peers() []protocol.Identity {
+	var ids []protocol.Identity
 	for _, s := range h.list() {
 		ids = append(ids, s.peer)
 	}
@@ -217,7 +219,7 @@
 
 // session returns the session with the peer, made if needed. An earlier
 // incarnation of the same name is given up. It returns nil for this process.
-func (h *Hub) session(peer Identity) *session {
+func (h *Hub) session(peer protocol.Identity) *session {
 	if peer.Name == h.Self.Name || peer.Incarnation == "" {
 		return nil
 	}
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"mustardlever.dev/mustardlever/protocol"
 )
 
 // pair is two connected hubs; got is what b received, in order.
@@ -22,15 +24,15 @@
 	p := &pair{}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	ignore := func(Identity, Message) {}
-	p.a = &Hub{Settings: s, Deliver: ignore, Self: Identity{Name: "a", Role: RoleEntry, Address: l.Addr().String()}.WithNewIncarnation()}
-	p.b = &Hub{Settings: s, Self: Identity{Name: "b", Role: RoleEntry}.WithNewIncarnation()}
-	p.b.Deliver = func(_ Identity, m Message) {
+	ignore := func(protocol.Identity, protocol.Message) {}
+	p.a = &Hub{Settings: s, Deliver: ignore, Self: protocol.Identity{Name: "a", Role: protocol.RoleEntry, Address: l.Addr().String()}.WithNewIncarnation()}
+	p.b = &Hub{Settings: s, Self: protocol.Identity{Name: "b", Role: protocol.RoleEntry}.WithNewIncarnation()}
+	p.b.Deliver = func(_ protocol.Identity, m protocol.Message) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.got = append(p.got, m.Close.Below)
 	}
-	p.a.Lost = func(Identity) {
+	p.a.Lost = func(protocol.Identity) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.lost++
@@ -44,7 +46,7 @@
 }
 
 func (p *pair) send(n uint64) bool {
-	return p.a.Send(p.b.Self.Incarnation, Message{Close: &Close{Below: n}})
+	return p.a.Send(p.b.Self.Incarnation, protocol.Message{Close: &protocol.Close{Below: n}})
 }
 
 func (p *pair) received() []uint64 {
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -3,41 +3,43 @@
 import (
 	"sync"
 	"time"
+
+	"mustardlever.dev/mustardlever/protocol"
 )
 
 // batch is the notification that carries messages. First is the number of
 // Messages[0]; Ack is the number of the last message received.
 type batch struct {
-	First    uint64    `json:"first,omitempty"`
-	Ack      uint64    `json:"ack"`
-	Clock    int64     `json:"clock,omitempty"`
-	Messages []Message `json:"messages,omitempty"`
+	First    uint64             `json:"first,omitempty"`
+	Ack      uint64             `json:"ack"`
+	Clock    int64              `json:"clock,omitempty"`
+	Messages []protocol.Message `json:"messages,omitempty"`
 }
 
 // session is the state of a session with one incarnation of a peer. Epochs
 // count the sessions each side has given up: a session is the pair of them.
 type session struct {
-	delivery  sync.Mutex // held while messages are handed to Hub.Deliver
-	mu        sync.Mutex // guards the fields below; taken after delivery
-	peer      Identity   // never changes
-	epoch     uint64     // ours
-	peerEpoch uint64     // the peer's, as last seen
-	open      bool       // a hello was exchanged in this pair of epochs
+	delivery  sync.Mutex        // held while messages are handed to Hub.Deliver
+	mu        sync.Mutex        // guards the fields below; taken after delivery
+	peer      protocol.Identity // never changes
+	epoch     uint64            // ours
+	peerEpoch uint64            // the peer's, as last seen
+	open      bool              // a hello was exchanged in this pair of epochs
 
 	ended     bool      // given up; another session may follow
 	wire      *wire     // nil while disconnected
 	preferred bool      // wire was dialed by the process of the smaller name
 	heard     time.Time // when the peer was last heard
 
-	out      []Message // not acknowledged yet
-	first    uint64    // number of out[0]
-	sent     uint64    // number of the last message written on conn
-	received uint64    // number of the last message delivered
-	acked    uint64    // number of the last message acknowledged to the peer
+	out      []protocol.Message // not acknowledged yet
+	first    uint64             // number of out[0]
+	sent     uint64             // number of the last message written on conn
+	received uint64             // number of the last message delivered
+	acked    uint64             // number of the last message acknowledged to the peer
 	wake     chan struct{}
 }
 
-func newSession(peer Identity, epoch uint64, now time.Time) *session {
+func newSession(peer protocol.Identity, epoch uint64, now time.Time) *session {
 	return &session{peer: peer, epoch: epoch, heard: now, first: 1, wake: make(chan struct{}, 1)}
 }
 
@@ -80,7 +82,7 @@
 
 // push appends a message for the peer. It reports false when no session is
 // open.
-func (s *session) push(m Message) bool {
+func (s *session) push(m protocol.Message) bool {
 	s.mu.Lock()
 	open := s.open
 	if open {
@@ -123,7 +125,7 @@
 	if len(rest) > maxBatch {
 		rest = rest[:maxBatch]
 	}
-	b := batch{Ack: s.received, Messages: append([]Message(nil), rest...)}
+	b := batch{Ack: s.received, Messages: append([]protocol.Message(nil), rest...)}
 	if len(rest) > 0 {
 		b.First = from
 		s.sent = from + uint64(len(rest)) - 1
@@ -139,7 +141,7 @@
 
 // fresh returns the messages of b that were not delivered before, and counts
 // them as delivered. A gap means frames were lost; nothing is taken then.
-func (s *session) fresh(b batch) []Message {
+func (s *session) fresh(b batch) []protocol.Message {
 	if len(b.Messages) == 0 || b.First > s.received+1 {
 		return nil
 	}
--- a/messenger/sweep.go
+++ b/messenger/sweep.go
@@ -2,11 +2,13 @@
 
 import (
 	"time"
+
+	"mustardlever.dev/mustardlever/protocol"
 )
 
 // timing returns how the session's silence is judged.
 func (h *Hub) timing(s *session) Timing {
-	if h.Self.Role == RoleAgent || s.peer.Role == RoleAgent {
+	if h.Self.Role == protocol.RoleAgent || s.peer.Role == protocol.RoleAgent {
 		return h.Settings.Agents
 	}
 	return h.Settings.Entries
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -24,6 +24,7 @@
 
 	"mustardlever.dev/mustardlever/executor"
 	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/recorder"
 	"mustardlever.dev/mustardlever/server"
 )
@@ -36,12 +37,12 @@
 
 // Process is what operators see of a process.
 type Process struct {
-	Identity messenger.Identity   `json:"identity"`
-	Ready    bool                 `json:"ready"`
-	Traffic  Traffic              `json:"traffic"`
-	Peers    []messenger.Identity `json:"peers,omitempty"`
-	Running  int                  `json:"running"`
-	Dropped  int64                `json:"events-dropped"`
+	Identity protocol.Identity   `json:"identity"`
+	Ready    bool                `json:"ready"`
+	Traffic  Traffic             `json:"traffic"`
+	Peers    []protocol.Identity `json:"peers,omitempty"`
+	Running  int                 `json:"running"`
+	Dropped  int64               `json:"events-dropped"`
 }
 
 // Traffic is a reading of messenger.Traffic.
--- a/messenger/identity.go
+++ b/protocol/identity.go
@@ -1,4 +1,4 @@
-package messenger
+package protocol
 
 import (
 	"crypto/rand"
--- a/messenger/message.go
+++ b/protocol/message.go
@@ -1,4 +1,4 @@
-package messenger
+package protocol
 
 import (
 	"encoding/json"
@@ -39,6 +39,14 @@
 	ServeMicros int64           `json:"serve-us,omitempty"`
 }
 
+// badStatus is the first status of an HTTP answer that says that the request
+// failed.
+const badStatus = 400
+
+// Good reports whether the status is one of success. Status 0, of a request
+// that got no answer, counts as good here: whether it ran is told elsewhere.
+func (r *Result) Good() bool { return r.Status < badStatus }
+
 // Message is a message between processes: exactly one of the pointers is set.
 // Service is the service it concerns, empty for those about processes.
 type Message struct {
--- a/reporter/parts.go
+++ b/reporter/parts.go
@@ -18,12 +18,12 @@
 
 // first is what the lines tell of one job's first start.
 type first struct {
-	taken   time.Time // the entry took the job
+	taken   time.Time     // the entry took the job
 	sent    bool          // the entry has sent a start
 	toSend  time.Duration // until it did
-	decided time.Time // an agent decided to start the first task
-	task    string    // the first task
-	started time.Time // the backend server's answer to that start was here
+	decided time.Time     // an agent decided to start the first task
+	task    string        // the first task
+	started time.Time     // the backend server's answer to that start was here
 	call    time.Duration
 }
 
--- a/server/agent.go
+++ b/server/agent.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/recorder"
 	"mustardlever.dev/mustardlever/sizer"
 	"mustardlever.dev/mustardlever/starter"
@@ -34,9 +35,9 @@
 
 // AgentSettings are the settings of an Agent.
 type AgentSettings struct {
-	Identity       messenger.Identity // without incarnation
-	Entries        []string           // link addresses of entries
-	BackendServers []BackendServer    // one a service
+	Identity       protocol.Identity // without incarnation
+	Entries        []string          // link addresses of entries
+	BackendServers []BackendServer   // one a service
 	Messenger      messenger.Settings
 	Starter        starter.Settings
 	SuspectAfter   time.Duration // silence after which an entry may be gone, before it is given up; zero: never
@@ -105,7 +106,7 @@
 }
 
 // Identity returns the agent's identity.
-func (a *Agent) Identity() messenger.Identity { return a.hub.Self }
+func (a *Agent) Identity() protocol.Identity { return a.hub.Self }
 
 // Traffic returns the counters of the agent's connections.
 func (a *Agent) Traffic() *messenger.Traffic { return &a.hub.Traffic }
@@ -152,7 +153,7 @@
 	a.Log.WithFields(logrus.Fields{"task": r.Request.Name, "run": r.Attempt, "entry": r.Owner}).Log(level, message)
 }
 
-func (a *Agent) deliver(from messenger.Identity, m messenger.Message) {
+func (a *Agent) deliver(from protocol.Identity, m protocol.Message) {
 	if m.Entries != nil {
 		a.Learn(m.Entries.Addresses)
 		return
@@ -180,7 +181,7 @@
 	a.done.Go(a.hub.GiveUpAll)
 }
 
-func (a *Agent) up(peer messenger.Identity) {
+func (a *Agent) up(peer protocol.Identity) {
 	a.Log.Infof("Entry %s is connected.", peer.Incarnation)
 	for _, s := range a.list() {
 		to := a.act(s, func(x *starter.Starter) { x.Up(peer.Incarnation) })
@@ -188,7 +189,7 @@
 	}
 }
 
-func (a *Agent) lost(peer messenger.Identity) {
+func (a *Agent) lost(peer protocol.Identity) {
 	a.Log.Warnf("Entry %s is lost.", peer.Incarnation)
 	a.Recorder.Add(recorder.Event{Kind: "peer-lost", Peer: peer.Incarnation, Task: -1})
 	for _, s := range a.list() {
@@ -241,7 +242,7 @@
 }
 
 // Peers returns the entries with which there is a session.
-func (a *Agent) Peers() []messenger.Identity { return a.hub.Peers() }
+func (a *Agent) Peers() []protocol.Identity { return a.hub.Peers() }
 
 // Ready reports whether the agent accepts starts.
 func (a *Agent) Ready() bool { return !a.leaving.Load() }
--- a/server/backend.go
+++ b/server/backend.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"mustardlever.dev/mustardlever/executor"
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/recorder"
 	"mustardlever.dev/mustardlever/sizer"
 	"mustardlever.dev/mustardlever/starter"
@@ -115,7 +115,7 @@
 
 // Finish tells that a run of the service has ended; a nil result means that it
 // did not start.
-func (a *Agent) Finish(service string, id uint64, result *messenger.Result) {
+func (a *Agent) Finish(service string, id uint64, result *protocol.Result) {
 	if s := a.shard(service); s != nil {
 		to := a.act(s, func(x *starter.Starter) { x.Finish(id, result) })
 		to.flush(&a.hub)
--- a/server/call.go
+++ b/server/call.go
@@ -3,13 +3,13 @@
 import (
 	"sync"
 
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 )
 
 // call is a forwarded operation that waits for its reply.
 type call struct {
 	peer  string
-	reply chan *messenger.Reply // nil when the peer was lost
+	reply chan *protocol.Reply // nil when the peer was lost
 }
 
 // calls holds the forwarded operations that wait. The zero value is ready.
@@ -20,14 +20,14 @@
 }
 
 // add registers a call to peer.
-func (c *calls) add(peer string) (uint64, chan *messenger.Reply) {
+func (c *calls) add(peer string) (uint64, chan *protocol.Reply) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.open == nil {
 		c.open = make(map[uint64]call)
 	}
 	c.next++
-	x := call{peer, make(chan *messenger.Reply, 1)}
+	x := call{peer, make(chan *protocol.Reply, 1)}
 	c.open[c.next] = x
 	return c.next, x.reply
 }
@@ -40,7 +40,7 @@
 }
 
 // finish hands a reply to its call.
-func (c *calls) finish(m *messenger.Reply) {
+func (c *calls) finish(m *protocol.Reply) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if x, ok := c.open[m.ID]; ok {
--- a/server/direct.go
+++ b/server/direct.go
@@ -8,7 +8,7 @@
 
 	"mustardlever.dev/mustardlever/internal/fault"
 	"mustardlever.dev/mustardlever/keeper"
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/router"
 )
 
@@ -42,7 +42,7 @@
 	Outcome  Outcome
 	Cause    string
 	ComeBack time.Duration
-	Reason   messenger.Reason // why the job ended, if it was taken
+	Reason   protocol.Reason // why the job ended, if it was taken
 }
 
 // routesPatience is how long a job waits for the first configuration of an entry
@@ -109,11 +109,11 @@
 		return Reply{Outcome: OutcomeNotRun, Cause: err.Error(), ComeBack: comeBackLater}
 	case a.State == keeper.StateComplete:
 		return Reply{Outcome: OutcomeComplete}
-	case a.Reason == messenger.ReasonTask, a.Reason == messenger.ReasonNoFit:
+	case a.Reason == protocol.ReasonTask, a.Reason == protocol.ReasonNoFit:
 		return Reply{Outcome: OutcomeFailed, Cause: string(a.Reason)}
 	case !a.MayHaveRun():
 		return Reply{Outcome: OutcomeNotRun, Cause: string(a.Reason), ComeBack: a.Wait}
-	case a.Reason == messenger.ReasonDeadline:
+	case a.Reason == protocol.ReasonDeadline:
 		return Reply{Outcome: OutcomeTimeout, Cause: string(a.Reason)}
 	}
 	return Reply{Outcome: OutcomeUnknown, Cause: string(a.Reason)}
@@ -203,7 +203,7 @@
 		name := jobName{k.Self, number}
 		if len(s.waiters[name]) > 1 {
 			s.drop(name, ended)
-			ended <- &keeper.Answer{State: keeper.StateFailed, Reason: messenger.ReasonCancelled}
+			ended <- &keeper.Answer{State: keeper.StateFailed, Reason: protocol.ReasonCancelled}
 			return
 		}
 		k.CancelRun(now, number)
@@ -262,7 +262,7 @@
 }
 
 // Abandon ends all direct jobs: their tasks are stopped and their callers told.
-func (e *Entry) Abandon(r messenger.Reason) {
+func (e *Entry) Abandon(r protocol.Reason) {
 	for _, s := range e.shards.list() {
 		e.act(s, func(k *keeper.Keeper, now time.Time) { k.AbandonRuns(now, r) })
 	}
--- a/server/entry.go
+++ b/server/entry.go
@@ -11,6 +11,7 @@
 
 	"mustardlever.dev/mustardlever/keeper"
 	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/recorder"
 	"mustardlever.dev/mustardlever/router"
 	"mustardlever.dev/mustardlever/ticketer"
@@ -19,8 +20,8 @@
 
 // EntrySettings are the settings of an Entry.
 type EntrySettings struct {
-	Identity  messenger.Identity // without incarnation
-	Entries   []string           // link addresses of other entries
+	Identity  protocol.Identity // without incarnation
+	Entries   []string          // link addresses of other entries
 	TicketKey []byte
 	Services  map[string]keeper.Settings
 	Open      bool            // services that agents announce are added; Keeper settles them
@@ -97,13 +98,13 @@
 }
 
 // Identity returns the entry's identity.
-func (e *Entry) Identity() messenger.Identity { return e.hub.Self }
+func (e *Entry) Identity() protocol.Identity { return e.hub.Self }
 
 // Traffic returns the counters of the entry's connections.
 func (e *Entry) Traffic() *messenger.Traffic { return &e.hub.Traffic }
 
 // Peers returns the processes with which there is a session.
-func (e *Entry) Peers() []messenger.Identity { return e.hub.Peers() }
+func (e *Entry) Peers() []protocol.Identity { return e.hub.Peers() }
 
 // Learn connects to entries heard of, and passes new addresses on.
 func (e *Entry) Learn(addresses []string) {
@@ -123,7 +124,7 @@
 		e.hub.Keep(x)
 	}
 	for _, p := range e.hub.Peers() {
-		e.hub.Send(p.Incarnation, messenger.Message{Entries: &messenger.Entries{Addresses: fresh}})
+		e.hub.Send(p.Incarnation, protocol.Message{Entries: &protocol.Entries{Addresses: fresh}})
 	}
 }
 
@@ -138,7 +139,7 @@
 	return list
 }
 
-func (e *Entry) deliver(from messenger.Identity, m messenger.Message) {
+func (e *Entry) deliver(from protocol.Identity, m protocol.Message) {
 	switch {
 	case m.Entries != nil:
 		e.Learn(m.Entries.Addresses)
@@ -159,9 +160,9 @@
 	}
 }
 
-func (e *Entry) up(peer messenger.Identity) {
+func (e *Entry) up(peer protocol.Identity) {
 	e.Log.Infof("Peer %s is connected.", peer.Incarnation)
-	if peer.Role != messenger.RoleEntry {
+	if peer.Role != protocol.RoleEntry {
 		return
 	}
 	e.Learn([]string{peer.Address})
@@ -171,7 +172,7 @@
 	}
 }
 
-func (e *Entry) lost(peer messenger.Identity) {
+func (e *Entry) lost(peer protocol.Identity) {
 	e.Log.Warnf("Peer %s is lost.", peer.Incarnation)
 	e.Recorder.Add(recorder.Event{Kind: "peer-lost", Peer: peer.Incarnation, Task: -1})
 	e.calls.lose(peer.Incarnation)
@@ -180,7 +181,7 @@
 	e.mu.Unlock()
 	for _, s := range e.shards.list() {
 		e.act(s, func(k *keeper.Keeper, now time.Time) {
-			if peer.Role == messenger.RoleEntry {
+			if peer.Role == protocol.RoleEntry {
 				k.WitnessLost(now, peer.Incarnation)
 			} else {
 				k.AgentLost(now, peer.Incarnation)
--- a/server/operate.go
+++ b/server/operate.go
@@ -13,7 +13,7 @@
 
 	"mustardlever.dev/mustardlever/caller"
 	"mustardlever.dev/mustardlever/keeper"
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/ticketer"
 )
 
@@ -136,7 +136,7 @@
 		case t.TimeoutMillis < 0:
 			return keeper.Job{}, bad("timeout-ms is negative")
 		}
-		job.Tasks = append(job.Tasks, messenger.Request{Path: t.Path, Body: t.Body, TimeoutMillis: t.TimeoutMillis})
+		job.Tasks = append(job.Tasks, protocol.Request{Path: t.Path, Body: t.Body, TimeoutMillis: t.TimeoutMillis})
 	}
 	return job, nil
 }
@@ -196,8 +196,8 @@
 
 func taskResult(i int, t keeper.TaskAnswer) caller.TaskResult {
 	r := caller.TaskResult{Task: i, State: string(t.State)}
-	if t.Agent != "" && t.State != messenger.TaskNotRun {
-		r.Agent = messenger.NameOf(t.Agent)
+	if t.Agent != "" && t.State != protocol.TaskNotRun {
+		r.Agent = protocol.NameOf(t.Agent)
 	}
 	if t.Result != nil {
 		r.Status, r.Body, r.Encoding, r.Error = t.Result.Status, t.Result.Body, t.Result.Encoding, t.Result.Error
--- a/server/route.go
+++ b/server/route.go
@@ -8,7 +8,7 @@
 	"mustardlever.dev/mustardlever/caller"
 	"mustardlever.dev/mustardlever/internal/fault"
 	"mustardlever.dev/mustardlever/keeper"
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/ticketer"
 	"mustardlever.dev/mustardlever/waker"
 )
@@ -105,7 +105,7 @@
 }
 
 // submission is how a job is submitted: to its owner or to its witness.
-type submission func(*keeper.Keeper, time.Time, messenger.Ticket, keeper.Job) (*keeper.Answer, error)
+type submission func(*keeper.Keeper, time.Time, protocol.Ticket, keeper.Job) (*keeper.Answer, error)
 
 // decision is an operation on an entry's own state.
 type decision func(k *keeper.Keeper, now time.Time) (*keeper.Answer, error)
@@ -198,11 +198,11 @@
 	id, reply := r.entry.calls.add(peer)
 	defer r.entry.calls.remove(id)
 	wait := max(r.request.Wait-time.Since(r.begin), 0)
-	m := &messenger.Forward{
+	m := &protocol.Forward{
 		ID: id, Operation: string(r.request.Operation), Ticket: r.request.Ticket,
 		Job: r.request.Body, WaitMillis: wait.Milliseconds(), TakeOver: takeOver,
 	}
-	if !r.entry.hub.Send(peer, messenger.Message{Forward: m}) {
+	if !r.entry.hub.Send(peer, protocol.Message{Forward: m}) {
 		return Response{}, false
 	}
 	end := time.Now().Add(wait + forwardGrace)
@@ -227,18 +227,18 @@
 }
 
 // serveForward carries out an operation that another entry has put to us.
-func (e *Entry) serveForward(from string, f messenger.Forward) {
-	reply := &messenger.Reply{ID: f.ID}
+func (e *Entry) serveForward(from string, f protocol.Forward) {
+	reply := &protocol.Reply{ID: f.ID}
 	q := Request{
 		Operation: Operation(f.Operation), Ticket: f.Ticket, Body: f.Job,
 		Wait: min(time.Duration(f.WaitMillis)*time.Millisecond, maxWait),
 	}
 	p, redirect := e.answerForward(q, f.TakeOver)
 	reply.Status, reply.Answer, reply.Redirect = p.Status, p.Body, redirect
-	e.hub.Send(from, messenger.Message{Reply: reply})
+	e.hub.Send(from, protocol.Message{Reply: reply})
 }
 
-func (e *Entry) answerForward(q Request, takeOver bool) (Response, messenger.Redirect) {
+func (e *Entry) answerForward(q Request, takeOver bool) (Response, protocol.Redirect) {
 	t, err := e.coder.Decode(q.Ticket)
 	s := e.shards.find(t.Service)
 	if err != nil || s == nil {
@@ -253,13 +253,13 @@
 		if p, done := r.tryWitness(e.ctx); done {
 			return p, ""
 		}
-		return Response{}, messenger.RedirectOwner
+		return Response{}, protocol.RedirectOwner
 	}
 	if t.Owner != r.self() {
-		return Response{}, messenger.RedirectWitness
+		return Response{}, protocol.RedirectWitness
 	}
 	if p, done := r.tryOwner(e.ctx); done {
 		return p, ""
 	}
-	return Response{}, messenger.RedirectWitness
+	return Response{}, protocol.RedirectWitness
 }
--- a/server/routes.go
+++ b/server/routes.go
@@ -5,7 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/router"
 )
 
@@ -21,9 +21,9 @@
 	e.mu.Unlock()
 	e.Log.WithFields(logrus.Fields{"configuration": t.Version, "before": before, "source": source}).
 		Info("Entry takes a new configuration.")
-	m := messenger.Message{Configuration: &messenger.Configuration{Version: t.Version}}
+	m := protocol.Message{Configuration: &protocol.Configuration{Version: t.Version}}
 	for _, p := range e.hub.Peers() {
-		if p.Role == messenger.RoleEntry {
+		if p.Role == protocol.RoleEntry {
 			e.hub.Send(p.Incarnation, m)
 		}
 	}
@@ -32,19 +32,19 @@
 // offerRoutes tells an entry just met which configuration is in force here.
 func (e *Entry) offerRoutes(peer string) {
 	if v := e.Routes.Version(); v > 0 {
-		e.hub.Send(peer, messenger.Message{Configuration: &messenger.Configuration{Version: v}})
+		e.hub.Send(peer, protocol.Message{Configuration: &protocol.Configuration{Version: v}})
 	}
 }
 
 // sendRoutes sends the configuration in force to an entry that asked for it.
 func (e *Entry) sendRoutes(peer string) {
 	if t := e.Routes.Table(); t != nil {
-		e.hub.Send(peer, messenger.Message{Configuration: &messenger.Configuration{Version: t.Version, Document: t.Document}})
+		e.hub.Send(peer, protocol.Message{Configuration: &protocol.Configuration{Version: t.Version, Document: t.Document}})
 	}
 }
 
 // takeRoutes takes a configuration from another entry, or notes that it has one.
-func (e *Entry) takeRoutes(from string, m *messenger.Configuration) {
+func (e *Entry) takeRoutes(from string, m *protocol.Configuration) {
 	if e.ReadRoutes == nil || m.Version <= e.Routes.Version() {
 		return
 	}
@@ -72,5 +72,5 @@
 		return
 	}
 	e.Log.WithFields(logrus.Fields{"configuration": held, "peer": peer}).Info("Entry asks a peer for its newer configuration.")
-	e.hub.Send(peer, messenger.Message{WantConfiguration: &messenger.WantConfiguration{}})
+	e.hub.Send(peer, protocol.Message{WantConfiguration: &protocol.WantConfiguration{}})
 }
--- a/server/shard.go
+++ b/server/shard.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"mustardlever.dev/mustardlever/keeper"
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/recorder"
 	"mustardlever.dev/mustardlever/waker"
 )
@@ -63,7 +63,7 @@
 
 // open returns the shard of a message's service. An announcement adds the
 // service where the settings let it.
-func (e *Entry) open(m messenger.Message) *entryShard {
+func (e *Entry) open(m protocol.Message) *entryShard {
 	s := e.shards.find(m.Service)
 	if s != nil || !e.Settings.Open || m.Announce == nil || len(e.shards.list()) >= maxServices {
 		return s
--- a/starter/bench_test.go
+++ b/starter/bench_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 )
 
 // BenchmarkMark reports the memory of a mark with a result of 100 bytes.
@@ -18,7 +18,7 @@
 				before := heap()
 				for sequence := range tasks {
 					_, runs := start(s, sequence+1)
-					s.Finish(runs[0].ID, &messenger.Result{Status: 200, Body: []byte(strings.Repeat("x", 100))})
+					s.Finish(runs[0].ID, &protocol.Result{Status: 200, Body: []byte(strings.Repeat("x", 100))})
 					s.Drain()
 				}
 				b.ReportMetric(float64(heap()-before)/float64(tasks), "B/mark")
--- a/starter/fleet_test.go
+++ b/starter/fleet_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mustardlever.dev/mustardlever/dispatcher"
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/sizer"
 	"mustardlever.dev/mustardlever/starter"
 )
@@ -96,14 +96,14 @@
 	for _, r := range d.Starts {
 		took := time.Duration(float64(f.jobs[r.Ticket.Sequence].Estimate) * a.slowness)
 		f.after(int(took/fleetStep), func() {
-			a.Finish(r.ID, &messenger.Result{Status: 200})
+			a.Finish(r.ID, &protocol.Result{Status: 200})
 			f.carryOut(a)
 		})
 	}
 }
 
 // tell hands a message of an agent to an entry.
-func (f *fleet) tell(entry, agent string, m messenger.Message) {
+func (f *fleet) tell(entry, agent string, m protocol.Message) {
 	d := f.entries[entry]
 	switch {
 	case m.Load != nil:
@@ -136,9 +136,9 @@
 		f.starts++
 		j.Value.waiting--
 		j.Value.starts++
-		a, m := f.agents[name], messenger.Message{Start: &messenger.Start{
-			Agent: name, Ticket: messenger.Ticket{Sequence: j.Value.number}, Task: j.Value.starts, Bound: true,
-			Request: messenger.Request{Need: j.Need},
+		a, m := f.agents[name], protocol.Message{Start: &protocol.Start{
+			Agent: name, Ticket: protocol.Ticket{Sequence: j.Value.number}, Task: j.Value.starts, Bound: true,
+			Request: protocol.Request{Need: j.Need},
 		}}
 		f.after(1, func() {
 			a.Receive(entry, m)
--- a/starter/ledger.go
+++ b/starter/ledger.go
@@ -1,6 +1,6 @@
 package starter
 
-import "mustardlever.dev/mustardlever/messenger"
+import "mustardlever.dev/mustardlever/protocol"
 
 // pair is the owner and the witness of tickets.
 type pair struct{ owner, witness string }
@@ -18,9 +18,9 @@
 type mark struct {
 	state   state
 	attempt int // of the start that made the mark
-	refusal messenger.Refusal
-	result  *messenger.Result // nil when dropped for room
-	notify  []string          // entries that get the outcome
+	refusal protocol.Refusal
+	result  *protocol.Result // nil when dropped for room
+	notify  []string         // entries that get the outcome
 }
 
 // ticketMarks are the marks of one ticket by task.
@@ -53,7 +53,7 @@
 }
 
 // size is the bytes that a result counts for.
-func size(r *messenger.Result) int { return len(r.Body) + len(r.Error) }
+func size(r *protocol.Result) int { return len(r.Body) + len(r.Error) }
 
 // find returns the mark of a task, nil for none.
 func (s *Starter) find(p pair, sequence uint64, task int) *mark {
--- a/starter/load.go
+++ b/starter/load.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"mustardlever.dev/mustardlever/dispatcher"
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/sizer"
 )
 
@@ -50,7 +50,7 @@
 		if s.told[e] != free && !s.awaiting[e] {
 			s.turns = append(slices.Delete(s.turns, i, i+1), e)
 			l := s.load(e)
-			s.send(e, messenger.Message{Load: &l})
+			s.send(e, protocol.Message{Load: &l})
 			return
 		}
 	}
--- a/starter/seal.go
+++ b/starter/seal.go
@@ -3,16 +3,16 @@
 import (
 	"time"
 
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 )
 
 // seal carries out rule 4 at the agent: the owner's starts for this witness's
 // tickets are refused from now on, and the marks are reported.
-func (s *Starter) seal(witness string, m *messenger.Seal) {
+func (s *Starter) seal(witness string, m *protocol.Seal) {
 	p := pair{m.Owner, witness}
 	l := s.ledger(p)
 	l.sealed = true
-	reply := &messenger.Marks{Owner: m.Owner, ClosedBelow: max(l.below, s.below[m.Owner])}
+	reply := &protocol.Marks{Owner: m.Owner, ClosedBelow: max(l.below, s.below[m.Owner])}
 	if _, known := s.below[m.Owner]; s.forgotten && !known {
 		reply.ClosedBelow = never
 	}
@@ -21,18 +21,18 @@
 			if k.state == refused {
 				continue
 			}
-			reply.Marks = append(reply.Marks, messenger.Mark{Sequence: sequence, Task: task, Attempt: k.attempt, Done: k.state == done})
+			reply.Marks = append(reply.Marks, protocol.Mark{Sequence: sequence, Task: task, Attempt: k.attempt, Done: k.state == done})
 		}
 	}
-	s.send(witness, messenger.Message{Marks: reply})
+	s.send(witness, protocol.Message{Marks: reply})
 	if s.entries[m.Owner] {
-		s.send(m.Owner, messenger.Message{Sealed: &messenger.Sealed{Witness: witness}})
+		s.send(m.Owner, protocol.Message{Sealed: &protocol.Sealed{Witness: witness}})
 	}
 }
 
 // fetch reports a ticket's outcomes to its witness, those of running tasks
 // when they end.
-func (s *Starter) fetch(witness string, m *messenger.Fetch) {
+func (s *Starter) fetch(witness string, m *protocol.Fetch) {
 	l := s.ledgers[pair{m.Ticket.Owner, witness}]
 	if l == nil {
 		return
@@ -49,7 +49,7 @@
 
 // close forgets the marks of tickets that can start nothing any more. An owner
 // closes its own tickets, a witness those of a pair it has sealed.
-func (s *Starter) close(from string, m *messenger.Close) {
+func (s *Starter) close(from string, m *protocol.Close) {
 	if from == m.Owner {
 		s.raise(m.Owner, m.Below)
 		for p, l := range s.ledgers {
--- a/starter/start.go
+++ b/starter/start.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/sizer"
 )
 
@@ -14,7 +14,7 @@
 }
 
 // start carries out rule 1 and rule 2: one start a task, refusals remembered.
-func (s *Starter) start(from string, m *messenger.Start) {
+func (s *Starter) start(from string, m *protocol.Start) {
 	if m.Bound && (!s.entries[from] || s.awaiting[from]) {
 		return // the session that it came by is given up
 	}
@@ -62,7 +62,7 @@
 }
 
 // stopTasks ends bound tasks at their owner's word.
-func (s *Starter) stopTasks(from string, m *messenger.Stop) {
+func (s *Starter) stopTasks(from string, m *protocol.Stop) {
 	if m.Ticket.Owner == "" {
 		m.Ticket.Owner = from
 	}
@@ -79,7 +79,7 @@
 func (s *Starter) stop(r *run) {
 	switch {
 	case s.room.leave(r):
-		s.turnAway(r, messenger.RefusalStopped)
+		s.turnAway(r, protocol.RefusalStopped)
 	case !r.stopping:
 		r.stopping = true
 		s.decided.Stops = append(s.decided.Stops, r.Run)
@@ -87,7 +87,7 @@
 }
 
 // turnAway refuses a run that has left the queue.
-func (s *Starter) turnAway(r *run, why messenger.Refusal) {
+func (s *Starter) turnAway(r *run, why protocol.Refusal) {
 	delete(s.runs, r.ID)
 	r.mark.state, r.mark.refusal = refused, why
 	s.tellMark(r)
@@ -107,21 +107,21 @@
 }
 
 // refusal returns why a start must not be carried out, empty if it may.
-func (s *Starter) refusal(from string, p pair, m *messenger.Start, need sizer.Size) messenger.Refusal {
+func (s *Starter) refusal(from string, p pair, m *protocol.Start, need sizer.Size) protocol.Refusal {
 	l := s.ledgers[p]
 	switch {
 	case m.Agent != s.Self:
-		return messenger.RefusalIncarnation
+		return protocol.RefusalIncarnation
 	case m.Ticket.Sequence < s.below[p.owner]:
-		return messenger.RefusalClosed
+		return protocol.RefusalClosed
 	case l != nil && m.Ticket.Sequence < l.below:
-		return messenger.RefusalClosed
+		return protocol.RefusalClosed
 	case l != nil && l.sealed && from == p.owner:
-		return messenger.RefusalSealed
+		return protocol.RefusalSealed
 	case s.leaving:
-		return messenger.RefusalLeaving
+		return protocol.RefusalLeaving
 	case s.marks >= s.Settings.MaxMarks, !s.roomFor(need):
-		return messenger.RefusalNoRoom
+		return protocol.RefusalNoRoom
 	}
 	return ""
 }
@@ -134,16 +134,16 @@
 // refuse answers with a refusal and remembers it. Closed and sealed tickets
 // need no mark: their watermark and seal refuse every copy. Nor do bound tasks:
 // only their owner starts them, and a session delivers each start once.
-func (s *Starter) refuse(from string, p pair, m *messenger.Start, r messenger.Refusal) {
-	if r != messenger.RefusalClosed && r != messenger.RefusalSealed && !m.Bound {
+func (s *Starter) refuse(from string, p pair, m *protocol.Start, r protocol.Refusal) {
+	if r != protocol.RefusalClosed && r != protocol.RefusalSealed && !m.Bound {
 		s.put(p, m.Ticket.Sequence, m.Task, &mark{state: refused, attempt: m.Attempt, refusal: r})
 	}
-	o := &messenger.Outcome{Ticket: wireTicket(from, m.Ticket), Task: m.Task, Attempt: m.Attempt, Refusal: r, Load: s.load(from)}
-	s.send(from, messenger.Message{Outcome: o})
+	o := &protocol.Outcome{Ticket: wireTicket(from, m.Ticket), Task: m.Task, Attempt: m.Attempt, Refusal: r, Load: s.load(from)}
+	s.send(from, protocol.Message{Outcome: o})
 }
 
 // repeat answers a start that came before. It changes nothing.
-func (s *Starter) repeat(from string, m *messenger.Start, k *mark) {
+func (s *Starter) repeat(from string, m *protocol.Start, k *mark) {
 	if k.state == running {
 		k.notify = appendNew(k.notify, from)
 		return
@@ -152,31 +152,31 @@
 }
 
 // wireTicket leaves the owner out when it is the receiver.
-func wireTicket(to string, t messenger.Ticket) messenger.Ticket {
+func wireTicket(to string, t protocol.Ticket) protocol.Ticket {
 	if t.Owner == to {
 		t.Owner = ""
 	}
 	return t
 }
 
-func (s *Starter) report(to string, t messenger.Ticket, task int, k *mark) {
-	o := &messenger.Outcome{Ticket: wireTicket(to, t), Task: task, Attempt: k.attempt, Load: s.load(to)}
+func (s *Starter) report(to string, t protocol.Ticket, task int, k *mark) {
+	o := &protocol.Outcome{Ticket: wireTicket(to, t), Task: task, Attempt: k.attempt, Load: s.load(to)}
 	switch {
 	case k.state == refused:
 		o.Refusal = k.refusal
 	case k.result == nil:
-		o.Result = &messenger.Result{Error: "the result is no longer kept"}
+		o.Result = &protocol.Result{Error: "the result is no longer kept"}
 	default:
 		o.Result = k.result
 	}
-	s.send(to, messenger.Message{Outcome: o})
+	s.send(to, protocol.Message{Outcome: o})
 }
 
 // Finish ends a run. A nil result means that the backend server refused the
 // connection, so that the task did not start.
-func (s *Starter) Finish(id uint64, result *messenger.Result) {
+func (s *Starter) Finish(id uint64, result *protocol.Result) {
 	if result == nil {
-		s.end(id, messenger.RefusalUnreachable)
+		s.end(id, protocol.RefusalUnreachable)
 		return
 	}
 	r := s.take(id)
@@ -193,15 +193,15 @@
 // FinishStopped ends a run that the backend server has ended before it was
 // done: it was stopped, or its lease lapsed.
 func (s *Starter) FinishStopped(id uint64) {
-	why := messenger.RefusalLapsed
+	why := protocol.RefusalLapsed
 	if r := s.runs[id]; r != nil && r.stopping {
-		why = messenger.RefusalStopped
+		why = protocol.RefusalStopped
 	}
 	s.end(id, why)
 }
 
 // end ends a run that has no result.
-func (s *Starter) end(id uint64, why messenger.Refusal) {
+func (s *Starter) end(id uint64, why protocol.Refusal) {
 	if r := s.take(id); r != nil {
 		r.mark.state, r.mark.refusal = refused, why
 		s.tellMark(r)
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/sizer"
 )
 
@@ -30,7 +30,7 @@
 // Output is a message to an entry incarnation.
 type Output struct {
 	To      string
-	Message messenger.Message
+	Message protocol.Message
 }
 
 // Run is a task to execute. Finish takes its ID back. Attempt grows with each
@@ -38,10 +38,10 @@
 type Run struct {
 	ID      uint64
 	Owner   string // entry incarnation that asked for it
-	Ticket  messenger.Ticket
+	Ticket  protocol.Ticket
 	Task    int
 	Attempt int
-	Request messenger.Request
+	Request protocol.Request
 }
 
 // Decisions are what a Starter has decided: messages to send, tasks to start
@@ -165,7 +165,7 @@
 }
 
 func (s *Starter) announce(entry string) {
-	s.send(entry, messenger.Message{Announce: &messenger.Announce{
+	s.send(entry, protocol.Message{Announce: &protocol.Announce{
 		Capacity: s.Capacity, Labels: s.Labels, Address: s.Address, Leaving: s.leaving, Load: s.load(entry),
 	}})
 }
@@ -214,7 +214,7 @@
 	}
 	s.leaving = true
 	for _, r := range s.room.clear() {
-		s.turnAway(r, messenger.RefusalLeaving)
+		s.turnAway(r, protocol.RefusalLeaving)
 	}
 	for e := range s.entries {
 		if !s.awaiting[e] {
@@ -224,7 +224,7 @@
 }
 
 // Receive takes a message from an entry.
-func (s *Starter) Receive(from string, m messenger.Message) {
+func (s *Starter) Receive(from string, m protocol.Message) {
 	switch {
 	case m.Start != nil:
 		s.start(from, m.Start)
@@ -239,7 +239,7 @@
 	}
 }
 
-func (s *Starter) send(to string, m messenger.Message) {
+func (s *Starter) send(to string, m protocol.Message) {
 	m.Service = s.Service
 	s.decided.Messages = append(s.decided.Messages, Output{to, m})
 }
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/sizer"
 )
 
@@ -27,14 +27,14 @@
 }
 
 func start(s *Starter, sequence uint64) ([]Output, []Run) {
-	s.Receive(testOwner, messenger.Message{Start: &messenger.Start{
-		Agent: s.Self, Ticket: messenger.Ticket{Witness: testWitness, Sequence: sequence},
+	s.Receive(testOwner, protocol.Message{Start: &protocol.Start{
+		Agent: s.Self, Ticket: protocol.Ticket{Witness: testWitness, Sequence: sequence},
 	}})
 	d := s.Drain()
 	return d.Messages, d.Starts
 }
 
-func outcome(out []Output) *messenger.Outcome {
+func outcome(out []Output) *protocol.Outcome {
 	for _, o := range out {
 		if o.Message.Outcome != nil {
 			return o.Message.Outcome
@@ -43,8 +43,8 @@
 	return nil
 }
 
-func seal(s *Starter) *messenger.Marks {
-	s.Receive(testWitness, messenger.Message{Seal: &messenger.Seal{Owner: testOwner}})
+func seal(s *Starter) *protocol.Marks {
+	s.Receive(testWitness, protocol.Message{Seal: &protocol.Seal{Owner: testOwner}})
 	for _, o := range s.Drain().Messages {
 		if o.Message.Marks != nil {
 			return o.Message.Marks
@@ -57,27 +57,27 @@
 	s := newStarter()
 	for sequence := uint64(1); sequence <= 2; sequence++ {
 		_, runs := start(s, sequence)
-		s.Finish(runs[0].ID, &messenger.Result{Status: 200})
+		s.Finish(runs[0].ID, &protocol.Result{Status: 200})
 		s.Drain()
 	}
-	s.Receive(testOwner, messenger.Message{Close: &messenger.Close{Owner: testOwner, Below: 2}})
+	s.Receive(testOwner, protocol.Message{Close: &protocol.Close{Owner: testOwner, Below: 2}})
 	m := seal(s)
 	require.Equal(t, uint64(2), m.ClosedBelow)
-	require.Equal(t, []messenger.Mark{{Sequence: 2, Done: true}}, m.Marks)
+	require.Equal(t, []protocol.Mark{{Sequence: 2, Done: true}}, m.Marks)
 }
 
 func TestClosedTicketStartsNothing(t *testing.T) {
 	s := newStarter()
-	s.Receive(testOwner, messenger.Message{Close: &messenger.Close{Owner: testOwner, Below: 5}})
+	s.Receive(testOwner, protocol.Message{Close: &protocol.Close{Owner: testOwner, Below: 5}})
 	out, runs := start(s, 4)
 	require.Empty(t, runs)
-	require.Equal(t, messenger.RefusalClosed, outcome(out).Refusal)
+	require.Equal(t, protocol.RefusalClosed, outcome(out).Refusal)
 }
 
 func TestOwnerLostForLongIsClosed(t *testing.T) {
 	s := newStarter()
 	_, runs := start(s, 1)
-	s.Finish(runs[0].ID, &messenger.Result{Status: 200})
+	s.Finish(runs[0].ID, &protocol.Result{Status: 200})
 	now := s.lost[testOwner]
 	s.Lost(now, testOwner)
 	s.Tick(now.Add(s.Settings.OwnerRetention))
@@ -91,9 +91,9 @@
 	s.Drain()
 	out, runs := start(s, 1)
 	require.Empty(t, runs, "a repeated start of a refused task")
-	require.Equal(t, messenger.RefusalUnreachable, outcome(out).Refusal)
-	s.Receive(testOwner, messenger.Message{Start: &messenger.Start{
-		Agent: s.Self, Attempt: 1, Ticket: messenger.Ticket{Witness: testWitness, Sequence: 1},
+	require.Equal(t, protocol.RefusalUnreachable, outcome(out).Refusal)
+	s.Receive(testOwner, protocol.Message{Start: &protocol.Start{
+		Agent: s.Self, Attempt: 1, Ticket: protocol.Ticket{Witness: testWitness, Sequence: 1},
 	}})
 	require.Len(t, s.Drain().Starts, 1, "the task bound anew")
 }
@@ -103,7 +103,7 @@
 	s.Settings.KeptBytes = 10
 	for sequence := uint64(1); sequence <= 3; sequence++ {
 		_, runs := start(s, sequence)
-		s.Finish(runs[0].ID, &messenger.Result{Status: 200, Body: []byte(`"1234"`)})
+		s.Finish(runs[0].ID, &protocol.Result{Status: 200, Body: []byte(`"1234"`)})
 		s.Drain()
 	}
 	require.LessOrEqual(t, s.bytes, 10)
@@ -115,22 +115,22 @@
 	s.Settings.MaxMarks = 2
 	for sequence := uint64(1); sequence <= 2; sequence++ {
 		_, runs := start(s, sequence)
-		s.Finish(runs[0].ID, &messenger.Result{Status: 200})
+		s.Finish(runs[0].ID, &protocol.Result{Status: 200})
 	}
 	s.Drain()
 	out, runs := start(s, 3)
 	require.Empty(t, runs)
-	require.Equal(t, messenger.RefusalNoRoom, outcome(out).Refusal)
-	s.Receive(testOwner, messenger.Message{Close: &messenger.Close{Owner: testOwner, Below: 3}})
+	require.Equal(t, protocol.RefusalNoRoom, outcome(out).Refusal)
+	s.Receive(testOwner, protocol.Message{Close: &protocol.Close{Owner: testOwner, Below: 3}})
 	_, runs = start(s, 4)
 	require.Len(t, runs, 1)
 }
 
 // startSized asks for a bound task of a size.
 func startSized(s *Starter, sequence uint64, attempt int, need sizer.Size) Decisions {
-	s.Receive(testOwner, messenger.Message{Start: &messenger.Start{
-		Agent: s.Self, Ticket: messenger.Ticket{Sequence: sequence}, Attempt: attempt,
-		Request: messenger.Request{Need: need}, Bound: true,
+	s.Receive(testOwner, protocol.Message{Start: &protocol.Start{
+		Agent: s.Self, Ticket: protocol.Ticket{Sequence: sequence}, Attempt: attempt,
+		Request: protocol.Request{Need: need}, Bound: true,
 	}})
 	return s.Drain()
 }
@@ -154,9 +154,9 @@
 	require.Empty(t, waits.Starts)
 	require.Nil(t, outcome(waits.Messages))
 	refused := startSized(s, 3, 0, sizer.Size{CPU: 4_000})
-	require.Equal(t, messenger.RefusalNoRoom, outcome(refused.Messages).Refusal)
+	require.Equal(t, protocol.RefusalNoRoom, outcome(refused.Messages).Refusal)
 	require.Equal(t, -2_000, outcome(refused.Messages).Load.Free.CPU, "what waits is counted")
-	s.Finish(first.Starts[0].ID, &messenger.Result{Status: 200})
+	s.Finish(first.Starts[0].ID, &protocol.Result{Status: 200})
 	d := s.Drain()
 	require.Len(t, d.Starts, 1, "the one that waited starts")
 	require.Equal(t, 28_000, outcome(d.Messages).Load.Free.CPU)
@@ -167,14 +167,14 @@
 	s := newRoomy()
 	startSized(s, 1, 0, sizer.Size{CPU: 30_000})
 	startSized(s, 2, 0, sizer.Size{CPU: 4_000})
-	s.Receive(testOwner, messenger.Message{Stop: &messenger.Stop{Ticket: messenger.Ticket{Sequence: 1}, Tasks: []int{0}}})
+	s.Receive(testOwner, protocol.Message{Stop: &protocol.Stop{Ticket: protocol.Ticket{Sequence: 1}, Tasks: []int{0}}})
 	d := s.Drain()
 	require.Len(t, d.Stops, 1)
 	require.Empty(t, d.Starts)
 	s.FinishStopped(d.Stops[0].ID)
 	d = s.Drain()
 	require.Len(t, d.Starts, 1)
-	require.Equal(t, messenger.RefusalStopped, outcome(d.Messages).Refusal)
+	require.Equal(t, protocol.RefusalStopped, outcome(d.Messages).Refusal)
 }
 
 func TestBoundTasksEndWithTheirOwner(t *testing.T) {
--- a/tests/clock/silence_test.go
+++ b/tests/clock/silence_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 )
 
 // sweep is the grain of the judgement: two of the Hub's looks at its sessions.
@@ -68,13 +69,13 @@
 
 // silent connects an entry with a peer of the role given, mutes the network, and
 // returns after how long the entry gave the session up.
-func silent(t *testing.T, role messenger.Role) time.Duration {
+func silent(t *testing.T, role protocol.Role) time.Duration {
 	p := newPipes()
 	ends := make(chan time.Time, 1)
-	ignore := func(messenger.Identity, messenger.Message) {}
-	a := &messenger.Hub{Deliver: ignore, Self: messenger.Identity{Name: "a", Role: messenger.RoleEntry, Address: "a"}.WithNewIncarnation()}
-	a.Lost = func(messenger.Identity) { ends <- time.Now() }
-	b := &messenger.Hub{Deliver: ignore, Dial: p.dial, Self: messenger.Identity{Name: "b", Role: role}.WithNewIncarnation()}
+	ignore := func(protocol.Identity, protocol.Message) {}
+	a := &messenger.Hub{Deliver: ignore, Self: protocol.Identity{Name: "a", Role: protocol.RoleEntry, Address: "a"}.WithNewIncarnation()}
+	a.Lost = func(protocol.Identity) { ends <- time.Now() }
+	b := &messenger.Hub{Deliver: ignore, Dial: p.dial, Self: protocol.Identity{Name: "b", Role: role}.WithNewIncarnation()}
 	a.Start(p)
 	b.Start(nil)
 	b.Keep("a")
@@ -84,7 +85,7 @@
 	p.mute.Store(true)
 	since := time.Now()
 	time.Sleep(10 * time.Second)
-	require.False(t, a.Send(b.Self.Incarnation, messenger.Message{}))
+	require.False(t, a.Send(b.Self.Incarnation, protocol.Message{}))
 	b.Stop()
 	a.Stop()
 	return (<-ends).Sub(since)
@@ -92,10 +93,10 @@
 
 func TestSilentPeerIsGivenUpInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		entry := silent(t, messenger.RoleEntry)
+		entry := silent(t, protocol.RoleEntry)
 		require.LessOrEqual(t, entry, 3*time.Second+sweep)
 		require.Greater(t, entry, 1500*time.Millisecond)
-		agent := silent(t, messenger.RoleAgent)
+		agent := silent(t, protocol.RoleAgent)
 		require.LessOrEqual(t, agent, 3500*time.Millisecond+sweep)
 		require.Greater(t, agent, 2*time.Second)
 		t.Logf("given up after %s between entries, %s with an agent", entry, agent)
--- a/tests/world_test.go
+++ b/tests/world_test.go
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 
 	"mustardlever.dev/mustardlever/keeper"
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/sizer"
 	"mustardlever.dev/mustardlever/starter"
 	"mustardlever.dev/mustardlever/ticketer"
@@ -52,7 +52,7 @@
 	now     time.Time
 	nodes   map[string]*node
 	order   []string
-	queues  map[link][]messenger.Message
+	queues  map[link][]protocol.Message
 	cut     map[link]bool
 	jobs    []*told
 	starts  map[string]int
@@ -63,7 +63,7 @@
 
 func newWorld(t *rapid.T) *world {
 	w := &world{
-		t: t, now: time.Unix(1_000_000, 0), nodes: map[string]*node{}, queues: map[link][]messenger.Message{},
+		t: t, now: time.Unix(1_000_000, 0), nodes: map[string]*node{}, queues: map[link][]protocol.Message{},
 		cut: map[link]bool{}, starts: map[string]int{}, refused: map[string]bool{},
 	}
 	for i := range worldEntries {
@@ -116,7 +116,7 @@
 		if n == nil || peer == nil || n.starter != nil && peer.starter != nil {
 			return
 		}
-		w.queues[x] = []messenger.Message{}
+		w.queues[x] = []protocol.Message{}
 	}
 	for _, x := range []link{{a, b}, {b, a}} {
 		n, peer := w.nodes[x.from], w.nodes[x.to]
@@ -194,7 +194,7 @@
 	}
 }
 
-func (w *world) post(x link, m messenger.Message) {
+func (w *world) post(x link, m protocol.Message) {
 	if q, open := w.queues[x]; open {
 		w.queues[x] = append(q, m)
 	}
@@ -238,12 +238,12 @@
 	for i, task := range a.Tasks {
 		id := taskName(j.ticket.Owner, j.ticket.Sequence, i)
 		switch {
-		case task.State == messenger.TaskNotRun:
+		case task.State == protocol.TaskNotRun:
 			w.refused[id] = true
 			if w.starts[id] > 0 {
 				w.t.Fatalf("%s was called not-run and was started", id)
 			}
-		case task.State == messenger.TaskRan && w.starts[id] != 1:
+		case task.State == protocol.TaskRan && w.starts[id] != 1:
 			w.t.Fatalf("%s was called ran and was not", id)
 		case a.State == keeper.StateComplete && (task.Result == nil || string(task.Result.Body) != strconv.Quote(id)):
 			w.t.Fatalf("%s has another task's result or none", id)
@@ -269,7 +269,7 @@
 	if n == nil {
 		return
 	}
-	in := keeper.Job{Tasks: make([]messenger.Request, worldTasks), Digest: "same"}
+	in := keeper.Job{Tasks: make([]protocol.Request, worldTasks), Digest: "same"}
 	var a *keeper.Answer
 	var err error
 	switch {
@@ -311,7 +311,7 @@
 }
 
 // clone copies what receivers change.
-func clone(m messenger.Message) messenger.Message {
+func clone(m protocol.Message) protocol.Message {
 	if m.Start != nil {
 		c := *m.Start
 		m.Start = &c
@@ -331,7 +331,7 @@
 		w.starts[task]-- // the backend server refused the connection
 		n.starter.Finish(id, nil)
 	} else {
-		n.starter.Finish(id, &messenger.Result{Status: 200, Body: []byte(strconv.Quote(task)), ServeMicros: 1000})
+		n.starter.Finish(id, &protocol.Result{Status: 200, Body: []byte(strconv.Quote(task)), ServeMicros: 1000})
 	}
 	w.flush(n)
 }
--- a/ticketer/ticketer.go
+++ b/ticketer/ticketer.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"mustardlever.dev/mustardlever/internal/fault"
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 )
 
 // Kind classifies the errors of this package.
@@ -34,7 +34,7 @@
 // Ticket is a parsed ticket. Expires is the time since the start of the owner
 // incarnation after which no job is accepted with it; only the owner judges it.
 type Ticket struct {
-	messenger.Ticket
+	protocol.Ticket
 	Service string
 	Expires time.Duration
 }
@@ -98,7 +98,7 @@
 		return Ticket{}, forged()
 	}
 	return Ticket{
-		Ticket:  messenger.Ticket{Owner: p.Owner, Witness: p.Witness, Sequence: p.Sequence},
+		Ticket:  protocol.Ticket{Owner: p.Owner, Witness: p.Witness, Sequence: p.Sequence},
 		Service: p.Service,
 		Expires: time.Duration(p.Expires) * time.Millisecond,
 	}, nil
--- a/ticketer/ticketer_test.go
+++ b/ticketer/ticketer_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/ticketer"
 )
 
@@ -15,7 +15,7 @@
 
 func ExampleCoder() {
 	text := coder.Encode(ticketer.Ticket{
-		Ticket:  messenger.Ticket{Owner: "entry-1.a", Witness: "entry-2.b", Sequence: 7},
+		Ticket:  protocol.Ticket{Owner: "entry-1.a", Witness: "entry-2.b", Sequence: 7},
 		Service: "access-desk", Expires: time.Minute,
 	})
 	t, err := coder.Decode(text)
@@ -24,7 +24,7 @@
 }
 
 func TestAnyChangeIsRefused(t *testing.T) {
-	text := coder.Encode(ticketer.Ticket{Service: "s", Ticket: messenger.Ticket{Owner: "o"}})
+	text := coder.Encode(ticketer.Ticket{Service: "s", Ticket: protocol.Ticket{Owner: "o"}})
 	for i := range len(text) {
 		b := []byte(text)
 		b[i] ^= 1
