--- a/internal/soaker/load.go
+++ b/internal/soaker/load.go
@@ -15,10 +15,10 @@
 	deadline  = 8 * time.Second
 	thinkMost = 250 * time.Millisecond // between two jobs of one caller
 	maxTasks  = 6
-	taskCPU   = 1500
+	taskCPU   = 1000
 	taskLeast = 20 // ms
 	taskMost  = 250
-	longOf    = 8 // one job of so many is long: it still runs when its caller sends it again
+	longOf    = 16 // one job of so many is long: it still runs when its caller sends it again
 	longLeast = 1200
 	longMost  = 2500
 	failsOf   = 20 // one job of so many fails
