--- a/internal/soaker/recovery.go
+++ b/internal/soaker/recovery.go
@@ -76,7 +76,7 @@
 	}
 	var list []Recovery
 	for _, l := range losses {
-		list = append(list, k.recover(l))
+		list = append(list, k.measure(l))
 		s.Say("%s: %+v", l.Name, list[len(list)-1])
 	}
 	close(quit)
@@ -84,8 +84,8 @@
 	return list, nil
 }
 
-// recover measures one recovery.
-func (k *soak) recover(l Loss) Recovery {
+// measure measures one recovery.
+func (k *soak) measure(l Loss) Recovery {
 	time.Sleep(beforeLoss)
 	r := Recovery{Loss: l.Name, Before: k.rate(time.Now(), beforeLoss)}
 	k.store.SetFaults(l.Store)
