--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -127,6 +127,7 @@
 // play plays one round.
 func (k *soak) play(r Round) {
 	k.injectAll(r.Storm)
+	k.changeConfiguration() // no process begins anew soon, which would read it and tell its peers
 	time.Sleep(settleTime)
 	recovered := time.Now()
 	time.Sleep(calmTime)
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -13,7 +13,8 @@
 // soakSeeds are played in CI, one round each. Seeds that ever broke a promise
 // stay here, with a line on the cause.
 var soakSeeds = []uint64{
-	1, // kills of two entries beside cut, silent and slow links and a store that forgets
+	1,   // kills of two entries beside cut, silent and slow links and a store that forgets
+	408, // a job that fails was told as completed: the stand-in's executor read the clock twice at its end
 }
 
 func TestSoak(t *testing.T) {
