One function finds a peer's name in its hello; an unread field is gone

Read again: soak and tests each had the same few lines that find the name of a process in the first bytes of its connection. relayer.PeerName serves both. attempt.begin in the soak was set and never read.

Behaviour, bounds and assertions as they were.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,14 @@
 	Delay    time.Duration // of bytes in both directions
 }
 
+// PeerName finds the name of the process that dialed in the first bytes of a
+// connection between processes, which hold its hello.
+func PeerName(first []byte) string {
+	_, rest, _ := strings.Cut(string(first), `"name":"`)
+	name, _, _ := strings.Cut(rest, `"`)
+	return name
+}
+
 // Relay passes connections on. Set Target and, to tell peers apart, Name; then
 // call Start.
 type Relay struct {
--- a/internal/soaker/load.go
+++ b/internal/soaker/load.go
@@ -44,7 +44,6 @@
 type attempt struct {
 	entry  int
 	id     string
-	begin  time.Time
 	end    time.Time
 	answer standin.Answer
 	starts int  // seen of the job while the try went on
@@ -132,7 +131,7 @@
 // try sends the job once.
 func (c *caller) try(j *job, body string, alone bool) {
 	before := c.soak.judge.Starts(j.id)
-	a := attempt{entry: c.entry, id: j.id, begin: time.Now(), alone: alone}
+	a := attempt{entry: c.entry, id: j.id, alone: alone}
 	address := c.soak.entries[c.entry].callers
 	j.answer = standin.Submit(context.Background(), c.client, address, host, prefix, j.id, body, deadline-time.Since(j.begin))
 	j.tries++
--- a/internal/soaker/system.go
+++ b/internal/soaker/system.go
@@ -6,7 +6,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -66,13 +65,6 @@
 	ending  sync.Once
 }
 
-// peerName finds the name of the process in the first bytes of its connection.
-func peerName(first []byte) string {
-	_, rest, _ := strings.Cut(string(first), `"name":"`)
-	name, _, _ := strings.Cut(rest, `"`)
-	return name
-}
-
 // start starts everything.
 func (s *system) start() error {
 	if err := s.store.Start("127.0.0.1:0"); err != nil {
@@ -133,7 +125,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p.front.Target, p.links.Target, p.links.Name = relayer.Address(), relayer.Address(), peerName
+	p.front.Target, p.links.Target, p.links.Name = relayer.Address(), relayer.Address(), relayer.PeerName
 	for _, r := range []*relayer.Relay{&p.front, &p.links} {
 		if err := r.Start(); err != nil {
 			return nil, err
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -361,11 +361,7 @@
 // newRelay returns a relay to an entry's link address, which tells peers apart
 // by the names in their hellos.
 func newRelay(t testing.TB, target string) *relayer.Relay {
-	r := &relayer.Relay{Target: target, Name: func(first []byte) string {
-		_, rest, _ := strings.Cut(string(first), `"name":"`)
-		name, _, _ := strings.Cut(rest, `"`)
-		return name
-	}}
+	r := &relayer.Relay{Target: target, Name: relayer.PeerName}
 	require.NoError(t, r.Start())
 	return r
 }
