--- a/cmd/mustardleverd/hosted.go
+++ b/cmd/mustardleverd/hosted.go
@@ -30,6 +30,10 @@
 	hostedRenewalCutoff     = 200 * time.Millisecond // how long an agent keeps renewing leases without an answer from the backend server
 	hostedDefaultDeadline   = 30 * time.Second       // of a job whose caller sets none
 	hostedUsefulFactor      = 3.0                    // multiple of the time until a job is due after which its caller has no use for an answer; defined by the platform
+	maxEntries              = 6                      // connections that a process keeps to entries
+	peerHeartbeat           = 300 * time.Millisecond // between entries, which run no tasks for each other
+	peerConnectionTimeout   = 900 * time.Millisecond
+	peerSessionTimeout      = 1500 * time.Millisecond
 	storeTimeout            = 700 * time.Millisecond // of a single call without retries
 	abortMargin             = 500 * time.Millisecond // before the end of a graceful shutdown; then an entry aborts and answers its unfinished jobs, and an agent stops draining
 
@@ -41,8 +45,11 @@
 
 // hostedMessengerSettings returns the session timeouts of processes on the platform.
 func hostedMessengerSettings() messenger.Settings {
-	timing := messenger.Timing{Heartbeat: hostedHeartbeat, ConnectionTimeout: hostedConnectionTimeout, SessionTimeout: hostedSessionTimeout}
-	return messenger.Settings{Agents: timing, Entries: timing, DialTimeout: hostedDialTimeout, MaxRedialDelay: hostedDialTimeout}
+	return messenger.Settings{
+		Agents:     messenger.Timing{Heartbeat: hostedHeartbeat, ConnectionTimeout: hostedConnectionTimeout, SessionTimeout: hostedSessionTimeout},
+		Entries:    messenger.Timing{Heartbeat: peerHeartbeat, ConnectionTimeout: peerConnectionTimeout, SessionTimeout: peerSessionTimeout},
+		MaxEntries: maxEntries, DialTimeout: hostedDialTimeout, MaxRedialDelay: hostedDialTimeout,
+	}
 }
 
 // process is implemented by server.Entry and server.Agent.
--- a/messenger/dial.go
+++ b/messenger/dial.go
@@ -4,33 +4,132 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"mustardlever.dev/mustardlever/protocol"
 )
 
-// KeepConnected dials address, and redials it whenever there is no connection,
-// until the Hub stops. Further calls for the same address have no effect.
-func (h *Hub) KeepConnected(address string) {
+// longRedialDelay is the time between two attempts to reach an entry that has been
+// unreachable for long.
+const longRedialDelay = 2 * time.Second
+
+// KeepConnected adds entries by their addresses. The Hub keeps connections to all
+// entries that it knows, or to Settings.MaxEntries of them, until it stops.
+func (h *Hub) KeepConnected(addresses ...string) {
+	h.mu.Lock()
+	added := false
+	for _, address := range addresses {
+		if address != h.Self.Address {
+			added = h.selector.Add(address) || added
+		}
+	}
+	h.mu.Unlock()
+	if added {
+		h.chooseEntries()
+	}
+}
+
+// chooseEntries selects the entries to connect to and starts dialing the new ones.
+func (h *Hub) chooseEntries() {
+	connected := h.connectedAddresses()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.dialing[address] || address == h.Self.Address || h.ctx.Err() != nil {
+	if h.ctx.Err() != nil {
 		return
 	}
-	h.dialing[address] = true
-	h.goroutines.Go(func() { h.redialLoop(address) })
+	for _, address := range h.selector.Choose(time.Now(), func(address string) bool { return connected[address] }) {
+		if !h.dialing[address] {
+			h.dialing[address] = true
+			h.goroutines.Go(func() { h.redialLoop(address) })
+		}
+	}
 }
 
-// redialLoop keeps a connection to address open. The delay between attempts
-// grows exponentially up to MaxRedialDelay, with jitter.
+// connectedAddresses returns the addresses at which connected entries are known.
+func (h *Hub) connectedAddresses() map[string]bool {
+	connected, incarnations := make(map[string]bool), make(map[string]bool)
+	for _, s := range h.allSessions() {
+		s.mu.Lock()
+		if s.conn != nil && s.peer.Role == protocol.RoleEntry {
+			connected[s.peer.Address] = true
+			incarnations[s.peer.Incarnation] = true
+		}
+		s.mu.Unlock()
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for address, incarnation := range h.incarnationAt {
+		if incarnations[incarnation] {
+			connected[address] = true
+		}
+	}
+	return connected
+}
+
+// SurplusEntries returns the incarnations of connected entries whose connection is
+// no longer needed, since all preferred entries are connected. An entry also known at
+// a preferred address is not surplus.
+func (h *Hub) SurplusEntries() []string {
+	h.mu.Lock()
+	surplus := make(map[string]bool)
+	for _, address := range h.selector.Surplus(time.Now()) {
+		surplus[address] = true
+	}
+	preferredIncarnations := make(map[string]bool)
+	for address, incarnation := range h.incarnationAt {
+		if h.dialing[address] && !surplus[address] {
+			preferredIncarnations[incarnation] = true
+		}
+	}
+	h.mu.Unlock()
+	if len(surplus) == 0 {
+		return nil
+	}
+	var incarnations []string
+	for _, p := range h.Peers() {
+		if p.Role == protocol.RoleEntry && surplus[p.Address] && !preferredIncarnations[p.Incarnation] {
+			incarnations = append(incarnations, p.Incarnation)
+		}
+	}
+	return incarnations
+}
+
+// ReleaseEntry closes the session with a surplus entry and does not dial it again,
+// unless it is needed later. It must not be called from Deliver, SessionOpened or
+// SessionClosed.
+func (h *Hub) ReleaseEntry(incarnation string) {
+	s := h.findSession(incarnation)
+	if s == nil {
+		return
+	}
+	h.mu.Lock()
+	h.selector.Release(s.peer.Address)
+	for address, known := range h.incarnationAt {
+		if known == incarnation {
+			h.selector.Release(address)
+		}
+	}
+	h.mu.Unlock()
+	h.closeSession(s)
+}
+
+// redialLoop keeps a connection to address open while the selector chooses it. The
+// delay between attempts grows exponentially up to MaxRedialDelay, with jitter.
 func (h *Hub) redialLoop(address string) {
 	wait := minRedialDelay
 	for h.ctx.Err() == nil {
 		if h.isConnected(address) {
 			wait = h.Settings.MaxRedialDelay / 2
+		} else if !h.continueDialing(address) {
+			return
 		} else if h.dial(address) {
 			wait = minRedialDelay
 		} else {
 			wait = min(2*wait, h.Settings.MaxRedialDelay)
 		}
 		pause := wait/2 + rand.N(wait)
+		if h.isLongUnreachable(address) {
+			pause = longRedialDelay/2 + rand.N(longRedialDelay)
+		}
 		select {
 		case <-h.ctx.Done():
 		case <-time.After(pause):
@@ -38,6 +137,24 @@
 	}
 }
 
+// continueDialing reports whether the address is still chosen. If not, its redialLoop
+// has to end, and chooseEntries may start another one later.
+func (h *Hub) continueDialing(address string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.selector.IsChosen(address) {
+		return true
+	}
+	delete(h.dialing, address)
+	return false
+}
+
+func (h *Hub) isLongUnreachable(address string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.selector.IsLongUnreachable(time.Now(), address)
+}
+
 // isConnected reports whether the peer at address has a connection, dialed to
 // this or another address or accepted from the peer.
 func (h *Hub) isConnected(address string) bool {
--- a/messenger/hub.go
+++ b/messenger/hub.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mustardlever.dev/mustardlever/protocol"
+	"mustardlever.dev/mustardlever/selector"
 )
 
 const (
@@ -56,6 +57,7 @@
 	mu            sync.Mutex
 	sessions      map[string]*session
 	nextEpochs    map[string]uint64 // by incarnation: local epoch of the next session, for closed sessions
+	selector      selector.Selector // entries to keep connected
 	dialing       map[string]bool   // by address: it has a redialLoop
 	incarnationAt map[string]string // by address: the incarnation that last answered a hello there
 	ctx           context.Context
@@ -71,6 +73,7 @@
 	h.sessions = make(map[string]*session)
 	h.nextEpochs = make(map[string]uint64)
 	h.dialing = make(map[string]bool)
+	h.selector.Self, h.selector.Limit = h.Self.Name, h.Settings.MaxEntries
 	h.incarnationAt = make(map[string]string)
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.listener = l
--- a/messenger/settings.go
+++ b/messenger/settings.go
@@ -7,10 +7,11 @@
 // Settings configures the timeouts and limits of a Hub. Zero fields take the
 // defaults; those of a Timing are given in the order of its fields.
 type Settings struct {
-	Entries  Timing        // for sessions between entries; default 500 ms, 1.5 s, 3 s
-	Agents   Timing        // for sessions with agents; default 1 s, 2.5 s, 3.5 s
-	AckDelay time.Duration // maximum delay of an acknowledgement without messages; default 100 ms
-	MaxBatch int           // maximum number of messages per frame; default 512
+	Entries    Timing        // for sessions between entries; default 500 ms, 1.5 s, 3 s
+	Agents     Timing        // for sessions with agents; default 1 s, 2.5 s, 3.5 s
+	AckDelay   time.Duration // maximum delay of an acknowledgement without messages; default 100 ms
+	MaxEntries int           // number of entries to keep connections to, see package selector; 0: all known ones
+	MaxBatch   int           // maximum number of messages per frame; default 512
 
 	DialTimeout    time.Duration // for one connection attempt; default 1 s
 	MaxRedialDelay time.Duration // maximum backoff between connection attempts, before jitter; default 1 s
--- a/messenger/timeouts.go
+++ b/messenger/timeouts.go
@@ -28,6 +28,7 @@
 		for _, s := range h.allSessions() {
 			h.checkTimeouts(s)
 		}
+		h.chooseEntries()
 	}
 }
 
--- a/server/agent.go
+++ b/server/agent.go
@@ -54,6 +54,7 @@
 	shards     map[string]*agentShard
 	draining   atomic.Bool
 	detector   pausedetector.Detector
+	releasing  map[string]bool // surplus entries that get no more capacity; used by tick only
 	ctx        context.Context
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
@@ -111,14 +112,13 @@
 // Traffic returns the counters of the agent's connections.
 func (a *Agent) Traffic() *messenger.Traffic { return &a.hub.Traffic }
 
-// AddEntries connects to the entries at the given addresses. Malformed addresses are
+// AddEntries adds the entries at the given addresses to those it may connect to. Malformed addresses are
 // ignored.
 func (a *Agent) AddEntries(addresses []string) {
-	for _, address := range addresses {
-		if _, _, err := net.SplitHostPort(address); err == nil {
-			a.hub.KeepConnected(address)
-		}
-	}
+	a.hub.KeepConnected(slices.DeleteFunc(slices.Clone(addresses), func(address string) bool {
+		_, _, err := net.SplitHostPort(address)
+		return err != nil
+	})...)
 }
 
 // applyDecisions calls decide under the lock of the shard, queues the resulting
@@ -219,6 +219,9 @@
 		if cleanup {
 			lastCleanup = now
 		}
+		if cleanup {
+			a.releaseSurplusEntries()
+		}
 		for _, s := range a.shardList() {
 			a.updateSuspected(s)
 			peers := a.applyDecisions(s, func(st *starter.Starter) {
--- a/server/entry.go
+++ b/server/entry.go
@@ -108,7 +108,7 @@
 // Peers returns the processes with an open session.
 func (e *Entry) Peers() []protocol.Identity { return e.hub.Peers() }
 
-// AddEntries connects to the entries at the given addresses and forwards addresses
+// AddEntries adds the entries at the given addresses to those it may connect to, and forwards addresses
 // that were unknown so far to all peers. Malformed addresses are ignored.
 func (e *Entry) AddEntries(addresses []string) {
 	e.mu.Lock()
@@ -123,9 +123,7 @@
 	if len(added) == 0 {
 		return
 	}
-	for _, address := range added {
-		e.hub.KeepConnected(address)
-	}
+	e.hub.KeepConnected(added...)
 	for _, p := range e.hub.Peers() {
 		e.hub.Send(p.Incarnation, protocol.Message{Entries: &protocol.Entries{Addresses: added}})
 	}
--- a/starter/start.go
+++ b/starter/start.go
@@ -120,7 +120,7 @@
 		return protocol.RefusalClosed
 	case table != nil && table.sealed && from == key.owner:
 		return protocol.RefusalSealed
-	case s.draining:
+	case s.draining || s.releasing[from]:
 		return protocol.RefusalDraining
 	case s.recordCount >= s.Settings.MaxStartRecords, !s.canAccept(need):
 		return protocol.RefusalNoCapacity
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -85,6 +85,7 @@
 	entries          map[string]bool      // entries with a session
 	reportOrder      []string             // entries with a session, the next to receive a load report first
 	unannounced      map[string]bool      // entries with a session that have not received an Announce yet
+	releasing        map[string]bool      // entries whose session will be closed: they get no more capacity
 	draining         bool
 	unresponsive     bool // the backend server may not answer: no capacity is offered or used
 	runs             map[uint64]*acceptedRun
@@ -113,6 +114,7 @@
 	s.lostAt = make(map[string]time.Time)
 	s.entries = make(map[string]bool)
 	s.unannounced = make(map[string]bool)
+	s.releasing = make(map[string]bool)
 	s.runs = make(map[uint64]*acceptedRun)
 }
 
@@ -148,6 +150,7 @@
 	s.entries[entry] = true
 	delete(s.lostAt, entry)
 	delete(s.receivedStarts, entry)
+	delete(s.releasing, entry)
 	s.unannounced[entry] = true
 	s.announceIfIdle(entry)
 }
@@ -169,7 +172,7 @@
 
 func (s *Starter) announce(entry string) {
 	s.send(entry, protocol.Message{Announce: &protocol.Announce{
-		Capacity: s.Capacity, Labels: s.Labels, Address: s.Address, Draining: s.draining, Load: s.updateLoad(entry),
+		Capacity: s.Capacity, Labels: s.Labels, Address: s.Address, Draining: s.draining || s.releasing[entry], Load: s.updateLoad(entry),
 	}})
 }
 
@@ -203,6 +206,7 @@
 	delete(s.receivedStarts, entry)
 	delete(s.reportedFree, entry)
 	delete(s.unannounced, entry)
+	delete(s.releasing, entry)
 	s.lostAt[entry] = now
 	for _, r := range s.runs {
 		if r.sessionBound && r.Requester == entry {
@@ -212,6 +216,29 @@
 	s.startQueued()
 }
 
+// ReleaseEntry refuses all further starts of an entry and tells it that this agent is
+// draining. The session can be closed once HasRunsFrom is false.
+func (s *Starter) ReleaseEntry(entry string) {
+	if !s.entries[entry] || s.releasing[entry] {
+		return
+	}
+	s.releasing[entry] = true
+	s.reportOrder = slices.DeleteFunc(s.reportOrder, func(e string) bool { return e == entry })
+	if !s.unannounced[entry] {
+		s.announce(entry)
+	}
+}
+
+// HasRunsFrom reports whether a task that the entry requested is queued or running.
+func (s *Starter) HasRunsFrom(entry string) bool {
+	for _, r := range s.runs {
+		if r.Requester == entry {
+			return true
+		}
+	}
+	return false
+}
+
 // BeginDrain makes the agent refuse queued tasks and all further starts, and
 // announces to the entries that it is draining.
 func (s *Starter) BeginDrain() {
