--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -224,3 +224,42 @@
 	require.Len(t, s.TakeDecisions().Stops, 1)
 	require.Empty(t, requestSessionBoundStart(s, 2, 0, sizer.Resources{CPU: 1000}).Starts)
 }
+
+// TestReleasedEntryGetsNoMoreCapacity releases a surplus entry. Its later starts are
+// refused, its running task ends normally, and other entries are not affected.
+func TestReleasedEntryGetsNoMoreCapacity(t *testing.T) {
+	s := newStarter()
+	s.EntryConnected("other.1")
+	start := func(from string, sequence uint64) ([]Output, []Run) {
+		s.Receive(from, protocol.Message{Start: &protocol.Start{Agent: s.Self, Ticket: protocol.Ticket{Sequence: sequence}, SessionBound: true}})
+		d := s.TakeDecisions()
+		return d.Messages, d.Starts
+	}
+	_, runs := start(testOwner, 1)
+	require.Len(t, runs, 1)
+
+	s.ReleaseEntry(testOwner)
+	messages := s.TakeDecisions().Messages
+	require.Len(t, messages, 1)
+	require.Equal(t, testOwner, messages[0].To)
+	require.True(t, messages[0].Message.Announce.Draining)
+	require.True(t, s.HasRunsFrom(testOwner))
+
+	messages, refused := start(testOwner, 2)
+	require.Empty(t, refused)
+	require.Equal(t, protocol.RefusalDraining, findOutcome(messages).Refusal)
+	_, accepted := start("other.1", 1)
+	require.Len(t, accepted, 1)
+
+	s.Finish(runs[0].ID, &protocol.Result{Status: 200})
+	require.Equal(t, 200, findOutcome(s.TakeDecisions().Messages).Result.Status)
+	require.False(t, s.HasRunsFrom(testOwner))
+	s.SendLoad()
+	for _, o := range s.TakeDecisions().Messages {
+		require.Equal(t, "other.1", o.To)
+	}
+
+	s.EntryLost(testTime, testOwner)
+	s.EntryConnected(testOwner)
+	require.False(t, s.TakeDecisions().Messages[0].Message.Announce.Draining, "a new session starts afresh")
+}
