Close the session whose message cannot be handled, and report the panic

Cause: the JSON-RPC library recovers from a panic of its handler without a trace. The messages after the failed one in its batch counted as received but were never delivered, and the session stayed open. Change: the Hub recovers, counts and logs the panic, and closes the session, so that both sides start anew and the agent stops the session's tasks.

--- a/messenger/accept.go
+++ b/messenger/accept.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
+	"runtime/debug"
 	"time"
 
 	"go.lsp.dev/jsonrpc2"
@@ -48,8 +50,36 @@
 }
 
 // handleRequest handles one JSON-RPC request. Calls for the same connection do
-// not overlap.
-func (h *Hub) handleRequest(c *conn, r *jsonrpc2.Request) (any, error) {
+// not overlap. If handling it panics, the connection and its session are closed:
+// a message that this process cannot handle must not end the process, and the peer
+// must not send it again.
+func (h *Hub) handleRequest(c *conn, r *jsonrpc2.Request) (result any, err error) {
+	defer func() {
+		if value := recover(); value != nil {
+			err = h.handlePanic(c, r.Method(), value)
+		}
+	}()
+	return h.dispatchRequest(c, r)
+}
+
+// handlePanic counts and reports a panic, and closes the connection and its session.
+func (h *Hub) handlePanic(c *conn, method string, value any) error {
+	h.Traffic.Panics.Add(1)
+	s, peer := c.currentSession(), ""
+	if s != nil {
+		peer = s.peer.Incarnation
+	}
+	if h.ReportPanic != nil {
+		h.ReportPanic(peer, value, debug.Stack())
+	}
+	c.close()
+	if s != nil {
+		h.goroutines.Go(func() { h.closeSession(s) })
+	}
+	return &Error{Op: method, Kind: KindPanic, Detail: fmt.Sprint(value)}
+}
+
+func (h *Hub) dispatchRequest(c *conn, r *jsonrpc2.Request) (any, error) {
 	switch r.Method() {
 	case methodBatch:
 		return nil, h.handleBatch(c, r.Params())
--- a/messenger/conn.go
+++ b/messenger/conn.go
@@ -39,6 +39,16 @@
 	})
 }
 
+// currentSession returns the session, or nil if none was opened yet.
+func (c *conn) currentSession() *session {
+	select {
+	case <-c.sessionReady:
+		return c.session
+	default:
+		return nil
+	}
+}
+
 // close closes the connection. It does not wait for pending calls and handlers.
 func (c *conn) close() {
 	c.closeOnce.Do(func() {
--- a/messenger/error.go
+++ b/messenger/error.go
@@ -9,6 +9,7 @@
 const (
 	KindUnreachable Kind = "unreachable" // no connection to the peer
 	KindFrame       Kind = "frame"       // a frame or batch is malformed, or a frame is too large
+	KindPanic       Kind = "panic"       // handling a request panicked
 	KindHandshake   Kind = "hello"       // a session was refused, or a batch arrived without one
 )
 
--- a/messenger/hub.go
+++ b/messenger/hub.go
@@ -51,6 +51,7 @@
 	Dial          func(ctx context.Context, address string) (net.Conn, error) // default: TCP with Settings.DialTimeout
 	Clock         func() int64                                                // returns the hybrid logical clock to send
 	ObserveClock  func(clock int64)                                           // receives the hybrid logical clock of a peer
+	ReportPanic   func(peer string, value any, stack []byte)                  // receives the panic of a request; peer is empty without a session
 	Traffic       Traffic
 
 	lifecycleMu   sync.Mutex // serializes SessionOpened and SessionClosed; acquired before every other lock
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -139,3 +139,31 @@
 		t.Fatal("the writer of a replaced connection did not stop within 2 s")
 	}
 }
+
+// TestPanicOfOneMessageEndsOnlyItsSession delivers a message whose handling panics. The
+// process lives on, reports the panic, and accepts messages of a new session.
+func TestPanicOfOneMessageEndsOnlyItsSession(t *testing.T) {
+	p := newPair(t, Settings{MaxRedialDelay: 50 * time.Millisecond})
+	deliver := p.b.Deliver
+	reported := make(chan string, 1)
+	p.b.ReportPanic = func(peer string, value any, stack []byte) {
+		require.NotEmpty(t, stack)
+		reported <- peer
+	}
+	p.b.Deliver = func(from protocol.Identity, m protocol.Message) {
+		if m.Close.Below == 13 {
+			panic("malformed")
+		}
+		deliver(from, m)
+	}
+	require.True(t, p.send(13))
+	select {
+	case peer := <-reported:
+		require.Equal(t, p.a.Self.Incarnation, peer)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the panic was not reported within 5 s")
+	}
+	require.EqualValues(t, 1, p.b.Traffic.Panics.Load())
+	require.Eventually(t, func() bool { p.send(14); return len(p.deliveredNumbers()) > 0 }, 5*time.Second, 5*time.Millisecond)
+	require.Equal(t, uint64(14), p.deliveredNumbers()[0])
+}
--- a/messenger/stream.go
+++ b/messenger/stream.go
@@ -22,11 +22,12 @@
 	readBufferBytes  = 32 << 10 // 32 KiB
 )
 
-// Traffic counts the frames, bytes and messages on the connections of a Hub.
+// Traffic counts the frames, bytes, messages and failed requests on the connections of a Hub.
 type Traffic struct {
 	FramesIn, FramesOut     atomic.Int64
 	BytesIn, BytesOut       atomic.Int64
 	MessagesIn, MessagesOut atomic.Int64
+	Panics                  atomic.Int64 // requests of peers whose handling panicked
 }
 
 // stream is a jsonrpc2.Stream of frames, each preceded by its length as a 4-byte
--- a/server/agent.go
+++ b/server/agent.go
@@ -86,6 +86,7 @@
 	a.hub.SessionOpened = a.entryConnected
 	a.hub.SessionClosed = a.entryLost
 	a.hub.AddEntries = a.AddEntries
+	a.hub.ReportPanic = reportPanic(a.Log)
 	a.hub.Clock, a.hub.ObserveClock = a.Recorder.Now, a.Recorder.Observe
 	a.hub.Start(nil)
 	a.AddEntries(a.Settings.Entries)
--- a/server/entry.go
+++ b/server/entry.go
@@ -91,6 +91,7 @@
 	e.hub.SessionClosed = e.peerLost
 	e.hub.AddEntries = e.AddEntries
 	e.hub.KnownEntries = e.knownAddresses
+	e.hub.ReportPanic = reportPanic(e.Log)
 	e.hub.Clock, e.hub.ObserveClock = e.Recorder.Now, e.Recorder.Observe
 	e.hub.Start(l)
 	e.AddEntries(e.Settings.Entries)
