Save a draining backend server's report, so that no restarted agent uses it

Cause: an agent saved the report of its backend server only when it offered the server. Restarted while the server drained, it restored the older report and offered the server again until the next one. Saves ran at the same time and could overtake each other, and of two concurrent reports the older one could be kept. Change: reports that differ in incarnation, address or readiness are saved by one writer, which repeats failed writes; the comparison of a report with the current one and its replacement are one step. A gauge counts messages whose handling panicked.

--- a/cmd/mustardleverd/gauges.go
+++ b/cmd/mustardleverd/gauges.go
@@ -6,6 +6,7 @@
 	"mustardlever.dev/mustardlever/coordinator"
 	"mustardlever.dev/mustardlever/counter"
 	"mustardlever.dev/mustardlever/executor"
+	"mustardlever.dev/mustardlever/messenger"
 	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/server"
 )
@@ -31,6 +32,7 @@
 	}
 	registerSessionGauge(metrics, "sessions_with_entries", protocol.RoleEntry, e.Peers)
 	registerSessionGauge(metrics, "sessions_with_agents", protocol.RoleAgent, e.Peers)
+	registerPanicGauge(metrics, e.Traffic())
 	metrics.Gauge("agents", sum(func(c coordinator.Counts) int { return c.Agents }))
 	metrics.Gauge("suspect_agents", sum(func(c coordinator.Counts) int { return c.SuspectAgents }))
 	metrics.Gauge("waiting_tasks", sum(func(c coordinator.Counts) int { return c.Waiting }))
@@ -56,6 +58,12 @@
 func registerAgentGauges(a *server.Agent, metrics *counter.Counter) {
 	metrics.Gauge("running_tasks", func() float64 { return float64(a.RunCount()) })
 	registerSessionGauge(metrics, "sessions_with_entries", protocol.RoleEntry, a.Peers)
+	registerPanicGauge(metrics, a.Traffic())
+}
+
+// registerPanicGauge registers the number of messages whose handling panicked.
+func registerPanicGauge(metrics *counter.Counter, t *messenger.Traffic) {
+	metrics.Gauge("message_panics", func() float64 { return float64(t.Panics.Load()) })
 }
 
 // registerBackendServerGauges registers the gauges of a backend server whose tasks
--- a/cmd/mustardleverd/hosted_agent.go
+++ b/cmd/mustardleverd/hosted_agent.go
@@ -27,7 +27,8 @@
 	}
 	settings.addEntries = a.AddEntries
 	store := newStore(p, log, metrics)
-	leased := newLeasedExecutor(p, a, store, log)
+	ctx, cancel := context.WithCancel(context.Background())
+	leased := newLeasedExecutor(ctx, p, a, store, log)
 	reportServer := &http.Server{
 		Handler:           platform.ReportsHandler(log, func(r executor.Report) { leased.HandleReport(r) }, leased.HandleStopped),
 		ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout,
@@ -40,7 +41,6 @@
 	source := agentSource(a, r, metrics)
 	source.BackendServer = leased.View
 	operatorServer := operator.New(source)
-	ctx, cancel := context.WithCancel(context.Background())
 	l.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			log.WithField("settings", p.Platform).Info("Agent starts.")
@@ -68,7 +68,7 @@
 	return nil
 }
 
-func newLeasedExecutor(p configurer.Process, a *server.Agent, store *platform.Store, log *logrus.Entry) *executor.LeasedExecutor {
+func newLeasedExecutor(ctx context.Context, p configurer.Process, a *server.Agent, store *platform.Store, log *logrus.Entry) *executor.LeasedExecutor {
 	backends := platform.NewBackends()
 	service := p.Platform.Service
 	leased := &executor.LeasedExecutor{
@@ -80,12 +80,13 @@
 		Finish:          func(id uint64, result *protocol.Result) { a.Finish(service, id, result) },
 		FinishStopped:   func(id uint64) { a.FinishStopped(service, id) },
 	}
+	saver := &executor.ReportSaver{Log: log, Write: func(ctx context.Context, r executor.Report) error { return store.WriteBackend(ctx, p.Name, r) }}
+	leased.Save = func(r executor.Report) { saver.Save(ctx, r) }
 	leased.Offer = func(r executor.Report) {
 		a.Offer(server.Offer{
 			Service: service, Address: r.Address, Capacity: r.Capacity, Labels: r.Labels,
 			Backend: server.Backend{Start: leased.Run, Stop: leased.Stop, SetOwnerSuspected: leased.SetOwnerSuspected},
 		})
-		go saveReport(store, p.Name, r, log)
 	}
 	return leased
 }
@@ -103,13 +104,3 @@
 		leased.RestoreReport(r)
 	}
 }
-
-// saveReport saves the backend server's report in the store. If that fails, the
-// next process of this agent has to wait for a report.
-func saveReport(store *platform.Store, agent string, r executor.Report, log *logrus.Entry) {
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
-	defer cancel()
-	if err := store.WriteBackend(ctx, agent, r); err != nil {
-		log.WithError(err).Info("Saving the backend server's report in the store failed.")
-	}
-}
--- a/executor/leased.go
+++ b/executor/leased.go
@@ -49,6 +49,10 @@
 	ObserveCall func(k leaser.Kind, s leaser.Status, elapsed time.Duration)
 	// Offer is called when the backend server may receive tasks.
 	Offer func(Report)
+	// Save is called with a report that differs in readiness or incarnation from the
+	// last one. A later process of this agent restores it with RestoreReport. It may
+	// be nil.
+	Save func(Report)
 	// Withdraw is called when it must not receive any more tasks.
 	Withdraw func(Report)
 	// SetUnresponsive is called when an offered backend server stops or resumes
@@ -65,6 +69,7 @@
 	leaser       leaser.Leaser
 	report       Report
 	reportedAt   time.Time // when the last report arrived or was restored
+	saved        Report    // last passed to Save
 	restored     bool      // report was saved by an earlier process and not confirmed since
 	offered      bool      // as last reported by Offer or Withdraw
 	unresponsive bool      // as last reported by SetUnresponsive
@@ -129,7 +134,11 @@
 	defer x.notifyMu.Unlock()
 	x.mu.Lock()
 	notify := x.nextNotification(time.Now())
+	save, report := x.needsSave(), x.report
 	x.mu.Unlock()
+	if save {
+		x.Save(report)
+	}
 	if notify != nil {
 		notify()
 	}
@@ -159,6 +168,22 @@
 	return func() { x.Offer(report) }
 }
 
+// needsSave reports whether the report has to be saved, and counts it as saved: the
+// first one at which the backend server is offered, and every later one that differs
+// in incarnation, address or readiness. A server that drains must not be used again
+// after a restart of this process. The caller holds mu.
+func (x *LeasedExecutor) needsSave() bool {
+	r, s := x.report, x.saved
+	if x.Save == nil || x.restored || r.Address == "" || s.Address == "" && !x.offered {
+		return false
+	}
+	if r.ID == s.ID && r.StartedAt == s.StartedAt && r.Address == s.Address && r.Ready == s.Ready {
+		return false
+	}
+	x.saved = r
+	return true
+}
+
 func logFields(r Report) logrus.Fields {
 	return logrus.Fields{"backend-server": r.ID, "born-ms": r.StartedAt, "ready": r.Ready, "cpu": r.Capacity.CPU}
 }
@@ -268,13 +293,13 @@
 // HandleReport processes a report of the backend server. It returns false if the
 // report is not newer than the current one.
 func (x *LeasedExecutor) HandleReport(r Report) bool {
-	x.mu.Lock()
-	current := x.report
-	x.mu.Unlock()
-	if r.StartedAt < current.StartedAt || r.StartedAt == current.StartedAt && r.ID == current.ID && r.Number <= current.Number {
-		return false
-	}
+	accepted := false
 	x.update(func(l *leaser.Leaser, now time.Time) {
+		current := x.report
+		if r.StartedAt < current.StartedAt || r.StartedAt == current.StartedAt && r.ID == current.ID && r.Number <= current.Number {
+			return
+		}
+		accepted = true
 		isNew := current.Address == "" || r.StartedAt != current.StartedAt || r.ID != current.ID || r.Address != current.Address
 		x.report, x.reportedAt, x.restored = r, now, false
 		if isNew {
@@ -282,7 +307,7 @@
 			l.HandleRestart(now, r.StartedAt)
 		}
 	})
-	return true
+	return accepted
 }
 
 // HandleStopped records the graceful shutdown of the backend server with the given
--- a/executor/leased_test.go
+++ b/executor/leased_test.go
@@ -202,3 +202,80 @@
 		require.Equal(t, []string{"offer"}, b.notified())
 	})
 }
+
+// TestDrainingServerIsNotUsedAfterRestartOfAgent restores what a process saved before it
+// ended. The backend server began to drain meanwhile, so the next process must not
+// offer it. Its next incarnation is offered again.
+func TestDrainingServerIsNotUsedAfterRestartOfAgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var saved []Report
+		b := &fakeBackend{startedAt: testStartedAt}
+		x, stop := newLeasedExecutor(t, b)
+		x.Save = func(r Report) { saved = append(saved, r) }
+		x.HandleReport(testReport(1))
+		time.Sleep(100 * time.Millisecond)
+		draining := testReport(2)
+		draining.Ready = false
+		x.HandleReport(draining)
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, []string{"offer", "withdraw"}, b.notified())
+		stop()
+
+		next := &fakeBackend{startedAt: testStartedAt}
+		y, stopNext := newLeasedExecutor(t, next)
+		defer stopNext()
+		y.RestoreReport(saved[len(saved)-1])
+		time.Sleep(time.Second)
+		require.Empty(t, next.notified())
+
+		next.mu.Lock()
+		next.startedAt = testStartedAt + 500
+		next.mu.Unlock()
+		restarted := testReport(1)
+		restarted.ID, restarted.StartedAt = "i-2", testStartedAt+500
+		y.HandleReport(restarted)
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"offer"}, next.notified())
+	})
+}
+
+// TestOlderOfConcurrentReportsIsDropped delivers reports of one incarnation on several
+// goroutines, as concurrent requests do. The newest one stays.
+func TestOlderOfConcurrentReportsIsDropped(t *testing.T) {
+	for range 500 {
+		b := &fakeBackend{startedAt: testStartedAt}
+		x, stop := newLeasedExecutor(t, b)
+		var deliveries sync.WaitGroup
+		for number := range int64(8) {
+			deliveries.Go(func() { x.HandleReport(testReport(number + 1)) })
+		}
+		deliveries.Wait()
+		require.EqualValues(t, 8, x.report.Number)
+		stop()
+	}
+}
+
+// TestReportSaverKeepsOrder saves two reports while the first write is slow and fails.
+// Only the newer one is written in the end, once.
+func TestReportSaverKeepsOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var written []int64
+		attempts := 0
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		s := &ReportSaver{Log: logrus.NewEntry(log), Write: func(ctx context.Context, r Report) error {
+			if attempts++; attempts == 1 {
+				<-ctx.Done() // no answer
+				return ctx.Err()
+			}
+			written = append(written, r.Number)
+			return nil
+		}}
+		s.Save(t.Context(), testReport(1))
+		time.Sleep(10 * time.Millisecond)
+		s.Save(t.Context(), testReport(2))
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		require.Equal(t, []int64{2}, written)
+	})
+}
