Executor: one comparison of reports; a confirmed restored report is not saved again

Cause: reports were compared in two places, and a restarted agent wrote the report that it had just read from the store once more. Change: Report.sameServer serves both places; a restored report counts as saved. The comment of ReportSaver promised too much: a write without an answer may act later. Measured: go test -race of the package passes, with a test of the second write.

--- a/executor/leased.go
+++ b/executor/leased.go
@@ -35,6 +35,12 @@
 	Zone      string          `json:"zone,omitempty"`
 }
 
+// sameServer reports whether both reports come from one incarnation of a backend
+// server at one address. A report without an address comes from none.
+func (r Report) sameServer(other Report) bool {
+	return r.Address != "" && r.Address == other.Address && r.ID == other.ID && r.StartedAt == other.StartedAt
+}
+
 // LeasedExecutor runs the tasks of one backend server under leases. Set the fields,
 // then call Start.
 type LeasedExecutor struct {
@@ -177,7 +183,7 @@
 	if x.Save == nil || x.restored || r.Address == "" || s.Address == "" && !x.offered {
 		return false
 	}
-	if r.ID == s.ID && r.StartedAt == s.StartedAt && r.Address == s.Address && r.Ready == s.Ready {
+	if r.sameServer(s) && r.Ready == s.Ready {
 		return false
 	}
 	x.saved = r
@@ -277,6 +283,7 @@
 			return
 		}
 		x.report, x.reportedAt, x.restored = r, now, true
+		x.saved = r
 		l.HandleRestart(now, r.StartedAt)
 	})
 }
@@ -300,7 +307,7 @@
 			return
 		}
 		accepted = true
-		isNew := current.Address == "" || r.StartedAt != current.StartedAt || r.ID != current.ID || r.Address != current.Address
+		isNew := !r.sameServer(current)
 		x.report, x.reportedAt, x.restored = r, now, false
 		if isNew {
 			x.Log.WithFields(logFields(r)).Info("Backend server is new, restarted or at a new address.")
--- a/executor/leased_test.go
+++ b/executor/leased_test.go
@@ -279,3 +279,22 @@
 		require.Equal(t, []int64{2}, written)
 	})
 }
+
+// TestConfirmedRestoredReportIsNotSavedAgain restores a report that the next one
+// confirms: the store has it already.
+func TestConfirmedRestoredReportIsNotSavedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &fakeBackend{startedAt: testStartedAt}
+		x, stop := newLeasedExecutor(t, b)
+		defer stop()
+		var saved []Report
+		x.Save = func(r Report) { saved = append(saved, r) }
+		x.RestoreReport(testReport(0))
+		time.Sleep(100 * time.Millisecond)
+		x.HandleReport(testReport(1))
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		require.Equal(t, []string{"offer"}, b.notified())
+		require.Empty(t, saved)
+	})
+}
--- a/executor/saver.go
+++ b/executor/saver.go
@@ -16,8 +16,8 @@
 )
 
 // ReportSaver writes the newest report that a later process of the agent should
-// restore. Writes do not overlap, so an older report never replaces a newer one, and
-// a failed write is repeated until it succeeds or a newer report replaces it.
+// restore. Writes do not overlap, and a failed write is repeated until it succeeds or a
+// newer report takes its place. A write without an answer may still take effect later.
 type ReportSaver struct {
 	Write func(ctx context.Context, r Report) error
 	Log   *logrus.Entry
