Messenger, selector, server: one search for connected entries, one address check

isConnected repeated the search of connectedAddresses and calls it now. Both AddEntries use one check of an address. The order of substitutes is one function instead of a comparison of booleans. Behaviour is the same.

--- a/messenger/dial.go
+++ b/messenger/dial.go
@@ -155,22 +155,9 @@
 	return h.selector.IsLongUnreachable(time.Now(), address)
 }
 
-// isConnected reports whether the peer at address has a connection, dialed to
-// this or another address or accepted from the peer.
-func (h *Hub) isConnected(address string) bool {
-	h.mu.Lock()
-	incarnation := h.incarnationAt[address]
-	h.mu.Unlock()
-	for _, s := range h.allSessions() {
-		s.mu.Lock()
-		connected := s.conn != nil && (s.peer.Address == address || s.peer.Incarnation == incarnation)
-		s.mu.Unlock()
-		if connected {
-			return true
-		}
-	}
-	return false
-}
+// isConnected reports whether the entry at address has a connection, dialed to this
+// or another address or accepted from the entry.
+func (h *Hub) isConnected(address string) bool { return h.connectedAddresses()[address] }
 
 // dial opens a connection to address and opens or resumes the session with the
 // peer. It returns true when the connection has ended, or at once if the peer is
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -115,7 +115,7 @@
 		}
 	}
 	slices.SortStableFunc(others, func(a, b *candidate) int {
-		return cmp.Or(-compareBool(a.connected, b.connected), -compareBool(a.chosen, b.chosen), a.failedAt.Compare(b.failedAt))
+		return cmp.Or(cmp.Compare(a.substituteOrder(), b.substituteOrder()), a.failedAt.Compare(b.failedAt))
 	})
 	for i, c := range others {
 		switch {
@@ -127,14 +127,17 @@
 	}
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
+// substituteOrder returns the order in which substitutes are taken: connected ones
+// first, and among equals those chosen before.
+func (c *candidate) substituteOrder() int {
+	order := 0
+	if !c.connected {
+		order += 2
+	}
+	if !c.chosen {
+		order++
 	}
-	return -1
+	return order
 }
 
 // update records whether the entry is connected.
--- a/server/agent.go
+++ b/server/agent.go
@@ -113,13 +113,22 @@
 // Traffic returns the counters of the agent's connections.
 func (a *Agent) Traffic() *messenger.Traffic { return &a.hub.Traffic }
 
-// AddEntries adds the entries at the given addresses to those it may connect to. Malformed addresses are
-// ignored.
+// AddEntries adds the entries at the given addresses to those that the agent may
+// connect to. Malformed addresses are ignored.
 func (a *Agent) AddEntries(addresses []string) {
-	a.hub.KeepConnected(slices.DeleteFunc(slices.Clone(addresses), func(address string) bool {
-		_, _, err := net.SplitHostPort(address)
-		return err != nil
-	})...)
+	var wellFormed []string
+	for _, address := range addresses {
+		if isAddress(address) {
+			wellFormed = append(wellFormed, address)
+		}
+	}
+	a.hub.KeepConnected(wellFormed...)
+}
+
+// isAddress reports whether the address has the form host:port.
+func isAddress(address string) bool {
+	_, _, err := net.SplitHostPort(address)
+	return err == nil
 }
 
 // applyDecisions calls decide under the lock of the shard, queues the resulting
--- a/server/entry.go
+++ b/server/entry.go
@@ -115,7 +115,7 @@
 	e.mu.Lock()
 	var added []string
 	for _, address := range addresses {
-		if _, _, err := net.SplitHostPort(address); err == nil && !e.entryAddresses[address] {
+		if isAddress(address) && !e.entryAddresses[address] {
 			e.entryAddresses[address] = true
 			added = append(added, address)
 		}
