--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -38,6 +38,7 @@
 	StallIn  bool // bytes are held back until the fault ends
 	StallOut bool
 	Delay    time.Duration // of bytes, in each direction
+	Rate     int           // bytes per second of each connection and direction; 0: unlimited
 }
 
 // PeerName returns the name of the process that opened a connection to an entry. It
@@ -212,7 +213,7 @@
 		defer close(writerDone)
 		defer r.closeConn(c)
 		for x := range chunks {
-			time.Sleep(time.Until(x.deliverAt))
+			time.Sleep(max(time.Until(x.deliverAt), 0) + r.transferTime(c, len(x.bytes)))
 			if !r.awaitDelivery(c, toTarget) {
 				continue
 			}
@@ -246,6 +247,17 @@
 	}
 }
 
+// transferTime returns how long n bytes take on a connection.
+func (r *Relay) transferTime(c *conn, n int) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rate := r.faults[c.peer].Rate
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(n) * time.Second / time.Duration(rate)
+}
+
 // awaitDelivery waits while a direction stalls and reports whether the bytes are to
 // be delivered. They are not if they are dropped or the connection is closed.
 func (r *Relay) awaitDelivery(c *conn, toTarget bool) bool {
