--- a/cmd/mustardleverd/hosted.go
+++ b/cmd/mustardleverd/hosted.go
@@ -61,7 +61,7 @@
 // newStore returns a client of the platform's store.
 func newStore(p configurer.Process, log *logrus.Entry, metrics *counter.Counter) *platform.Store {
 	store := platform.NewStore(p.Platform.StoreAddress)
-	store.Log, store.ObserveCall = log, metrics.ObserveStoreCall
+	store.Log, store.ObserveCall, store.ObserveReceived = log, metrics.ObserveStoreCall, metrics.ObserveStoreReceived
 	return store
 }
 
--- a/configurer/follower.go
+++ b/configurer/follower.go
@@ -14,17 +14,19 @@
 	// longPollWait is how long one request waits for a change. A broken connection
 	// is only noticed when the request times out, so this time must be well
 	// below the time within which a change has to take effect.
-	longPollWait   = 1500 * time.Millisecond
-	longPollMargin = 400 * time.Millisecond // added to longPollWait for the timeout of the request
-	readTimeout    = 700 * time.Millisecond // of a request that does not wait for a change
-	minRetry       = 100 * time.Millisecond // mean delay before the first retry of a failed request; it doubles up to maxRetry
-	maxRetry       = time.Second
+	longPollWait = 1500 * time.Millisecond
+	minRetry     = 100 * time.Millisecond // mean delay before the first retry of a failed request; it doubles up to maxRetry
+	maxRetry     = time.Second
 )
 
 // Follower follows the changes of a document in the platform's store. Read returns
 // the document and the store's version. Await waits for a change after a version; it
 // returns a nil document if there was none. Apply receives each document that was
 // read.
+//
+// Read and Await must fail when the store stops sending. Follower does not limit
+// their total duration: a large document takes long over a slow link, and a
+// request that is broken off has to start over.
 type Follower struct {
 	Read  func(ctx context.Context) (document []byte, version int64, err error)
 	Await func(ctx context.Context, version int64, wait time.Duration) (document []byte, next int64, err error)
@@ -52,16 +54,12 @@
 }
 
 func (f *Follower) read(ctx context.Context) (int64, error) {
-	requestCtx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	document, version, err := f.Read(requestCtx)
+	document, version, err := f.Read(ctx)
 	return version, f.handleResult(document, err)
 }
 
 func (f *Follower) await(ctx context.Context, version int64) (int64, error) {
-	requestCtx, cancel := context.WithTimeout(ctx, longPollWait+longPollMargin)
-	defer cancel()
-	document, next, err := f.Await(requestCtx, version, longPollWait)
+	document, next, err := f.Await(ctx, version, longPollWait)
 	return max(next, version), f.handleResult(document, err)
 }
 
--- a/counter/counter.go
+++ b/counter/counter.go
@@ -88,6 +88,11 @@
 	c.set.GetOrCreatePrometheusHistogram(fmt.Sprintf("mustardlever_store_call_seconds{call=%q}", call)).Update(elapsed.Seconds())
 }
 
+// ObserveStoreReceived counts bytes received from the platform's store.
+func (c *Counter) ObserveStoreReceived(call string, bytes int) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("mustardlever_store_received_bytes_total{call=%q}", call)).Add(bytes)
+}
+
 // Gauge registers a gauge that calls value whenever the metrics are written. The
 // name gets the prefix mustardlever_.
 func (c *Counter) Gauge(name string, value func() float64) {
--- a/counter/counter_test.go
+++ b/counter/counter_test.go
@@ -17,6 +17,7 @@
 	c.ObserveAnswer(counter.Answer{Route: "checks", Service: "desk", Outcome: "complete", Duration: 70 * time.Millisecond})
 	c.ObserveAnswer(counter.Answer{Route: "checks", Service: "desk", Outcome: "complete", Duration: 90 * time.Millisecond})
 	c.ObserveStoreCall("feed", "done", time.Second)
+	c.ObserveStoreReceived("feed", 1500)
 	c.ObserveDecision("task-lapsing")
 	c.ObserveBackendCall("hold", "none", time.Millisecond)
 	c.Gauge("configuration_version", func() float64 { return 7 })
@@ -28,6 +29,7 @@
 	require.Contains(t, b.String(), `mustardlever_backend_calls_total{call="hold",verdict="none"} 1`)
 	require.Contains(t, b.String(), "mustardlever_configuration_version 7")
 	require.Contains(t, b.String(), `mustardlever_store_calls_total{call="feed",verdict="done"} 1`)
+	require.Contains(t, b.String(), `mustardlever_store_received_bytes_total{call="feed"} 1500`)
 }
 
 // TestRouteLabelsAreBounded guards against a configuration with thousands of routes
