--- a/cmd/mustardleverd/hosted_entry.go
+++ b/cmd/mustardleverd/hosted_entry.go
@@ -43,6 +43,7 @@
 			e.Start(linkListener)
 			publishVariables(e.Traffic(), r)
 			store := newStore(p, log, metrics)
+			store.ConfigurationProgress = e.RecordSourceProgress
 			go newHostedFollower(store, e, log).Run(ctx)
 			go newRegistrar(store, &registrar.Registration{Name: p.Name, Address: e.Identity().Address}, e, log).Run(ctx)
 			for s, address := range map[*http.Server]string{callerServer: p.CallerAddress, readinessServer: p.Platform.ReadyAddress, operatorServer: p.OperatorAddress} {
--- a/router/peer_versions.go
+++ b/router/peer_versions.go
@@ -4,12 +4,12 @@
 
 const (
 	// localSourceTimeout is how long a process that has a configuration waits for
-	// its own source to deliver a newer version that peers hold: a few round trips
-	// to the platform's store.
+	// its own source to deliver a newer version that peers hold, or to continue
+	// doing so: a few round trips to the platform's store.
 	localSourceTimeout = 300 * time.Millisecond
-	// fetchInterval is the minimum time between two fetches: a large
-	// configuration takes a few hundred ms over the slowest links.
-	fetchInterval = 700 * time.Millisecond
+	// fetchTimeout is how long a fetch may go without progress before another peer is
+	// asked.
+	fetchTimeout = 700 * time.Millisecond
 )
 
 // PeerVersions decides when and from which peer a process fetches a
@@ -21,7 +21,8 @@
 type PeerVersions struct {
 	peers       map[string]*peerState
 	behindSince time.Time // time since which a peer is known to hold a newer version; zero: none does
-	lastFetch   time.Time // time of the last fetch from any peer
+	lastFetch   time.Time // time of the last fetch from any peer, or of its last progress
+	sourceAt    time.Time // time of the last progress of the process's own source
 }
 
 // peerState records the version that a peer reported and the time of the last
@@ -63,11 +64,28 @@
 	return newer
 }
 
+// RecordSourceProgress records that the process's own source is delivering a
+// configuration. A second copy from a peer would only slow it down.
+func (v *PeerVersions) RecordSourceProgress(now time.Time) { v.sourceAt = now }
+
+// RecordFetchProgress records that a part of the configuration that is being fetched
+// has arrived.
+func (v *PeerVersions) RecordFetchProgress(now time.Time) { v.lastFetch = now }
+
+// Version returns the version that a peer reported, 0 if the peer is unknown.
+func (v *PeerVersions) Version(peer string) int64 {
+	if state := v.peers[peer]; state != nil {
+		return state.version
+	}
+	return 0
+}
+
 // NextFetch returns the peer from which a process that holds version current (0:
 // none) should fetch a configuration now, and records the fetch. It returns the
-// empty string if no fetch is due. Among the peers with a newer version it chooses
-// the one with the least recent fetch. A process without a configuration does not
-// wait for its own source.
+// empty string if no fetch is due: while the process's own source or an earlier fetch
+// makes progress, none is. Among the peers with a newer version it chooses the one
+// with the least recent fetch. A process without a configuration does not wait for
+// its own source to begin.
 func (v *PeerVersions) NextFetch(now time.Time, current int64) string {
 	peer, chosen := "", (*peerState)(nil)
 	for name, state := range v.peers {
@@ -82,7 +100,10 @@
 	if v.behindSince.IsZero() {
 		v.behindSince = now
 	}
-	if current > 0 && now.Sub(v.behindSince) < localSourceTimeout || now.Sub(v.lastFetch) < fetchInterval {
+	switch {
+	case current > 0 && now.Sub(v.behindSince) < localSourceTimeout,
+		now.Sub(v.sourceAt) < localSourceTimeout,
+		now.Sub(v.lastFetch) < fetchTimeout:
 		return ""
 	}
 	v.lastFetch, chosen.lastFetch = now, now
--- a/router/peer_versions_test.go
+++ b/router/peer_versions_test.go
@@ -41,3 +41,30 @@
 	v.Update("a", 5)
 	require.Equal(t, "a", v.NextFetch(time.Unix(1000, 0), 0))
 }
+
+// While the process's own source or a fetch makes progress, a second copy of the
+// configuration would only slow it down.
+func TestNoSecondFetchWhileOneProceeds(t *testing.T) {
+	var v router.PeerVersions
+	now := time.Unix(1000, 0)
+	v.Update("a", 5)
+	v.Update("b", 5)
+	require.Empty(t, v.NextFetch(now, 4))
+	for range 50 {
+		now = now.Add(100 * time.Millisecond)
+		v.RecordSourceProgress(now)
+		require.Empty(t, v.NextFetch(now, 4))
+		require.Empty(t, v.NextFetch(now, 0))
+	}
+	now = now.Add(300 * time.Millisecond)
+	first := v.NextFetch(now, 4)
+	require.NotEmpty(t, first)
+	for range 50 {
+		now = now.Add(600 * time.Millisecond)
+		require.Empty(t, v.NextFetch(now, 4))
+		v.RecordFetchProgress(now)
+	}
+	second := v.NextFetch(now.Add(700*time.Millisecond), 4)
+	require.NotEmpty(t, second, "a fetch without progress is given up")
+	require.NotEqual(t, first, second)
+}
--- a/server/entry.go
+++ b/server/entry.go
@@ -61,7 +61,9 @@
 	mu             sync.Mutex
 	entryAddresses map[string]bool // addresses of all known entries, including this one
 	peerVersions   router.PeerVersions
-	routesSource   string // origin of the current configuration
+	download       router.Download
+	uploads        map[string]*router.Table // configurations that peers are downloading, by peer
+	routesSource   string                   // origin of the current configuration
 	draining       bool
 	handedOver     bool
 }
@@ -82,6 +84,7 @@
 	e.hub.Settings = e.Settings.Messenger
 	e.coder.Key = e.Settings.TicketKey
 	e.entryAddresses = map[string]bool{e.hub.Self.Address: true}
+	e.uploads = make(map[string]*router.Table)
 	e.Recorder.Process, e.Recorder.Zone = e.hub.Self.Incarnation, e.hub.Self.Zone
 	for name, s := range e.Settings.Services {
 		e.shards.getOrAdd(name, e.newShard(name, s))
@@ -149,7 +152,7 @@
 		c := *m.Configuration
 		e.goroutines.Go(func() { e.receiveRoutes(from.Incarnation, &c) })
 	case m.ConfigurationRequest != nil:
-		e.sendRoutes(from.Incarnation)
+		e.sendRoutes(from.Incarnation, m.ConfigurationRequest)
 	case m.Forward != nil:
 		f := *m.Forward
 		e.goroutines.Go(func() { e.serveForward(from.Incarnation, f) })
@@ -180,6 +183,7 @@
 	e.calls.cancelPeer(peer.Incarnation)
 	e.mu.Lock()
 	e.peerVersions.Remove(peer.Incarnation)
+	delete(e.uploads, peer.Incarnation)
 	e.mu.Unlock()
 	for _, s := range e.shards.list() {
 		e.applyAndWake(s, func(c *coordinator.Coordinator, now time.Time) {
--- a/server/routes.go
+++ b/server/routes.go
@@ -20,7 +20,7 @@
 	e.mu.Lock()
 	e.routesSource = source
 	e.mu.Unlock()
-	e.Log.WithFields(logrus.Fields{"configuration": t.Version, "before": previous, "source": source}).
+	e.Log.WithFields(logrus.Fields{"configuration": t.Version, "before": previous, "source": source, "bytes": len(t.Document)}).
 		Info("Entry takes a new configuration.")
 	m := protocol.Message{Configuration: &protocol.Configuration{Version: t.Version}}
 	for _, p := range e.hub.Peers() {
@@ -38,27 +38,62 @@
 	}
 }
 
-// sendRoutes sends the current configuration to an entry that requested it.
-func (e *Entry) sendRoutes(peer string) {
-	if t := e.Routes.Table(); t != nil {
+// configurationPartBytes is the size of the parts in which entries send each other a
+// configuration: a few tens of ms on the slowest links, a fraction of a heartbeat
+// interval.
+const configurationPartBytes = 64 << 10
+
+// sendRoutes sends the requested part of the configuration to an entry. An entry that
+// has begun to download a version gets the rest of it even after a newer one was
+// adopted: with frequent changes it might otherwise never complete one.
+func (e *Entry) sendRoutes(peer string, r *protocol.ConfigurationRequest) {
+	t := e.Routes.Table()
+	if t == nil {
+		return
+	}
+	if r.Limit <= 0 {
 		e.hub.Send(peer, protocol.Message{Configuration: &protocol.Configuration{Version: t.Version, Document: t.Document}})
+		return
+	}
+	e.mu.Lock()
+	if u := e.uploads[peer]; u != nil && u.Version == r.Version {
+		t = u
 	}
+	offset := r.Offset
+	if t.Version != r.Version {
+		offset = 0
+	}
+	part := t.PartOf(offset, min(r.Limit, configurationPartBytes))
+	e.uploads[peer] = t
+	if part.Offset+len(part.Bytes) == part.Size {
+		delete(e.uploads, peer)
+	}
+	e.mu.Unlock()
+	e.hub.Send(peer, protocol.Message{Configuration: &protocol.Configuration{
+		Version: part.Version, Document: part.Bytes, Offset: part.Offset, Size: part.Size,
+	}})
 }
 
 // receiveRoutes handles a configuration message from another entry. A message with
-// a document may replace the current configuration; one without only announces the
-// version that the peer has.
+// a document, or with the last part of one, may replace the current configuration;
+// one without only announces the version that the peer has.
 func (e *Entry) receiveRoutes(from string, m *protocol.Configuration) {
 	if e.DecodeRoutes == nil || m.Version <= e.Routes.Version() {
 		return
 	}
-	if len(m.Document) == 0 {
+	document := m.Document
+	switch {
+	case len(document) == 0:
 		e.mu.Lock()
 		e.peerVersions.Update(from, m.Version)
 		e.mu.Unlock()
 		return
+	case m.Size > 0:
+		if document = e.receivePart(from, m); document == nil {
+			return
+		}
 	}
-	t, err := e.DecodeRoutes(m.Document)
+	t, err := e.DecodeRoutes(document)
 	if err != nil {
 		e.Log.WithError(err).WithField("peer", from).Warn("Entry cannot parse the configuration sent by a peer.")
 		return
@@ -66,15 +101,50 @@
 	e.AdoptRoutes(t, from)
 }
 
+// receivePart adds a part to the download and requests the next one. It returns the
+// document if the part completes it, otherwise nil.
+func (e *Entry) receivePart(from string, m *protocol.Configuration) []byte {
+	e.mu.Lock()
+	document, accepted := e.download.Add(from, router.Part{Version: m.Version, Offset: m.Offset, Size: m.Size, Bytes: m.Document})
+	if accepted {
+		e.peerVersions.RecordFetchProgress(time.Now())
+	}
+	version, offset := e.download.Next()
+	e.mu.Unlock()
+	if accepted && document == nil {
+		e.requestPart(from, version, offset)
+	}
+	return document
+}
+
+func (e *Entry) requestPart(peer string, version int64, offset int) {
+	e.hub.Send(peer, protocol.Message{ConfigurationRequest: &protocol.ConfigurationRequest{
+		Version: version, Offset: offset, Limit: configurationPartBytes,
+	}})
+}
+
 // fetchRoutes requests a newer configuration from a peer if a request is due.
 func (e *Entry) fetchRoutes(now time.Time) {
-	version := e.Routes.Version()
+	current := e.Routes.Version()
 	e.mu.Lock()
-	peer := e.peerVersions.NextFetch(now, version)
-	e.mu.Unlock()
+	e.download.Stop(current)
+	peer := e.peerVersions.NextFetch(now, current)
 	if peer == "" {
+		e.mu.Unlock()
 		return
 	}
-	e.Log.WithFields(logrus.Fields{"configuration": version, "peer": peer}).Info("Entry asks a peer for its newer configuration.")
-	e.hub.Send(peer, protocol.Message{ConfigurationRequest: &protocol.ConfigurationRequest{}})
+	e.download.Start(peer, e.peerVersions.Version(peer))
+	version, offset := e.download.Next()
+	e.mu.Unlock()
+	e.Log.WithFields(logrus.Fields{"configuration": current, "peer": peer, "newer": version, "offset": offset}).
+		Info("Entry asks a peer for its newer configuration.")
+	e.requestPart(peer, version, offset)
+}
+
+// RecordSourceProgress records that the entry's own source is delivering a
+// configuration, so that it is not requested from a peer as well.
+func (e *Entry) RecordSourceProgress() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.peerVersions.RecordSourceProgress(time.Now())
 }
