--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -167,3 +167,31 @@
 	require.Eventually(t, func() bool { p.send(14); return len(p.deliveredNumbers()) > 0 }, 5*time.Second, 5*time.Millisecond)
 	require.Equal(t, uint64(14), p.deliveredNumbers()[0])
 }
+
+// A batch of many large messages would block heartbeats on a slow link until the
+// connection is closed, and would then be sent again as a whole.
+func TestBatchIsLimitedInBytes(t *testing.T) {
+	start := func(n int) protocol.Message {
+		return protocol.Message{Start: &protocol.Start{Request: protocol.Request{Body: make([]byte, n)}}}
+	}
+	s := newSession(protocol.Identity{Name: "b"}, 1, time.Now())
+	s.open = true
+	for range 200 {
+		s.enqueue(start(2000))
+	}
+	s.enqueue(start(1 << 20))
+	s.enqueue(start(10))
+	var sizes []int
+	for s.hasUnsent() {
+		b := s.nextBatch(512)
+		payload := 0
+		for i := range b.Messages {
+			payload += b.Messages[i].PayloadBytes()
+		}
+		if len(b.Messages) > 1 {
+			require.LessOrEqual(t, payload, maxBatchBytes)
+		}
+		sizes = append(sizes, len(b.Messages))
+	}
+	require.Equal(t, []int{32, 32, 32, 32, 32, 32, 8, 1, 1}, sizes)
+}
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -119,19 +119,34 @@
 	}
 }
 
+// maxBatchBytes limits the payload of a batch of several messages. A batch counts as
+// contact once all of it has arrived, so it must pass the slowest links within a
+// fraction of the connection timeout.
+const maxBatchBytes = 64 << 10
+
+// limitBatch returns the messages at the beginning of the list that fit into a batch
+// of maxBatch messages and maxBatchBytes of payload, at least one.
+func limitBatch(messages []protocol.Message, maxBatch int) []protocol.Message {
+	payload := 0
+	for i := range messages {
+		payload += messages[i].PayloadBytes()
+		if i >= maxBatch || i > 0 && payload > maxBatchBytes {
+			return messages[:i]
+		}
+	}
+	return messages
+}
+
 // nextBatch returns the next batch for the current connection, with the
-// acknowledgement and up to maxBatch unsent messages, and counts these as sent.
-// The caller holds s.mu.
+// acknowledgement and as many unsent messages as limitBatch permits, and counts these
+// as sent. The caller holds s.mu.
 func (s *session) nextBatch(maxBatch int) batch {
 	start := s.lastSent + 1
 	if start < s.firstUnacked {
 		start = s.firstUnacked
 	}
 	skip := int(start - s.firstUnacked)
-	messages := s.unacked[skip:]
-	if len(messages) > maxBatch {
-		messages = messages[:maxBatch]
-	}
+	messages := limitBatch(s.unacked[skip:], maxBatch)
 	b := batch{Ack: s.lastReceived, Messages: append([]protocol.Message(nil), messages...)}
 	if len(messages) > 0 {
 		b.First = start
--- a/protocol/message.go
+++ b/protocol/message.go
@@ -77,6 +77,24 @@
 	ConfigurationRequest *ConfigurationRequest `json:"want-configuration,omitempty"`
 }
 
+// PayloadBytes returns the size of the contents that callers, backend servers or the
+// platform determine. The rest of a message is small.
+func (m *Message) PayloadBytes() int {
+	switch {
+	case m.Start != nil:
+		return len(m.Start.Request.Body)
+	case m.Outcome != nil && m.Outcome.Result != nil:
+		return len(m.Outcome.Result.Body)
+	case m.Forward != nil:
+		return len(m.Forward.Job)
+	case m.Reply != nil:
+		return len(m.Reply.Answer)
+	case m.Configuration != nil:
+		return len(m.Configuration.Document)
+	}
+	return 0
+}
+
 // Configuration (entry to entry) announces the version of the configuration that
 // the sender uses, or answers a ConfigurationRequest. In an answer, Document is the
 // part of the document of Size bytes that begins at Offset. A Size of 0 means that
