--- a/logger/logger.go
+++ b/logger/logger.go
@@ -1,7 +1,8 @@
 // Package logger writes structured logs without blocking its callers. Lines are
-// JSON, and their rate is limited by level. When the reader of the log stalls,
-// lines are dropped. Lines omitted by the rate limit are counted by message and
-// reported once a second.
+// JSON, and their rate is limited by level. The first lines of each message in a
+// second pass in any case, so that frequent messages do not displace rare ones. When
+// the reader of the log stalls, lines are dropped. Lines omitted by the rate limit are
+// counted by message and reported once a second.
 package logger
 
 import (
@@ -19,6 +20,7 @@
 	maxQueuedLines           = 2048     // about 1 MB
 	maxBatchBytes            = 64 << 10 // size of one write; the capacity of a pipe
 	maxCountedMessages       = 64       // distinct messages counted; the others are counted as otherMessages
+	linesPerMessage          = 3        // lines of one message in a second that pass the rate limit, for up to maxCountedMessages messages
 	otherMessages            = "other messages"
 	omittedLinesMessage      = "Log left out lines."
 )
@@ -52,6 +54,7 @@
 	windowStart  time.Time
 	infoCount    int
 	warningCount int
+	passed       map[string]int // lines written in this window, by message, up to linesPerMessage each
 	omitted      map[string]int // omitted lines by message, since the last report
 }
 
@@ -64,7 +67,8 @@
 		s.MaxWarningsPerSecond = defaultWarningsPerSecond
 	}
 	l := &Logger{
-		settings: s, lines: make(chan []byte, maxQueuedLines), flushRequests: make(chan struct{}, 1), omitted: make(map[string]int),
+		settings: s, lines: make(chan []byte, maxQueuedLines), flushRequests: make(chan struct{}, 1),
+		passed: make(map[string]int), omitted: make(map[string]int),
 	}
 	log := logrus.New()
 	log.SetLevel(level)
@@ -201,12 +205,13 @@
 			omitted, l.omitted = l.omitted, make(map[string]int)
 		}
 		l.windowStart, l.infoCount, l.warningCount = e.Time, 0, 0
+		clear(l.passed)
 	}
 	count, limit := &l.infoCount, l.settings.MaxInfoPerSecond
 	if e.Level <= logrus.WarnLevel {
 		count, limit = &l.warningCount, l.settings.MaxWarningsPerSecond
 	}
-	if *count >= limit {
+	if !l.isRare(e.Message) && *count >= limit {
 		l.countOmitted(e.Message)
 		return omitted, false
 	}
@@ -214,6 +219,17 @@
 	return omitted, true
 }
 
+// isRare counts a line and reports whether it is among the first linesPerMessage of
+// its message in this window. The caller holds mu.
+func (l *Logger) isRare(message string) bool {
+	n, counted := l.passed[message]
+	if n >= linesPerMessage || !counted && len(l.passed) >= maxCountedMessages {
+		return false
+	}
+	l.passed[message] = n + 1
+	return true
+}
+
 // countOmitted counts an omitted line. The caller holds mu.
 func (l *Logger) countOmitted(message string) {
 	l.dropped.Add(1)
--- a/logger/logger_test.go
+++ b/logger/logger_test.go
@@ -138,3 +138,28 @@
 		close(l.lines)
 	})
 }
+
+// Guards against issue 27: the line that a configuration was adopted was omitted in
+// the seconds that mattered, displaced by lines about single jobs.
+func TestFrequentLinesDoNotDisplaceRareOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := new(recorder)
+		log, l := New(out, logrus.InfoLevel, nil, Settings{MaxInfoPerSecond: 10})
+		defer close(l.lines)
+		for range 100 {
+			log.Info("Routine.")
+		}
+		for range 5 {
+			log.Info("Rare.")
+		}
+		synctest.Wait()
+		require.Len(t, out.lines(t), 10+linesPerMessage)
+		require.Equal(t, int64(90+5-linesPerMessage), l.Dropped())
+		time.Sleep(time.Second)
+		for i := range 1000 {
+			log.Infof("Peer %d is lost.", i)
+		}
+		synctest.Wait()
+		require.Len(t, out.lines(t), 10+linesPerMessage+1+maxCountedMessages, "the number of rare messages is bounded")
+	})
+}
