--- /dev/null
+++ b/tests/crash_test.go
@@ -0,0 +1,74 @@
+package tests
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mustardlever.dev/mustardlever/platform/standin"
+)
+
+// maxStartsOfCrashingTask is the number of starts allowed for a task that crashes
+// every executor: the users' rule is broken by the third start after three crashes.
+const maxStartsOfCrashingTask = 5
+
+func crashingJob() string {
+	return standin.Job(1, standin.Work{DurationMillis: 500, Millicores: taskMillicores, Crash: true})
+}
+
+// Guards against issue 27, BUDGET: a task that crashes executors was restarted on one
+// after the other.
+func TestTaskThatCrashesExecutorsIsGivenUp(t *testing.T) {
+	f := newPlatformFleet(t, 2, 4)
+	status, answer := postJob(f.entries[0], jobID(1), crashingJob())
+	require.LessOrEqual(t, f.checker.Starts(jobID(1)), maxStartsOfCrashingTask)
+	require.Equal(t, http.StatusOK, status)
+	require.JSONEq(t, `{"state":"failed"}`, answer)
+}
+
+// Guards against issue 27, BUDGET: a caller submits the job again at another entry,
+// which must know of the crashes, also those that the lost entry was told of.
+func TestCrashesAreKnownAfterLossOfEntry(t *testing.T) {
+	f := newPlatformFleet(t, 3, 4)
+	go postJob(f.entries[0], jobID(1), crashingJob())
+	require.Eventually(t, func() bool { return f.checker.Starts(jobID(1)) == 2 }, 5*time.Second, 5*time.Millisecond)
+	f.entries[0].kill()
+	time.Sleep(standin.ResendAfter)
+	status, answer := postJob(f.entries[1], jobID(1), crashingJob())
+	require.LessOrEqual(t, f.checker.Starts(jobID(1)), maxStartsOfCrashingTask)
+	require.Equal(t, http.StatusOK, status)
+	require.JSONEq(t, `{"state":"failed"}`, answer)
+	before := f.checker.Starts(jobID(1))
+	status, answer = postJob(f.entries[2], jobID(1), crashingJob())
+	require.Equal(t, http.StatusOK, status)
+	require.JSONEq(t, `{"state":"failed"}`, answer)
+	require.Equal(t, before, f.checker.Starts(jobID(1)), "every entry knows that the task was given up")
+}
+
+// Guards against issue 27, LIMIT: an executor whose capacity has shrunk was given
+// tasks as before.
+func TestShrunkCapacityIsRespected(t *testing.T) {
+	f := newPlatformFleet(t, 1, 1)
+	short := standin.Work{DurationMillis: 100, Millicores: taskMillicores}
+	status, _ := postJob(f.entries[0], jobID(1), standin.Job(8, short))
+	require.Equal(t, http.StatusOK, status)
+	f.executors[0].SetCapacity(executorMillicores / 2)
+	time.Sleep(time.Second)
+	status, _ = postJob(f.entries[0], jobID(2), standin.Job(8, short)) // stopPlatform fails on an overload
+	require.Equal(t, http.StatusOK, status)
+
+	f.executors[0].SetCapacity(0)
+	time.Sleep(time.Second)
+	status, _ = postJob(f.entries[0], jobID(3), standin.Job(1, short))
+	require.NotEqual(t, http.StatusOK, status)
+	require.Zero(t, f.checker.Starts(jobID(3)))
+
+	f.executors[0].SetCapacity(executorMillicores)
+	time.Sleep(time.Second)
+	begin := time.Now()
+	status, _ = postJob(f.entries[0], jobID(4), standin.Job(4, standin.Work{DurationMillis: 500, Millicores: taskMillicores}))
+	require.Equal(t, http.StatusOK, status)
+	require.Less(t, time.Since(begin), 900*time.Millisecond, "all four run at once again")
+}
