--- a/coordinator/backup.go
+++ b/coordinator/backup.go
@@ -37,6 +37,7 @@
 	if len(members) > 0 && !b.sealed {
 		c.send(entry, protocol.Message{Membership: &protocol.Membership{Members: members}})
 	}
+	c.sendLosses(entry, c.losses.all())
 }
 
 // BackupLost removes another entry whose session was closed as lost. No new ticket
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -102,6 +102,7 @@
 	withResults        []*job          // ended jobs whose results are held, oldest first
 	resultBytes        int             // total size of the results of withResults
 	queue              dispatcher.Dispatcher[*job]
+	losses             lossTable
 	leaseExpiring      map[*job]bool // jobs that wait for tasks on lost agents to stop
 	draining           bool
 	handedOver         bool      // unfinished jobs were handed over to their backups
@@ -210,5 +211,7 @@
 		c.handleStartRecords(now, from, m.StartRecords)
 	case m.Close != nil:
 		c.handleClose(from, m.Close)
+	case m.ServerLosses != nil:
+		c.handleServerLosses(now, from, m.ServerLosses)
 	}
 }
--- /dev/null
+++ b/coordinator/losses.go
@@ -0,0 +1,145 @@
+package coordinator
+
+import (
+	"time"
+
+	"mustardlever.dev/mustardlever/protocol"
+)
+
+const (
+	// maxServerLosses is the number of starts of a task that ended with the loss of
+	// the backend server or of the agent, after which the task is given up. Several
+	// tasks run on a server, so one or two losses are no evidence against a task.
+	maxServerLosses = 3
+	// lossRetention is how long a loss is remembered after the last one of its task.
+	// Callers submit a job again within seconds.
+	lossRetention = 2 * time.Minute
+	maxLossTasks  = 4096 // tasks with losses; beyond that the oldest are forgotten
+)
+
+// lossTable holds the losses of backend servers by the name of the task that was
+// running, across all entries. The zero value is an empty table.
+type lossTable struct {
+	byTask map[string]*taskLosses
+	names  []string // of the tasks, in the order of their first loss
+}
+
+// taskLosses are the attempts of one task during which its backend server was lost.
+type taskLosses struct {
+	attempts []int
+	lastAt   time.Time
+}
+
+// add adds a loss. It reports whether the loss was new.
+func (l *lossTable) add(now time.Time, loss protocol.ServerLoss) bool {
+	if l.byTask == nil {
+		l.byTask = make(map[string]*taskLosses)
+	}
+	t := l.byTask[loss.Task]
+	if t == nil {
+		l.removeOld(now, maxLossTasks-1)
+		t = new(taskLosses)
+		l.byTask[loss.Task] = t
+		l.names = append(l.names, loss.Task)
+	}
+	for _, a := range t.attempts {
+		if a == loss.Attempt {
+			return false
+		}
+	}
+	t.attempts, t.lastAt = append(t.attempts, loss.Attempt), now
+	return true
+}
+
+// removeOld removes the oldest tasks whose losses need not be retained, and as many
+// others as needed to keep at most limit.
+func (l *lossTable) removeOld(now time.Time, limit int) {
+	n := 0
+	for n < len(l.names) && (len(l.names)-n > limit || now.Sub(l.byTask[l.names[n]].lastAt) >= lossRetention) {
+		delete(l.byTask, l.names[n])
+		n++
+	}
+	l.names = l.names[n:]
+}
+
+// exhausted reports whether the task must not be started any more.
+func (l *lossTable) exhausted(task string) bool {
+	t := l.byTask[task]
+	return t != nil && len(t.attempts) >= maxServerLosses
+}
+
+// all returns all losses, in the order of the tasks' first ones.
+func (l *lossTable) all() []protocol.ServerLoss {
+	var losses []protocol.ServerLoss
+	for _, name := range l.names {
+		for _, a := range l.byTask[name].attempts {
+			losses = append(losses, protocol.ServerLoss{Task: name, Attempt: a})
+		}
+	}
+	return losses
+}
+
+// handleServerLosses records losses that an agent or another entry reported, and
+// forwards new ones to the other entries: a caller may submit the job again at any of
+// them, and each is connected to some agents only.
+func (c *Coordinator) handleServerLosses(now time.Time, from string, losses []protocol.ServerLoss) {
+	var added []protocol.ServerLoss
+	for _, l := range losses {
+		if c.losses.add(now, l) {
+			added = append(added, l)
+		}
+	}
+	if len(added) == 0 {
+		return
+	}
+	for name := range c.backups {
+		if name != from {
+			c.sendLosses(name, added)
+		}
+	}
+	for _, l := range added {
+		c.applyLoss(now, l)
+	}
+}
+
+// maxLossesPerMessage keeps the messages small: a loss takes about 50 bytes.
+const maxLossesPerMessage = 1000
+
+func (c *Coordinator) sendLosses(to string, losses []protocol.ServerLoss) {
+	for len(losses) > 0 {
+		n := min(len(losses), maxLossesPerMessage)
+		c.send(to, protocol.Message{ServerLosses: losses[:n]})
+		losses = losses[n:]
+	}
+}
+
+// applyLoss ends the job of a task that is given up.
+func (c *Coordinator) applyLoss(now time.Time, l protocol.ServerLoss) {
+	j := c.byName[protocol.JobName(l.Task)]
+	if j == nil || j.answer != nil {
+		return
+	}
+	for i := range j.requests {
+		if j.requests[i].Name != l.Task {
+			continue
+		}
+		c.decide("server-lost", j, i, j.tasks[i].agent, "the backend server was lost while the task ran")
+		if c.losses.exhausted(l.Task) {
+			c.stop(now, j, protocol.ReasonServersLost)
+		}
+		return
+	}
+}
+
+// hasExhaustedTask reports whether a task of the job must not be started any more.
+func (c *Coordinator) hasExhaustedTask(j *job) bool {
+	if len(c.losses.byTask) == 0 {
+		return false
+	}
+	for i := range j.requests {
+		if c.losses.exhausted(j.requests[i].Name) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/coordinator/losses_test.go
@@ -0,0 +1,129 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mustardlever.dev/mustardlever/protocol"
+)
+
+// namedJob returns a synchronous job of two named tasks.
+func namedJob(name string) Job {
+	spec := syncJob(name)
+	for i := range spec.Tasks {
+		spec.Tasks[i].Name = fmt.Sprintf("%s.0.0.%d", name, i)
+	}
+	return spec
+}
+
+// loseServer reports to c that the backend server of an agent was lost during a
+// start, as an agent does: first the loss, then the outcome.
+func loseServer(c *Coordinator, now time.Time, start *protocol.Start) {
+	c.Receive(now, start.Agent, protocol.Message{ServerLosses: []protocol.ServerLoss{{Task: start.Request.Name, Attempt: start.Attempt}}})
+	c.Receive(now, start.Agent, protocol.Message{Outcome: &protocol.Outcome{
+		Ticket: start.Ticket, Task: start.Task, Attempt: start.Attempt, Refusal: protocol.RefusalLeaseExpired, Load: freeLoad,
+	}})
+}
+
+// lossesTo returns the losses among the messages to a process.
+func lossesTo(outputs []Output, to string) []protocol.ServerLoss {
+	var losses []protocol.ServerLoss
+	for _, o := range outputs {
+		if o.To == to {
+			losses = append(losses, o.Message.ServerLosses...)
+		}
+	}
+	return losses
+}
+
+func TestTaskIsGivenUpAfterSeveralServerLosses(t *testing.T) {
+	c := newTestCoordinator()
+	addAgents(c, "agent.1", "agent.2", "agent.3", "agent.4")
+	mustRunSync(t, c, namedJob("a"))
+	list := drainStarts(c)
+	for range maxServerLosses - 1 {
+		loseServer(c, testStart, list[0])
+		restarts := drainStarts(c)
+		require.Len(t, restarts, 1)
+		list[0] = restarts[0]
+	}
+	loseServer(c, testStart, list[0])
+	a, stops := finalAnswer(t, c)
+	require.Equal(t, StateFailed, a.State)
+	require.Equal(t, protocol.ReasonServersLost, a.Reason)
+	require.Len(t, stops, 2, "the lost run, whose outcome follows, and the other running task")
+
+	_, a, err := c.RunSync(testStart, namedJob("a"))
+	require.NoError(t, err)
+	require.Equal(t, protocol.ReasonServersLost, a.Reason, "a later submission is not started")
+	require.Empty(t, drainStarts(c))
+	mustRunSync(t, c, namedJob("b"))
+	require.Len(t, drainStarts(c), 2, "other jobs are")
+}
+
+func TestRepeatedReportOfLossCountsOnce(t *testing.T) {
+	c := newTestCoordinator()
+	mustRunSync(t, c, namedJob("a"))
+	start := drainStarts(c)[0]
+	for range 10 {
+		c.Receive(testStart, "other.1", protocol.Message{ServerLosses: []protocol.ServerLoss{{Task: start.Request.Name, Attempt: start.Attempt}}})
+	}
+	require.NotEmpty(t, c.active)
+}
+
+// The machine of a lost agent may have crashed because of the task.
+func TestLostAgentCountsAsServerLoss(t *testing.T) {
+	c := newTestCoordinator()
+	spec := namedJob("a")
+	mustRunSync(t, c, spec)
+	drainStarts(c)
+	c.AgentLost(testStart, testAgent)
+	now := testStart
+	for i := range maxServerLosses - 1 {
+		name := fmt.Sprintf("agent-%d.1", i)
+		c.Receive(now, name, protocol.Message{Announce: &protocol.Announce{Capacity: spec.Tasks[0].Need.Max(freeLoad.Free), Load: freeLoad}})
+		now = now.Add(c.Settings.LeaseExpiryWait)
+		c.Tick(now)
+		require.Len(t, drainStarts(c), 2)
+		c.AgentLost(now, name)
+	}
+	a, _ := finalAnswer(t, c)
+	require.Equal(t, protocol.ReasonServersLost, a.Reason)
+	require.Empty(t, c.leaseExpiring)
+}
+
+// A caller may submit a job again at any entry, so all of them learn of losses: those
+// connected at once, others when they connect.
+func TestLossesAreSpreadToOtherEntries(t *testing.T) {
+	c := newTestCoordinator()
+	c.BackupConnected("entry-2.1", "z2")
+	c.BackupConnected("entry-3.1", "z3")
+	c.TakeDecisions()
+	loss := protocol.ServerLoss{Task: "x.0.0.0", Attempt: 7}
+	c.Receive(testStart, "entry-2.1", protocol.Message{ServerLosses: []protocol.ServerLoss{loss}})
+	outputs, _, _ := c.TakeDecisions()
+	require.Empty(t, lossesTo(outputs, "entry-2.1"))
+	require.Equal(t, []protocol.ServerLoss{loss}, lossesTo(outputs, "entry-3.1"))
+	c.Receive(testStart, "entry-3.1", protocol.Message{ServerLosses: []protocol.ServerLoss{loss}})
+	outputs, _, _ = c.TakeDecisions()
+	require.Empty(t, outputs, "known losses are not forwarded")
+	c.BackupConnected("entry-4.1", "z4")
+	outputs, _, _ = c.TakeDecisions()
+	require.Equal(t, []protocol.ServerLoss{loss}, lossesTo(outputs, "entry-4.1"))
+}
+
+func TestLossesAreBounded(t *testing.T) {
+	var l lossTable
+	now := testStart
+	for i := range 3 * maxLossTasks {
+		require.True(t, l.add(now, protocol.ServerLoss{Task: fmt.Sprint(i), Attempt: 1}))
+	}
+	require.Len(t, l.byTask, maxLossTasks)
+	require.Len(t, l.all(), maxLossTasks)
+	l.add(now.Add(lossRetention), protocol.ServerLoss{Task: "last", Attempt: 1})
+	require.Len(t, l.byTask, 1)
+	require.Len(t, l.names, 1)
+}
--- a/coordinator/sync.go
+++ b/coordinator/sync.go
@@ -33,9 +33,12 @@
 	number := c.nextSequence
 	c.nextSequence++
 	j := c.newJob(now, jobKey{c.Self, number}, spec)
-	if c.queue.TooLarge(j.queueItem.Need) {
+	switch {
+	case c.queue.TooLarge(j.queueItem.Need):
 		c.stop(now, j, protocol.ReasonNoFit)
-	} else {
+	case c.hasExhaustedTask(j):
+		c.stop(now, j, protocol.ReasonServersLost)
+	default:
 		c.enqueue(j)
 		c.dispatch(now)
 	}
--- a/executor/leased.go
+++ b/executor/leased.go
@@ -67,8 +67,8 @@
 	// Finish is called when a run has completed or failed.
 	Finish func(id uint64, result *protocol.Result)
 	// FinishStopped is called when a run was stopped before it completed, or did not
-	// start.
-	FinishStopped func(id uint64)
+	// start. serverLost reports whether the backend server was lost meanwhile.
+	FinishStopped func(id uint64, serverLost bool)
 
 	notifyMu     sync.Mutex // serializes calls of Offer, Withdraw and SetUnresponsive; acquired before mu
 	mu           sync.Mutex // guards the fields below, up to unresponsive
@@ -228,13 +228,13 @@
 func (x *LeasedExecutor) reportEnd(e leaser.End) {
 	switch {
 	case !e.Started:
-		x.FinishStopped(e.ID)
+		x.FinishStopped(e.ID, e.Lost)
 	case e.Reason == leaser.EndCompleted:
 		x.Finish(e.ID, &protocol.Result{Status: statusSucceeded, ServeMicros: e.Duration.Microseconds()})
 	case e.Reason == leaser.EndFailed:
 		x.Finish(e.ID, &protocol.Result{Status: statusFailed, Error: "the task failed", ServeMicros: e.Duration.Microseconds()})
 	default:
-		x.FinishStopped(e.ID)
+		x.FinishStopped(e.ID, e.Lost)
 	}
 }
 
@@ -313,6 +313,7 @@
 			x.Log.WithFields(logFields(r)).Info("Backend server is new, restarted or at a new address.")
 			l.HandleRestart(now, r.StartedAt)
 		}
+		l.SetDraining(!r.Ready)
 	})
 	return accepted
 }
@@ -323,6 +324,7 @@
 	x.update(func(l *leaser.Leaser, _ time.Time) {
 		if x.report.ID == id {
 			x.report.Ready = false
+			l.SetDraining(true)
 		}
 	})
 }
--- a/executor/leased_test.go
+++ b/executor/leased_test.go
@@ -97,7 +97,7 @@
 			}
 		},
 		Finish:        func(id uint64, r *protocol.Result) { b.recordEnd(id, r.Status) },
-		FinishStopped: func(id uint64) { b.recordEnd(id, 0) },
+		FinishStopped: func(id uint64, _ bool) { b.recordEnd(id, 0) },
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	x.Start(ctx)
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -22,6 +22,7 @@
 	VerdictRefused           Verdict = "refused"           // none of its tasks ran
 	VerdictUnhealthyServer   Verdict = "sick-server"       // tasks failed on a backend server that failed several other jobs too
 	VerdictFaultyJob         Verdict = "job-fails"         // tasks failed on backend servers that failed few other jobs
+	VerdictCrashingJob       Verdict = "job-loses-servers" // several backend servers were lost while they ran a task of the job
 	VerdictOutOfTime         Verdict = "out-of-time"       // its deadline passed, or the caller cancelled it or disconnected
 	VerdictEntryLost         Verdict = "entry-lost"        // its entry restarted before it answered
 	VerdictEntryUnresponsive Verdict = "entry-silent"      // other processes lost contact with its entry, suspended or cut off, which did not restart
@@ -129,6 +130,8 @@
 		e.Verdict = VerdictServed
 	case answer.Cause == "task-failed":
 		e.diagnoseFailures(l)
+	case answer.Cause == "servers-lost":
+		e.diagnoseServerLosses()
 	case answer.Outcome == "not-run", answer.Outcome == "overload", answer.Outcome == "no-route", answer.Outcome == "invalid":
 		e.Verdict = VerdictRefused
 		e.addReason("None of its tasks ran. The cause was: %s.", answer.Cause)
@@ -145,6 +148,18 @@
 	}
 }
 
+// diagnoseServerLosses lists the losses of backend servers after which a task of the
+// job was given up.
+func (e *Explanation) diagnoseServerLosses() {
+	e.Verdict = VerdictCrashingJob
+	for i := range e.Lines {
+		if e.Lines[i].Message == MessageServerLost {
+			e.addReason("The backend server of %s was lost while it ran a task of the job.", e.Lines[i].Peer)
+		}
+	}
+	e.addReason("A task under which several backend servers were lost is not started again.")
+}
+
 // diagnoseFailures determines whether the backend servers or the job itself caused
 // its task failures.
 func (e *Explanation) diagnoseFailures(l *Log) {
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -101,6 +101,21 @@
 	require.Equal(t, explainer.VerdictFaultyJob, x.Verdict)
 }
 
+func TestJobThatLosesServers(t *testing.T) {
+	lost := func(clock int, peer string) string {
+		return line(clock, clock, "entry-1", "Entry decides: server-lost.", fmt.Sprintf(`"job":"j1","task":0,"peer":%q`, peer))
+	}
+	l := readLogs(t, []string{
+		takenLine(1000, "entry-1", "r1", "j1"), lost(1010, "agent-1.a"), lost(1020, "agent-2.a"), lost(1030, "agent-3.a"),
+		line(1031, 1031, "entry-1", "Entry answered a job.", `"request-id":"r1","path":"/checks/j1","outcome":"failed","cause":"servers-lost"`),
+	})
+	x, err := l.Explain("r1")
+	require.NoError(t, err)
+	require.Equal(t, explainer.VerdictCrashingJob, x.Verdict)
+	require.Len(t, x.Reasons, 5)
+	require.Contains(t, x.Reasons[3], "agent-3.a")
+}
+
 func TestUnknownIDAndUnreadableLines(t *testing.T) {
 	l := readLogs(t, []string{takenLine(1000, "entry-1", "r1", "j1"), `{"clock-us":12,"process":"entry-1","ms`, "panic: something"})
 	_, err := l.Explain("nobody")
--- a/explainer/line.go
+++ b/explainer/line.go
@@ -52,6 +52,7 @@
 	MessageEntryStopped  = "Entry stops as planned."
 	MessageLinesOmitted  = "Log left out lines."
 	MessageTaskFailed    = "Entry decides: task-failed."
+	MessageServerLost    = "Entry decides: server-lost."
 	MessageConfiguration = "Entry takes a new configuration."
 )
 
--- a/leaser/answer.go
+++ b/leaser/answer.go
@@ -49,7 +49,7 @@
 // resetAfterRestart ends the active runs, clears what was known of the earlier
 // incarnation and starts a reconciliation.
 func (l *Leaser) resetAfterRestart(now time.Time, startedAt int64) {
-	l.endRunning(now)
+	l.endRunning(now, true)
 	l.startedAt, l.lastEnd, l.ackedEnds, l.maxUntil = startedAt, 0, 0, 0
 	l.clockReadAt, l.retryAt, l.consecutiveFailures = time.Time{}, time.Time{}, 0
 	l.reconcileInFlight = false
@@ -172,7 +172,7 @@
 	case r.state == unconfirmed && listed:
 		// Answers to calls that were sent earlier may still arrive, and may list the
 		// state before the run began.
-		r.state, r.confirmedSerial = running, l.serial
+		r.state, r.confirmedSerial, r.serverLost = running, l.serial, false
 		if r.stopping {
 			l.sendStop(now, r)
 		}
--- a/leaser/call.go
+++ b/leaser/call.go
@@ -99,5 +99,6 @@
 	ID       uint64
 	Reason   EndReason
 	Started  bool
+	Lost     bool          // the backend server was lost: it crashed, or was unresponsive until the leases had expired
 	Duration time.Duration // from the call of Leaser.Start until the end was noticed
 }
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -49,6 +49,7 @@
 	confirmedSerial uint64    // serial of the newest call when the run was confirmed to be active
 	token           int64     // of the last start call
 	attempts        int       // start calls sent
+	serverLost      bool      // the backend server was lost since the start, which may be the cause or may have prevented it
 	stopping        bool
 	stopRequestedAt time.Time // when Stop was called
 	stopSentAt      time.Time // when the last stop call was sent
@@ -77,6 +78,7 @@
 	maxUntil            int64     // latest lease end that was sent, by the backend server's clock, ms
 	leaseExpiry         time.Time // all active runs have ended by then, unless renewed; local clock
 	ownerSuspected      bool      // an owner of a run is suspected to be lost
+	draining            bool      // the backend server leaves as planned, which ends its runs
 	lastContact         time.Time // when a renewal or reconciliation call last succeeded, or Start found no runs
 
 	calls []Call
@@ -169,6 +171,10 @@
 	}
 }
 
+// SetDraining sets whether the backend server leaves as planned. Runs that end with it
+// are then not reported as lost.
+func (l *Leaser) SetDraining(draining bool) { l.draining = draining }
+
 // SetOwnerSuspected sets whether an owner of a run is suspected to be lost.
 func (l *Leaser) SetOwnerSuspected(suspected bool) { l.ownerSuspected = suspected }
 
@@ -225,7 +231,7 @@
 		}
 	}
 	if now.After(l.leaseExpiry) && l.anyInState(running) {
-		l.endRunning(now)
+		l.endRunning(now, l.Unresponsive())
 		l.Reconcile(now)
 	}
 	l.renewIfDue(now)
@@ -244,9 +250,11 @@
 // endRunning ends the runs that were confirmed to be active, since their leases
 // have expired or the backend server has restarted. A start without an answer may
 // still be executed: it stays unconfirmed until the reconciliation call that
-// follows shows its outcome (rule 1).
-func (l *Leaser) endRunning(now time.Time) {
+// follows shows its outcome (rule 1). serverLost reports whether the backend server
+// is the cause, unless it leaves as planned.
+func (l *Leaser) endRunning(now time.Time, serverLost bool) {
 	for _, r := range l.runs {
+		r.serverLost = r.serverLost || serverLost && !l.draining
 		if r.state == running {
 			l.endRun(now, r, EndStopped, true)
 			continue
@@ -292,5 +300,5 @@
 func (l *Leaser) endRun(now time.Time, r *run, reason EndReason, started bool) {
 	delete(l.runs, r.id)
 	delete(l.byTask, r.task)
-	l.ends = append(l.ends, End{ID: r.id, Reason: reason, Started: started, Duration: now.Sub(r.requestedAt)})
+	l.ends = append(l.ends, End{ID: r.id, Reason: reason, Started: started, Lost: r.serverLost, Duration: now.Sub(r.requestedAt)})
 }
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -234,7 +234,7 @@
 	f.advance(2 * time.Second)
 	require.Empty(t, f.ended, "no reconciliation call was answered yet")
 	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 12, StartedAt: testStartedAt + 1})
-	require.Equal(t, []End{{ID: 1, Reason: EndStopped, Duration: 2 * time.Second}}, f.ended)
+	require.Equal(t, []End{{ID: 1, Reason: EndStopped, Lost: true, Duration: 2 * time.Second}}, f.ended)
 	require.True(t, f.Reconciled())
 }
 
--- a/protocol/message.go
+++ b/protocol/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 
 	"mustardlever.dev/mustardlever/dispatcher"
 	"mustardlever.dev/mustardlever/sizer"
@@ -49,7 +50,8 @@
 // determined separately.
 func (r *Result) OK() bool { return r.Status < minErrorStatus }
 
-// Message is a message between processes. Exactly one of the pointers is set.
+// Message is a message between processes. Exactly one of the fields besides Service is
+// set.
 // Service is the service that the message concerns. It is empty for messages
 // about processes or the configuration, and for Forward and Reply.
 type Message struct {
@@ -73,6 +75,8 @@
 	Reply         *Reply         `json:"reply,omitempty"`
 	Entries       *Entries       `json:"entries,omitempty"`
 
+	ServerLosses []ServerLoss `json:"server-losses,omitempty"`
+
 	Configuration        *Configuration        `json:"configuration,omitempty"`
 	ConfigurationRequest *ConfigurationRequest `json:"want-configuration,omitempty"`
 }
@@ -116,6 +120,21 @@
 	Limit   int   `json:"limit,omitempty"`
 }
 
+// ServerLoss (agent to entries, and between entries) reports that a backend server
+// was lost while it ran an attempt of the named task: it crashed, or did not answer
+// until the leases of its runs had expired. The message precedes the outcome of the
+// attempt.
+type ServerLoss struct {
+	Task    string `json:"task"`
+	Attempt int    `json:"attempt"`
+}
+
+// JobName returns the name of the job of a named task: the part before the first dot.
+func JobName(task string) string {
+	name, _, _ := strings.Cut(task, ".")
+	return name
+}
+
 // Announce (agent to entry) offers a backend server of a service. An agent that
 // begins to drain announces itself once more with Draining set and refuses new
 // tasks from then on. An agent announces itself only when no task that an
@@ -283,6 +302,7 @@
 	ReasonTicketExpired      Reason = "ticket-expired"  // the ticket has expired or is closed
 	ReasonResultsDropped     Reason = "results-dropped" // the job ran, but its results were discarded to free memory
 	ReasonTaskFailed         Reason = "task-failed"     // a task failed in its last permitted attempt
+	ReasonServersLost        Reason = "servers-lost"    // several backend servers were lost while they ran a task
 	ReasonNoFit              Reason = "no-fit"          // no backend server is large enough for a task
 	ReasonDueTimeUnreachable Reason = "hopeless"        // the job cannot meet its due time
 	ReasonPaused             Reason = "suspended"       // the entry's process was paused
--- a/server/backend.go
+++ b/server/backend.go
@@ -124,10 +124,11 @@
 }
 
 // FinishStopped reports that a run of the service has ended without a result: it was
-// stopped, its lease expired, or it did not start.
-func (a *Agent) FinishStopped(service string, id uint64) {
+// stopped, its lease expired, or it did not start. serverLost reports whether the
+// backend server was lost meanwhile.
+func (a *Agent) FinishStopped(service string, id uint64, serverLost bool) {
 	if s := a.shard(service); s != nil {
-		peers := a.applyDecisions(s, func(st *starter.Starter) { st.FinishStopped(id) })
+		peers := a.applyDecisions(s, func(st *starter.Starter) { st.FinishStopped(id, serverLost) })
 		peers.flush(&a.hub)
 	}
 }
--- a/server/sync.go
+++ b/server/sync.go
@@ -29,7 +29,7 @@
 // its tasks may have run.
 const (
 	OutcomeComplete Outcome = "complete"
-	OutcomeFailed   Outcome = "failed"   // a task failed in all its attempts, or no backend server is large enough for it
+	OutcomeFailed   Outcome = "failed"   // a task failed in all its attempts or was given up after losses of backend servers, or no backend server is large enough for it
 	OutcomeNoRoute  Outcome = "no-route" // not run
 	OutcomeInvalid  Outcome = "invalid"  // not run
 	OutcomeOverload Outcome = "overload" // not run
@@ -114,7 +114,7 @@
 		return SyncReply{Outcome: OutcomeNotRun, Cause: err.Error(), RetryAfter: retryAfter}
 	case a.State == coordinator.StateComplete:
 		return SyncReply{Outcome: OutcomeComplete}
-	case a.Reason == protocol.ReasonTaskFailed, a.Reason == protocol.ReasonNoFit:
+	case a.Reason == protocol.ReasonTaskFailed, a.Reason == protocol.ReasonServersLost, a.Reason == protocol.ReasonNoFit:
 		return SyncReply{Outcome: OutcomeFailed, Cause: string(a.Reason)}
 	case !a.MayHaveRun():
 		return SyncReply{Outcome: OutcomeNotRun, Cause: string(a.Reason), RetryAfter: a.RetryAfter}
--- a/starter/start.go
+++ b/starter/start.go
@@ -195,8 +195,14 @@
 }
 
 // FinishStopped finishes a run that has no result: it was stopped, its lease expired,
-// or it did not start.
-func (s *Starter) FinishStopped(id uint64) {
+// or it did not start. If the backend server was lost meanwhile, all entries are told,
+// since the task may be submitted again at any of them.
+func (s *Starter) FinishStopped(id uint64, serverLost bool) {
+	if r := s.runs[id]; r != nil && serverLost && r.Request.Name != "" {
+		for e := range s.entries {
+			s.send(e, protocol.Message{ServerLosses: []protocol.ServerLoss{{Task: r.Request.Name, Attempt: r.Attempt}}})
+		}
+	}
 	reason := protocol.RefusalLeaseExpired
 	if r := s.runs[id]; r != nil && r.stopping {
 		reason = protocol.RefusalStopped
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -178,7 +178,7 @@
 	d := s.TakeDecisions()
 	require.Len(t, d.Stops, 1)
 	require.Empty(t, d.Starts)
-	s.FinishStopped(d.Stops[0].ID)
+	s.FinishStopped(d.Stops[0].ID, false)
 	d = s.TakeDecisions()
 	require.Len(t, d.Starts, 1)
 	require.Equal(t, protocol.RefusalStopped, findOutcome(d.Messages).Refusal)
@@ -193,7 +193,7 @@
 	require.Len(t, d.Stops, 1)
 	require.Empty(t, d.Starts, "the queued task never starts")
 	require.Equal(t, 1, s.RunCount())
-	s.FinishStopped(d.Stops[0].ID)
+	s.FinishStopped(d.Stops[0].ID, false)
 	require.Zero(t, s.RunCount())
 	require.Zero(t, s.recordCount)
 }
@@ -211,7 +211,7 @@
 	s.SendLoad()
 	require.Empty(t, s.TakeDecisions().Messages)
 	require.Empty(t, requestSessionBoundStart(s, 2, 0, sizer.Resources{CPU: 1000}).Starts, "a start from the closed session")
-	s.FinishStopped(stops[0].ID)
+	s.FinishStopped(stops[0].ID, false)
 	require.NotNil(t, s.TakeDecisions().Messages[0].Message.Announce)
 }
 
@@ -263,3 +263,26 @@
 	s.EntryConnected(testOwner)
 	require.False(t, s.TakeDecisions().Messages[0].Message.Announce.Draining, "a new session starts afresh")
 }
+
+// All entries learn of the loss of a backend server before the owner learns that its
+// run has ended and might start the task again.
+func TestServerLossIsReportedToAllEntries(t *testing.T) {
+	s := newStarter()
+	s.EntryConnected("entry.2")
+	s.TakeDecisions()
+	s.Receive(testOwner, protocol.Message{Start: &protocol.Start{
+		Agent: s.Self, Ticket: protocol.Ticket{Sequence: 1}, Attempt: 5, SessionBound: true, Request: protocol.Request{Name: "a.0.0.0"},
+	}})
+	d := s.TakeDecisions()
+	require.Len(t, d.Starts, 1)
+	s.FinishStopped(d.Starts[0].ID, true)
+	d = s.TakeDecisions()
+	require.Len(t, d.Messages, 3)
+	told := map[string]bool{}
+	for _, o := range d.Messages[:2] {
+		require.Equal(t, []protocol.ServerLoss{{Task: "a.0.0.0", Attempt: 5}}, o.Message.ServerLosses)
+		told[o.To] = true
+	}
+	require.Len(t, told, 2)
+	require.NotNil(t, d.Messages[2].Message.Outcome)
+}
