--- a/cmd/mustardleverd/hosted_agent.go
+++ b/cmd/mustardleverd/hosted_agent.go
@@ -17,6 +17,7 @@
 	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/recorder"
 	"mustardlever.dev/mustardlever/server"
+	"mustardlever.dev/mustardlever/sizer"
 )
 
 // serveHostedAgent runs an agent on the users' platform.
@@ -76,6 +77,7 @@
 		ReportInterval: time.Duration(p.Platform.ReportIntervalMillis) * time.Millisecond,
 		Log:            log, Call: backends.Call,
 		SetUnresponsive: func(unresponsive bool) { a.SetUnresponsive(service, unresponsive) },
+		SetCapacity:     func(capacity sizer.Resources) { a.SetCapacity(service, capacity) },
 		Withdraw:        func(executor.Report) { a.Withdraw(service) },
 		Finish:          func(id uint64, result *protocol.Result) { a.Finish(service, id, result) },
 		FinishStopped:   func(id uint64, serverLost bool) { a.FinishStopped(service, id, serverLost) },
--- a/executor/leased.go
+++ b/executor/leased.go
@@ -55,8 +55,10 @@
 	ObserveCall func(k leaser.Kind, s leaser.Status, elapsed time.Duration)
 	// Offer is called when the backend server may receive tasks.
 	Offer func(Report)
+	// SetCapacity is called when the capacity of an offered backend server has changed.
+	SetCapacity func(sizer.Resources)
 	// Save is called with a report that differs in readiness or incarnation from the
-	// last one. A later process of this agent restores it with RestoreReport. It may
+	// last one, or has less capacity. A later process of this agent restores it with RestoreReport. It may
 	// be nil.
 	Save func(Report)
 	// Withdraw is called when it must not receive any more tasks.
@@ -70,15 +72,16 @@
 	// start. serverLost reports whether the backend server was lost meanwhile.
 	FinishStopped func(id uint64, serverLost bool)
 
-	notifyMu     sync.Mutex // serializes calls of Offer, Withdraw and SetUnresponsive; acquired before mu
+	notifyMu     sync.Mutex // serializes calls of Offer, SetCapacity, Withdraw and SetUnresponsive; acquired before mu
 	mu           sync.Mutex // guards the fields below, up to unresponsive
 	leaser       leaser.Leaser
 	report       Report
-	reportedAt   time.Time // when the last report arrived or was restored
-	saved        Report    // last passed to Save
-	restored     bool      // report was saved by an earlier process and not confirmed since
-	offered      bool      // as last reported by Offer or Withdraw
-	unresponsive bool      // as last reported by SetUnresponsive
+	reportedAt   time.Time       // when the last report arrived or was restored
+	saved        Report          // last passed to Save
+	restored     bool            // report was saved by an earlier process and not confirmed since
+	offered      bool            // as last reported by Offer or Withdraw
+	capacity     sizer.Resources // as last reported by Offer or SetCapacity
+	unresponsive bool            // as last reported by SetUnresponsive
 	ctx          context.Context
 	goroutines   sync.WaitGroup
 }
@@ -151,8 +154,8 @@
 }
 
 // nextNotification returns the notification to send if the backend server has
-// become available, unavailable, responsive or unresponsive, and nil if nothing
-// has changed. The caller holds mu.
+// become available, unavailable, responsive or unresponsive, or has another capacity,
+// and nil if nothing has changed. The caller holds mu.
 func (x *LeasedExecutor) nextNotification(now time.Time) func() {
 	if unresponsive := x.leaser.Unresponsive(); x.offered && unresponsive != x.unresponsive {
 		x.unresponsive = unresponsive
@@ -160,11 +163,16 @@
 	}
 	alive := x.report.Address != "" && now.Sub(x.reportedAt) < maxMissedReports*x.ReportInterval
 	shouldOffer := alive && x.report.Ready && x.leaser.Reconciled()
+	report := x.report
+	if shouldOffer && x.offered && report.Capacity != x.capacity {
+		x.capacity = report.Capacity
+		x.Log.WithFields(logFields(report)).Info("Backend server has changed its capacity.")
+		return func() { x.SetCapacity(report.Capacity) }
+	}
 	if shouldOffer == x.offered {
 		return nil
 	}
-	x.offered, x.unresponsive = shouldOffer, false
-	report := x.report
+	x.offered, x.unresponsive, x.capacity = shouldOffer, false, report.Capacity
 	if !shouldOffer {
 		x.Log.WithFields(logFields(report)).WithField("heard-ms", now.Sub(x.reportedAt).Milliseconds()).
 			Info("Backend server no longer accepts tasks.")
@@ -176,14 +184,15 @@
 
 // needsSave reports whether the report has to be saved, and counts it as saved: the
 // first one at which the backend server is offered, and every later one that differs
-// in incarnation, address or readiness. A server that drains must not be used again
-// after a restart of this process. The caller holds mu.
+// in incarnation, address or readiness, or has less capacity than the saved one. After
+// a restart of this process a server that drains must not be used again, and no server
+// above its capacity. The caller holds mu.
 func (x *LeasedExecutor) needsSave() bool {
 	r, s := x.report, x.saved
 	if x.Save == nil || x.restored || r.Address == "" || s.Address == "" && !x.offered {
 		return false
 	}
-	if r.sameServer(s) && r.Ready == s.Ready {
+	if r.sameServer(s) && r.Ready == s.Ready && r.Capacity.Covers(s.Capacity) {
 		return false
 	}
 	x.saved = r
--- a/executor/leased_test.go
+++ b/executor/leased_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"maps"
 	"slices"
@@ -89,6 +90,7 @@
 	x := &LeasedExecutor{
 		ReportInterval: 1500 * time.Millisecond, Log: logrus.NewEntry(log), Call: b.call,
 		Offer: func(Report) { b.notify("offer") }, Withdraw: func(Report) { b.notify("withdraw") },
+		SetCapacity: func(capacity sizer.Resources) { b.notify(fmt.Sprint("capacity ", capacity.CPU)) },
 		SetUnresponsive: func(unresponsive bool) {
 			if unresponsive {
 				b.notify("unresponsive")
@@ -298,3 +300,25 @@
 		require.Empty(t, saved)
 	})
 }
+
+// Guards against issue 27, LIMIT: a report with another capacity of the same server was
+// ignored. A smaller capacity is also saved: the next process of the agent must not
+// start from the old one.
+func TestChangedCapacityIsReportedAndSaved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &fakeBackend{startedAt: testStartedAt}
+		x, stop := newLeasedExecutor(t, b)
+		defer stop()
+		var saved []int
+		x.Save = func(r Report) { saved = append(saved, r.Capacity.CPU) }
+		for number, slots := range []int{4, 4, 2, 2, 0, 3, 1, 4} {
+			r := testReport(int64(number + 1))
+			r.Capacity = sizer.Slots(slots)
+			x.HandleReport(r)
+			time.Sleep(100 * time.Millisecond)
+		}
+		synctest.Wait()
+		require.Equal(t, []string{"offer", "capacity 2000", "capacity 0", "capacity 3000", "capacity 1000", "capacity 4000"}, b.notified())
+		require.Equal(t, []int{4000, 2000, 0}, saved, "what is saved is at most the present capacity")
+	})
+}
--- a/server/backend.go
+++ b/server/backend.go
@@ -71,6 +71,14 @@
 	peers.wake(&a.hub)
 }
 
+// SetCapacity changes the capacity of the backend server of the service.
+func (a *Agent) SetCapacity(service string, capacity sizer.Resources) {
+	if s := a.shard(service); s != nil {
+		peers := a.applyDecisions(s, func(st *starter.Starter) { st.SetCapacity(capacity) })
+		peers.wake(&a.hub)
+	}
+}
+
 // Withdraw stops sending new tasks to the backend server of the service.
 func (a *Agent) Withdraw(service string) {
 	if s := a.shard(service); s != nil {
--- a/starter/admission.go
+++ b/starter/admission.go
@@ -53,6 +53,19 @@
 	return true
 }
 
+// removeLargerThan removes the queued runs that need more than the whole capacity, and
+// returns them.
+func (q *admissionQueue) removeLargerThan(capacity sizer.Resources) []*acceptedRun {
+	var removed []*acceptedRun
+	for _, r := range slices.Clone(q.queuedRuns) {
+		if !capacity.Covers(r.need) {
+			q.remove(r)
+			removed = append(removed, r)
+		}
+	}
+	return removed
+}
+
 // startNext moves the oldest queued run to the running ones and returns it. It
 // returns nil when the queue is empty or the run does not fit yet.
 func (q *admissionQueue) startNext(capacity sizer.Resources) *acceptedRun {
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -190,6 +190,22 @@
 	}
 }
 
+// SetCapacity changes the capacity while the backend server runs, and announces it to
+// the entries. If it shrinks, running tasks continue, nothing is started until enough
+// of them have ended, and queued tasks that no longer fit at all are refused.
+func (s *Starter) SetCapacity(capacity sizer.Resources) {
+	s.Capacity = capacity
+	for _, r := range s.admission.removeLargerThan(capacity) {
+		s.refuseQueued(r, protocol.RefusalNoCapacity)
+	}
+	s.startQueued()
+	for e := range s.entries {
+		if !s.unannounced[e] {
+			s.announce(e)
+		}
+	}
+}
+
 // AllEntriesLost records the loss of the sessions with all entries, as EntryLost
 // does for one.
 func (s *Starter) AllEntriesLost(now time.Time) {
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -286,3 +286,29 @@
 	require.Len(t, told, 2)
 	require.NotNil(t, d.Messages[2].Message.Outcome)
 }
+
+// Guards against issue 27, LIMIT. Running tasks may exceed a capacity that has shrunk;
+// nothing is started until they fit, and what no longer fits at all is refused.
+func TestShrunkCapacity(t *testing.T) {
+	s := newStarter()
+	start := func(sequence uint64, slots int) Decisions {
+		s.Receive(testOwner, protocol.Message{Start: &protocol.Start{
+			Agent: s.Self, Ticket: protocol.Ticket{Sequence: sequence}, SessionBound: true, Request: protocol.Request{Need: sizer.Slots(slots)},
+		}})
+		return s.TakeDecisions()
+	}
+	running := append(start(1, 1).Starts, start(2, 1).Starts...)
+	require.Len(t, running, 2)
+	require.Empty(t, start(3, 2).Starts, "it is queued")
+	s.SetCapacity(sizer.Slots(1))
+	d := s.TakeDecisions()
+	require.Equal(t, protocol.RefusalNoCapacity, findOutcome(d.Messages).Refusal, "the queued task needs more than the whole capacity")
+	require.Empty(t, start(4, 1).Starts)
+	s.Finish(running[0].ID, &protocol.Result{Status: 200})
+	require.Empty(t, s.TakeDecisions().Starts, "the other running task takes up the whole capacity")
+	s.Finish(running[1].ID, &protocol.Result{Status: 200})
+	require.Len(t, s.TakeDecisions().Starts, 1)
+	s.SetCapacity(sizer.Slots(2))
+	s.TakeDecisions()
+	require.Len(t, start(5, 1).Starts, 1)
+}
