--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -47,7 +47,7 @@
 		}
 		c.advance(now, j)
 	}
-	c.handleServerLosses(now, c.Self, losses)
+	c.handleServerLosses(now, name, losses)
 	c.sealAgentLost(now, name)
 	c.dispatch(now)
 }
@@ -59,7 +59,7 @@
 	for j, tasks := range a.inFlight {
 		for i := range tasks {
 			if name := j.requests[i].Name; j.restartable && name != "" {
-				losses = append(losses, protocol.ServerLoss{Task: name, Attempt: j.tasks[i].attempt})
+				losses = append(losses, protocol.ServerLoss{Task: name, Attempt: j.tasks[i].attempt, Agent: a.name})
 			}
 		}
 	}
--- a/coordinator/losses.go
+++ b/coordinator/losses.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"mustardlever.dev/mustardlever/protocol"
@@ -15,6 +16,8 @@
 	// Callers submit a job again within seconds.
 	lossRetention = 2 * time.Minute
 	maxLossTasks  = 4096 // tasks with losses; beyond that the oldest are forgotten
+	// maxLossesPerMessage keeps messages below 64 KiB.
+	maxLossesPerMessage = 500
 )
 
 // lossTable holds the losses of backend servers by the name of the task that was
@@ -24,13 +27,17 @@
 	names  []string // of the tasks, in the order of their first loss
 }
 
-// taskLosses are the attempts of one task during which its backend server was lost.
+// taskLosses holds the losses of one task, up to maxServerLosses.
 type taskLosses struct {
-	attempts []int
-	lastAt   time.Time
+	losses []protocol.ServerLoss
+	lastAt time.Time
 }
 
-// add adds a loss. It reports whether the loss was new.
+// exhausted reports whether the task must not be started any more.
+func (t *taskLosses) exhausted() bool { return t != nil && len(t.losses) >= maxServerLosses }
+
+// add adds a loss. It reports whether the loss is new and the task was not exhausted
+// before.
 func (l *lossTable) add(now time.Time, loss protocol.ServerLoss) bool {
 	if l.byTask == nil {
 		l.byTask = make(map[string]*taskLosses)
@@ -42,12 +49,10 @@
 		l.byTask[loss.Task] = t
 		l.names = append(l.names, loss.Task)
 	}
-	for _, a := range t.attempts {
-		if a == loss.Attempt {
-			return false
-		}
+	if t.exhausted() || slices.Contains(t.losses, loss) {
+		return false
 	}
-	t.attempts, t.lastAt = append(t.attempts, loss.Attempt), now
+	t.losses, t.lastAt = append(t.losses, loss), now
 	return true
 }
 
@@ -63,18 +68,13 @@
 }
 
 // exhausted reports whether the task must not be started any more.
-func (l *lossTable) exhausted(task string) bool {
-	t := l.byTask[task]
-	return t != nil && len(t.attempts) >= maxServerLosses
-}
+func (l *lossTable) exhausted(task string) bool { return l.byTask[task].exhausted() }
 
 // all returns all losses, in the order of the tasks' first ones.
 func (l *lossTable) all() []protocol.ServerLoss {
 	var losses []protocol.ServerLoss
 	for _, name := range l.names {
-		for _, a := range l.byTask[name].attempts {
-			losses = append(losses, protocol.ServerLoss{Task: name, Attempt: a})
-		}
+		losses = append(losses, l.byTask[name].losses...)
 	}
 	return losses
 }
@@ -102,9 +102,6 @@
 	}
 }
 
-// maxLossesPerMessage keeps the messages small: a loss takes about 50 bytes.
-const maxLossesPerMessage = 1000
-
 func (c *Coordinator) sendLosses(to string, losses []protocol.ServerLoss) {
 	for len(losses) > 0 {
 		n := min(len(losses), maxLossesPerMessage)
@@ -123,7 +120,7 @@
 		if j.requests[i].Name != l.Task {
 			continue
 		}
-		c.decide("server-lost", j, i, j.tasks[i].agent, "the backend server was lost while the task ran")
+		c.decide("server-lost", j, i, l.Agent, "the backend server was lost while the task ran")
 		if c.losses.exhausted(l.Task) {
 			c.stop(now, j, protocol.ReasonServersLost)
 		}
--- a/coordinator/losses_test.go
+++ b/coordinator/losses_test.go
@@ -22,7 +22,7 @@
 // loseServer reports to c that the backend server of an agent was lost during a
 // start, as an agent does: first the loss, then the outcome.
 func loseServer(c *Coordinator, now time.Time, start *protocol.Start) {
-	c.Receive(now, start.Agent, protocol.Message{ServerLosses: []protocol.ServerLoss{{Task: start.Request.Name, Attempt: start.Attempt}}})
+	c.Receive(now, start.Agent, protocol.Message{ServerLosses: []protocol.ServerLoss{{Task: start.Request.Name, Attempt: start.Attempt, Agent: start.Agent}}})
 	c.Receive(now, start.Agent, protocol.Message{Outcome: &protocol.Outcome{
 		Ticket: start.Ticket, Task: start.Task, Attempt: start.Attempt, Refusal: protocol.RefusalLeaseExpired, Load: freeLoad,
 	}})
@@ -64,12 +64,24 @@
 	require.Len(t, drainStarts(c), 2, "other jobs are")
 }
 
+// Entries number the attempts of a task independently, so two may use one number.
+func TestLossesAtTwoAgentsCountTwice(t *testing.T) {
+	var l lossTable
+	for _, agent := range []string{"agent.1", "agent.2", "agent.3"} {
+		require.False(t, l.exhausted("a"))
+		require.True(t, l.add(testStart, protocol.ServerLoss{Task: "a", Attempt: 7, Agent: agent}))
+		require.False(t, l.add(testStart, protocol.ServerLoss{Task: "a", Attempt: 7, Agent: agent}))
+	}
+	require.True(t, l.exhausted("a"))
+	require.False(t, l.add(testStart, protocol.ServerLoss{Task: "a", Attempt: 7, Agent: "agent.4"}), "no more are kept")
+}
+
 func TestRepeatedReportOfLossCountsOnce(t *testing.T) {
 	c := newTestCoordinator()
 	mustRunSync(t, c, namedJob("a"))
 	start := drainStarts(c)[0]
 	for range 10 {
-		c.Receive(testStart, "other.1", protocol.Message{ServerLosses: []protocol.ServerLoss{{Task: start.Request.Name, Attempt: start.Attempt}}})
+		c.Receive(testStart, "other.1", protocol.Message{ServerLosses: []protocol.ServerLoss{{Task: start.Request.Name, Attempt: start.Attempt, Agent: start.Agent}}})
 	}
 	require.NotEmpty(t, c.active)
 }
@@ -102,7 +114,7 @@
 	c.BackupConnected("entry-2.1", "z2")
 	c.BackupConnected("entry-3.1", "z3")
 	c.TakeDecisions()
-	loss := protocol.ServerLoss{Task: "x.0.0.0", Attempt: 7}
+	loss := protocol.ServerLoss{Task: "x.0.0.0", Attempt: 7, Agent: "agent.1"}
 	c.Receive(testStart, "entry-2.1", protocol.Message{ServerLosses: []protocol.ServerLoss{loss}})
 	outputs, _, _ := c.TakeDecisions()
 	require.Empty(t, lossesTo(outputs, "entry-2.1"))
--- a/executor/leased.go
+++ b/executor/leased.go
@@ -58,8 +58,8 @@
 	// SetCapacity is called when the capacity of an offered backend server has changed.
 	SetCapacity func(sizer.Resources)
 	// Save is called with a report that differs in readiness or incarnation from the
-	// last one, or has less capacity. A later process of this agent restores it with RestoreReport. It may
-	// be nil.
+	// last one, or has less capacity. A later process of this agent restores it with
+	// RestoreReport. It may be nil.
 	Save func(Report)
 	// Withdraw is called when it must not receive any more tasks.
 	Withdraw func(Report)
--- a/starter/start.go
+++ b/starter/start.go
@@ -200,7 +200,7 @@
 func (s *Starter) FinishStopped(id uint64, serverLost bool) {
 	if r := s.runs[id]; r != nil && serverLost && r.Request.Name != "" {
 		for e := range s.entries {
-			s.send(e, protocol.Message{ServerLosses: []protocol.ServerLoss{{Task: r.Request.Name, Attempt: r.Attempt}}})
+			s.send(e, protocol.Message{ServerLosses: []protocol.ServerLoss{{Task: r.Request.Name, Attempt: r.Attempt, Agent: s.Self}}})
 		}
 	}
 	reason := protocol.RefusalLeaseExpired
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -280,7 +280,7 @@
 	require.Len(t, d.Messages, 3)
 	told := map[string]bool{}
 	for _, o := range d.Messages[:2] {
-		require.Equal(t, []protocol.ServerLoss{{Task: "a.0.0.0", Attempt: 5}}, o.Message.ServerLosses)
+		require.Equal(t, []protocol.ServerLoss{{Task: "a.0.0.0", Attempt: 5, Agent: "agent.1"}}, o.Message.ServerLosses)
 		told[o.To] = true
 	}
 	require.Len(t, told, 2)
