--- a/server/entry.go
+++ b/server/entry.go
@@ -62,8 +62,8 @@
 	entryAddresses map[string]bool // addresses of all known entries, including this one
 	peerVersions   router.PeerVersions
 	download       router.Download
-	uploads        map[string]*router.Table // configurations that peers are downloading, by peer
-	routesSource   string                   // origin of the current configuration
+	uploads        map[string]upload // configurations that peers are downloading, by peer
+	routesSource   string            // origin of the current configuration
 	draining       bool
 	handedOver     bool
 }
@@ -84,7 +84,7 @@
 	e.hub.Settings = e.Settings.Messenger
 	e.coder.Key = e.Settings.TicketKey
 	e.entryAddresses = map[string]bool{e.hub.Self.Address: true}
-	e.uploads = make(map[string]*router.Table)
+	e.uploads = make(map[string]upload)
 	e.Recorder.Process, e.Recorder.Zone = e.hub.Self.Incarnation, e.hub.Self.Zone
 	for name, s := range e.Settings.Services {
 		e.shards.getOrAdd(name, e.newShard(name, s))
@@ -112,6 +112,17 @@
 // Peers returns the processes with an open session.
 func (e *Entry) Peers() []protocol.Identity { return e.hub.Peers() }
 
+// connectedEntries returns the incarnations of the other entries with an open session.
+func (e *Entry) connectedEntries() []string {
+	var names []string
+	for _, p := range e.hub.Peers() {
+		if p.Role == protocol.RoleEntry {
+			names = append(names, p.Incarnation)
+		}
+	}
+	return names
+}
+
 // AddEntries adds the entries at the given addresses to those it may connect to, and forwards addresses
 // that were unknown so far to all peers. Malformed addresses are ignored.
 func (e *Entry) AddEntries(addresses []string) {
--- a/server/routes.go
+++ b/server/routes.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"maps"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -23,10 +24,8 @@
 	e.Log.WithFields(logrus.Fields{"configuration": t.Version, "before": previous, "source": source, "bytes": len(t.Document)}).
 		Info("Entry takes a new configuration.")
 	m := protocol.Message{Configuration: &protocol.Configuration{Version: t.Version}}
-	for _, p := range e.hub.Peers() {
-		if p.Role == protocol.RoleEntry {
-			e.hub.Send(p.Incarnation, m)
-		}
+	for _, name := range e.connectedEntries() {
+		e.hub.Send(name, m)
 	}
 }
 
@@ -38,40 +37,55 @@
 	}
 }
 
-// configurationPartBytes is the size of the parts in which entries send each other a
-// configuration: a few tens of ms on the slowest links, a fraction of a heartbeat
-// interval.
-const configurationPartBytes = 64 << 10
+const (
+	// configurationPartBytes is the size of the parts in which entries send each other
+	// a configuration: a few tens of ms on the slowest links, a fraction of a heartbeat
+	// interval.
+	configurationPartBytes = 64 << 10
+	uploadTimeout          = 5 * time.Second // since the last request of an upload, after which it is given up
+)
 
-// sendRoutes sends the requested part of the configuration to an entry. An entry that
-// has begun to download a version gets the rest of it even after a newer one was
-// adopted: with frequent changes it might otherwise never complete one.
+// upload is a configuration that a peer downloads in parts.
+type upload struct {
+	table       *router.Table
+	requestedAt time.Time // of the last part
+}
+
+// sendRoutes sends the requested part of the configuration to an entry, or the whole
+// one if the request has no limit.
 func (e *Entry) sendRoutes(peer string, r *protocol.ConfigurationRequest) {
 	t := e.Routes.Table()
 	if t == nil {
 		return
 	}
-	if r.Limit <= 0 {
-		e.hub.Send(peer, protocol.Message{Configuration: &protocol.Configuration{Version: t.Version, Document: t.Document}})
-		return
+	c := &protocol.Configuration{Version: t.Version, Document: t.Document}
+	if r.Limit > 0 {
+		p := e.nextPart(time.Now(), peer, r, t)
+		c = &protocol.Configuration{Version: p.Version, Document: p.Bytes, Offset: p.Offset, Size: p.Size}
 	}
+	e.hub.Send(peer, protocol.Message{Configuration: c})
+}
+
+// nextPart returns the requested part. A peer that has begun to download a version gets
+// the rest of it even after a newer one was adopted: with frequent changes it might
+// otherwise never complete one.
+func (e *Entry) nextPart(now time.Time, peer string, r *protocol.ConfigurationRequest, current *router.Table) router.Part {
 	e.mu.Lock()
-	if u := e.uploads[peer]; u != nil && u.Version == r.Version {
-		t = u
+	defer e.mu.Unlock()
+	t := current
+	if u, ok := e.uploads[peer]; ok && u.table.Version == r.Version {
+		t = u.table
 	}
 	offset := r.Offset
 	if t.Version != r.Version {
 		offset = 0
 	}
-	part := t.PartOf(offset, min(r.Limit, configurationPartBytes))
-	e.uploads[peer] = t
-	if part.Offset+len(part.Bytes) == part.Size {
+	p := t.PartOf(offset, min(r.Limit, configurationPartBytes))
+	e.uploads[peer] = upload{t, now}
+	if p.Offset+len(p.Bytes) == p.Size {
 		delete(e.uploads, peer)
 	}
-	e.mu.Unlock()
-	e.hub.Send(peer, protocol.Message{Configuration: &protocol.Configuration{
-		Version: part.Version, Document: part.Bytes, Offset: part.Offset, Size: part.Size,
-	}})
+	return p
 }
 
 // receiveRoutes handles a configuration message from another entry. A message with
@@ -123,11 +137,13 @@
 	}})
 }
 
-// fetchRoutes requests a newer configuration from a peer if a request is due.
+// fetchRoutes requests a newer configuration from a peer if a request is due, and gives
+// up uploads whose peers have stopped asking.
 func (e *Entry) fetchRoutes(now time.Time) {
 	current := e.Routes.Version()
 	e.mu.Lock()
 	e.download.Stop(current)
+	maps.DeleteFunc(e.uploads, func(_ string, u upload) bool { return now.Sub(u.requestedAt) > uploadTimeout })
 	peer := e.peerVersions.NextFetch(now, current)
 	if peer == "" {
 		e.mu.Unlock()
