--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -84,6 +84,10 @@
 	Zone     string // availability zone of this entry
 	Service  string
 
+	// ConnectedEntries returns the incarnations of the other entries with an open
+	// session; nil: there are none.
+	ConnectedEntries func() []string
+
 	startedAt          time.Time
 	nextSequence       uint64          // sequence number of the next ticket
 	issued             []ticketRange   // tickets that have not expired, oldest first
--- a/coordinator/losses.go
+++ b/coordinator/losses.go
@@ -92,9 +92,11 @@
 	if len(added) == 0 {
 		return
 	}
-	for name := range c.backups {
-		if name != from {
-			c.sendLosses(name, added)
+	if c.ConnectedEntries != nil {
+		for _, name := range c.ConnectedEntries() {
+			if name != from {
+				c.sendLosses(name, added)
+			}
 		}
 	}
 	for _, l := range added {
--- a/coordinator/losses_test.go
+++ b/coordinator/losses_test.go
@@ -111,9 +111,7 @@
 // connected at once, others when they connect.
 func TestLossesAreSpreadToOtherEntries(t *testing.T) {
 	c := newTestCoordinator()
-	c.BackupConnected("entry-2.1", "z2")
-	c.BackupConnected("entry-3.1", "z3")
-	c.TakeDecisions()
+	c.ConnectedEntries = func() []string { return []string{"entry-2.1", "entry-3.1"} }
 	loss := protocol.ServerLoss{Task: "x.0.0.0", Attempt: 7, Agent: "agent.1"}
 	c.Receive(testStart, "entry-2.1", protocol.Message{ServerLosses: []protocol.ServerLoss{loss}})
 	outputs, _, _ := c.TakeDecisions()
--- a/server/shard.go
+++ b/server/shard.go
@@ -60,18 +60,21 @@
 	shard := &entryShard{service: name, waiters: make(map[jobKey][]chan *coordinator.Answer)}
 	shard.coordinator.Settings = settings
 	shard.coordinator.Self, shard.coordinator.Zone, shard.coordinator.Service = e.hub.Self.Incarnation, e.hub.Self.Zone, name
+	shard.coordinator.ConnectedEntries = e.connectedEntries
 	shard.coordinator.Init(pausedetector.Now())
 	return shard
 }
 
 // shardFor returns the shard of the service of m, or nil if there is none. If the
-// settings allow it, an agent's announcement adds the service.
+// settings allow it, an agent's announcement adds the service, and so do losses of
+// backend servers, which a newly started entry must not miss.
 func (e *Entry) shardFor(m protocol.Message) *entryShard {
 	s := e.shards.find(m.Service)
-	if s != nil || !e.Settings.AddAnnouncedServices || m.Announce == nil || len(e.shards.list()) >= maxServices {
+	addsService := e.Settings.AddAnnouncedServices && (m.Announce != nil || m.ServerLosses != nil)
+	if s != nil || !addsService || len(e.shards.list()) >= maxServices {
 		return s
 	}
-	e.Log.WithField("service", m.Service).Info("Entry adds a service that an agent announced.")
+	e.Log.WithField("service", m.Service).Info("Entry adds a service that another process named.")
 	return e.shards.getOrAdd(m.Service, e.newShard(m.Service, e.Settings.Coordinator))
 }
 
--- a/tests/crash_test.go
+++ b/tests/crash_test.go
@@ -45,6 +45,13 @@
 	require.Equal(t, http.StatusOK, status)
 	require.JSONEq(t, `{"state":"failed"}`, answer)
 	require.Equal(t, before, f.checker.Starts(jobID(1)), "every entry knows that the task was given up")
+
+	f.restart(f.entries[0])
+	require.Eventually(t, func() bool { return f.isEntryReady(0) }, 5*time.Second, 10*time.Millisecond)
+	status, answer = postJob(f.entries[0], jobID(1), crashingJob())
+	require.Equal(t, http.StatusOK, status)
+	require.JSONEq(t, `{"state":"failed"}`, answer)
+	require.Equal(t, before, f.checker.Starts(jobID(1)), "so does an entry that has restarted")
 }
 
 // Guards against issue 27, LIMIT: an executor whose capacity has shrunk was given
