--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -40,32 +40,16 @@
 	c.queue.RemoveAgent(name)
 	c.lostAgents[name] = c.nextSequence
 	c.sendMember(name)
-	losses := a.serverLosses()
 	for j, tasks := range a.inFlight {
 		for i := range tasks {
 			c.recordAgentLoss(now, j, i)
 		}
 		c.advance(now, j)
 	}
-	c.handleServerLosses(now, name, losses)
 	c.sealAgentLost(now, name)
 	c.dispatch(now)
 }
 
-// serverLosses returns the losses that follow from the loss of the agent: its backend
-// server may have crashed with it.
-func (a *agent) serverLosses() []protocol.ServerLoss {
-	var losses []protocol.ServerLoss
-	for j, tasks := range a.inFlight {
-		for i := range tasks {
-			if name := j.requests[i].Name; j.restartable && name != "" {
-				losses = append(losses, protocol.ServerLoss{Task: name, Attempt: j.tasks[i].attempt, Agent: a.name})
-			}
-		}
-	}
-	return losses
-}
-
 // recordAgentLoss updates a task whose agent is lost: a restartable task waits
 // for its lease to expire, any other becomes unknown.
 func (c *Coordinator) recordAgentLoss(now time.Time, j *job, i int) {
--- a/coordinator/losses.go
+++ b/coordinator/losses.go
@@ -9,8 +9,9 @@
 
 const (
 	// maxServerLosses is the number of starts of a task that ended with the loss of
-	// the backend server or of the agent, after which the task is given up. Several
-	// tasks run on a server, so one or two losses are no evidence against a task.
+	// the backend server, after which the task is given up. Several tasks run on a
+	// server, so one or two losses are no evidence against a task. The loss of an
+	// agent does not count: its backend server usually runs on.
 	maxServerLosses = 3
 	// lossRetention is how long a loss is remembered after the last one of its task.
 	// Callers submit a job again within seconds.
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -13,7 +13,8 @@
 // soakSeeds are run in CI, one round each. Every seed that has ever shown a
 // violated guarantee stays here, with its cause.
 var soakSeeds = []uint64{
-	1,   // two entries are killed, links are interrupted, unresponsive or slow, and the store drops its change history
+	1,             // two entries are killed, links are interrupted, unresponsive or slow, and the store drops its change history
+	625, 627, 641, // a job was given up after losses of agents whose backend servers ran on
 	408, // a failed job was reported as completed: the stand-in executor read the clock twice at the end of a run
 }
 
