--- a/leaser/answer.go
+++ b/leaser/answer.go
@@ -6,18 +6,18 @@
 // (StatusNoAnswer).
 func (l *Leaser) HandleAnswer(now time.Time, c Call, a Answer) {
 	switch {
-	case c.Kind == KindRenew && c.reconcile:
-		l.reconcileInFlight = false
-	case c.Kind == KindRenew:
+	case c.Kind == KindRenew && !c.reconcile:
 		l.renewalsInFlight--
+	case c.serial == l.reconcileInFlight:
+		l.reconcileInFlight = 0
 	}
-	if a.Status == StatusWrongIncarnation || a.StartedAt != 0 && l.startedAt != 0 && a.StartedAt != l.startedAt {
+	switch l.originOf(c, a) {
+	case originEarlier:
+		return // resetAfterRestart has ended the runs of that incarnation
+	case originLater:
 		l.resetAfterRestart(now, a.StartedAt)
 		return
 	}
-	if c.startedAt != l.startedAt && l.startedAt != 0 && c.startedAt != 0 {
-		return // the call was for an earlier incarnation, which resetAfterRestart has handled
-	}
 	if a.StartedAt != 0 {
 		l.startedAt = a.StartedAt
 	}
@@ -37,25 +37,6 @@
 	l.Tick(now)
 }
 
-// HandleRestart records that the backend server has restarted: its earlier runs
-// have ended, and it has no fencing token. It has no effect if startedAt is that of
-// the known incarnation.
-func (l *Leaser) HandleRestart(now time.Time, startedAt int64) {
-	if startedAt != l.startedAt {
-		l.resetAfterRestart(now, startedAt)
-	}
-}
-
-// resetAfterRestart ends the active runs, clears what was known of the earlier
-// incarnation and starts a reconciliation.
-func (l *Leaser) resetAfterRestart(now time.Time, startedAt int64) {
-	l.endRunning(now, true)
-	l.startedAt, l.lastEnd, l.ackedEnds, l.maxUntil = startedAt, 0, 0, 0
-	l.clockReadAt, l.retryAt, l.consecutiveFailures = time.Time{}, time.Time{}, 0
-	l.reconcileInFlight = false
-	l.Reconcile(now)
-}
-
 // raiseToken raises the token if the rejected call carried the current one.
 func (l *Leaser) raiseToken(c Call) {
 	if c.Token == l.token {
--- /dev/null
+++ b/leaser/incarnation_test.go
@@ -0,0 +1,79 @@
+package leaser
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// An answer of an earlier incarnation may arrive after the first ones of the present
+// incarnation. It says nothing about the runs of the present one, which run on.
+func TestAnswerOfEarlierIncarnationEndsNoRun(t *testing.T) {
+	f := startConfirmed(t)
+	late := f.takeCall(KindRenew) // executed before the restart, answered after it
+	f.HandleRestart(f.now, testStartedAt+1)
+	f.drain()
+	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 10, StartedAt: testStartedAt + 1})
+	require.True(t, f.Reconciled())
+	f.answer(f.startRun(2, "b"), Answer{ClockMillis: 11, StartedAt: testStartedAt + 1})
+	require.Len(t, f.ended, 1, "the run of the earlier incarnation")
+	f.answer(late, Answer{ClockMillis: 5100, StartedAt: testStartedAt})
+	require.Len(t, f.ended, 1)
+	require.True(t, f.Reconciled())
+}
+
+// restartWithRun restarts the backend server of a fixture with one run, and starts run 2
+// of task b on the new incarnation.
+func (f *fixture) restartWithRun() {
+	f.HandleRestart(f.now, testStartedAt+1)
+	f.drain()
+	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 10, StartedAt: testStartedAt + 1})
+	require.True(f, f.Reconciled())
+	f.answer(f.startRun(2, "b"), Answer{ClockMillis: 11, StartedAt: testStartedAt + 1})
+	require.Len(f, f.ended, 1, "the run of the earlier incarnation")
+}
+
+// Status 421 to a call that was made to an earlier incarnation.
+func TestWrongIncarnationOfEarlierCallEndsNoRun(t *testing.T) {
+	f := startConfirmed(t)
+	late := f.takeCall(KindRenew)
+	f.restartWithRun()
+	f.answer(late, Answer{Status: StatusWrongIncarnation})
+	require.Len(t, f.ended, 1)
+	require.True(t, f.Reconciled())
+}
+
+// Status 421 shows that the known incarnation has been replaced, but not by which one.
+// Answers of the replaced one, which are still on their way, do not bring it back.
+func TestReplacedIncarnationDoesNotReturn(t *testing.T) {
+	f := startConfirmed(t)
+	late := f.takeCall(KindRenew)
+	f.sendRenewal(f.now)
+	f.answer(f.takeCall(KindRenew), Answer{Status: StatusWrongIncarnation})
+	require.Len(t, f.ended, 1)
+	require.False(t, f.Reconciled())
+	f.answer(late, Answer{ClockMillis: 5100, StartedAt: testStartedAt})
+	require.True(t, f.Outdated(testStartedAt))
+	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 5101, StartedAt: testStartedAt})
+	require.False(t, f.Reconciled(), "only an answer of another incarnation counts")
+	f.HandleRestart(f.now, testStartedAt)
+	f.HandleRestart(f.now, testStartedAt+1)
+	f.drain()
+	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 10, StartedAt: testStartedAt + 1})
+	require.True(t, f.Reconciled())
+}
+
+// While the present incarnation is unknown every call gets status 421. The calls must
+// not be repeated without a pause.
+func TestUnknownIncarnationIsNotCalledWithoutPause(t *testing.T) {
+	f := startConfirmed(t)
+	calls := 0
+	for end := f.now.Add(300 * time.Millisecond); f.now.Before(end); f.advance(time.Millisecond) {
+		for f.countCalls(KindRenew) > 0 {
+			f.answer(f.takeCall(KindRenew), Answer{Status: StatusWrongIncarnation})
+			calls++
+			require.Less(t, calls, 20)
+		}
+	}
+}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -62,9 +62,10 @@
 
 	token               int64           // newest fencing token
 	startedAt           int64           // start time of the backend server's incarnation; 0: unknown
+	replacedAt          int64           // start time of the incarnation before; 0: none known
 	tokenRaised         bool            // the token has been raised above those of all earlier processes
 	reconciled          bool            // a reconciliation call showed that there are no unknown runs
-	reconcileInFlight   bool            // a reconciliation call is in flight
+	reconcileInFlight   uint64          // serial of the newest reconciliation call while it is in flight, else 0
 	renewalsInFlight    int             // without reconciliation calls
 	retryAt             time.Time       // no renewal is sent earlier, since several have failed
 	consecutiveFailures int             // failed renewals and reconciliation calls in a row
@@ -129,11 +130,11 @@
 // sendReconcile sends a reconciliation call, which waits up to wait for a run to
 // end. It does nothing while one is in flight or before the retry time.
 func (l *Leaser) sendReconcile(now time.Time, wait time.Duration) {
-	if l.reconcileInFlight || now.Before(l.retryAt) {
+	if l.reconcileInFlight != 0 || now.Before(l.retryAt) {
 		return
 	}
-	l.reconcileInFlight = true
 	l.queueCall(now, Call{Kind: KindRenew, AckedEnds: l.lastEnd, Wait: wait, reconcile: true})
+	l.reconcileInFlight = l.serial
 }
 
 // Start starts a run of a task. The run's End carries the given id. If Reconciled
--- a/leaser/lost_test.go
+++ b/leaser/lost_test.go
@@ -78,19 +78,3 @@
 		require.False(t, f.ended[1].Lost)
 	})
 }
-
-// An answer of an earlier incarnation may arrive after the first ones of the present
-// incarnation. It says nothing about the runs of the present one, which run on.
-func TestAnswerOfEarlierIncarnationEndsNoRun(t *testing.T) {
-	f := startConfirmed(t)
-	late := f.takeCall(KindRenew) // executed before the restart, answered after it
-	f.HandleRestart(f.now, testStartedAt+1)
-	f.drain()
-	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 10, StartedAt: testStartedAt + 1})
-	require.True(t, f.Reconciled())
-	f.answer(f.startRun(2, "b"), Answer{ClockMillis: 11, StartedAt: testStartedAt + 1})
-	require.Len(t, f.ended, 1, "the run of the earlier incarnation")
-	f.answer(late, Answer{ClockMillis: 5100, StartedAt: testStartedAt})
-	require.Len(t, f.ended, 1)
-	require.True(t, f.Reconciled())
-}
