--- a/leaser/answer.go
+++ b/leaser/answer.go
@@ -5,10 +5,11 @@
 // HandleAnswer processes the answer to a call, or the lack of one
 // (StatusNoAnswer).
 func (l *Leaser) HandleAnswer(now time.Time, c Call, a Answer) {
+	newestReconcile := c.serial == l.reconcileInFlight
 	switch {
 	case c.Kind == KindRenew && !c.reconcile:
 		l.renewalsInFlight--
-	case c.serial == l.reconcileInFlight:
+	case newestReconcile:
 		l.reconcileInFlight = 0
 	}
 	switch l.originOf(c, a) {
@@ -28,7 +29,7 @@
 	case KindStart:
 		l.handleStartAnswer(now, c, a)
 	case KindRenew:
-		l.handleRenewalAnswer(now, c, a)
+		l.handleRenewalAnswer(now, c, a, newestReconcile)
 	case KindStop:
 		if a.Status == StatusFenced {
 			l.raiseToken(c)
@@ -93,7 +94,7 @@
 	}
 }
 
-func (l *Leaser) handleRenewalAnswer(now time.Time, c Call, a Answer) {
+func (l *Leaser) handleRenewalAnswer(now time.Time, c Call, a Answer, newestReconcile bool) {
 	if a.Status != StatusDone {
 		l.handleRenewalFailure(now, c, a)
 		return
@@ -110,7 +111,7 @@
 	for _, r := range l.runs {
 		l.reconcileRun(now, r, c, active, len(a.Ended) >= fullListLength)
 	}
-	if !l.reconciled && c.reconcile {
+	if !l.reconciled && newestReconcile {
 		l.advanceReconciliation(now, a)
 	}
 }
--- a/leaser/incarnation.go
+++ b/leaser/incarnation.go
@@ -64,6 +64,5 @@
 	}
 	l.startedAt, l.lastEnd, l.ackedEnds, l.maxUntil = startedAt, 0, 0, 0
 	l.clockReadAt, l.retryAt, l.consecutiveFailures = time.Time{}, time.Time{}, 0
-	l.reconcileInFlight = 0
 	l.Reconcile(now)
 }
--- a/leaser/incarnation_test.go
+++ b/leaser/incarnation_test.go
@@ -77,3 +77,16 @@
 		}
 	}
 }
+
+// Only the newest reconciliation call proves that the calls of earlier processes are
+// fenced off: its token is higher than theirs.
+func TestAnswerOfEarlierReconciliationDoesNotCount(t *testing.T) {
+	f := &fixture{T: t, now: testTime}
+	f.Init(f.now)
+	f.HandleRestart(f.now, testStartedAt)
+	earlier := f.takeCall(KindRenew)
+	f.HandleRestart(f.now, testStartedAt+1)
+	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 10, StartedAt: testStartedAt + 1})
+	f.answer(earlier, Answer{ClockMillis: 11, StartedAt: testStartedAt + 1})
+	require.False(t, f.Reconciled(), "the call with the raised token is unanswered")
+}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -122,7 +122,7 @@
 // Reconcile starts a reconciliation, which finds out which runs are active. It is
 // needed after a restart of this process or of the backend server.
 func (l *Leaser) Reconcile(now time.Time) {
-	l.reconciled = false
+	l.reconciled, l.reconcileInFlight = false, 0 // a call with an older token proves less
 	l.token++
 	l.sendReconcile(now, 0)
 }
