--- a/leaser/answer.go
+++ b/leaser/answer.go
@@ -53,6 +53,7 @@
 	switch a.Status {
 	case StatusDone:
 		r.state, r.confirmedSerial = running, l.serial
+		r.acknowledged, r.startedBy = true, a.StartedAt
 		if r.stopping {
 			l.sendStop(now, r)
 		}
@@ -150,6 +151,9 @@
 // to be read.
 func (l *Leaser) reconcileRun(now time.Time, r *run, c Call, active map[ActiveRun]bool, truncated bool) {
 	listed := active[ActiveRun{r.task, r.number}]
+	if listed {
+		r.startedBy = l.startedAt
+	}
 	switch {
 	case r.state == unconfirmed && listed:
 		// Answers to calls that were sent earlier may still arrive, and may list the
@@ -159,7 +163,7 @@
 			l.sendStop(now, r)
 		}
 	case r.state == unconfirmed && c.Token > r.token && !truncated:
-		l.endRun(now, r, EndStopped, false) // calls with an older token are rejected from now on
+		l.endRun(now, r, EndStopped, r.acknowledged) // calls with an older token are rejected from now on
 	case r.state == running && !listed && c.serial > r.confirmedSerial && !truncated:
 		l.endRun(now, r, EndStopped, true) // it ended, and the backend server has forgotten its end
 	}
--- a/leaser/incarnation.go
+++ b/leaser/incarnation.go
@@ -58,7 +58,7 @@
 // incarnation and starts a reconciliation. startedAt is 0 if the start time of the new
 // incarnation is unknown.
 func (l *Leaser) resetAfterRestart(now time.Time, startedAt int64) {
-	l.endRunning(now, true)
+	l.endRestarted(now)
 	if l.startedAt != 0 {
 		l.replacedAt = l.startedAt
 	}
--- a/leaser/incarnation_test.go
+++ b/leaser/incarnation_test.go
@@ -90,3 +90,27 @@
 	f.answer(earlier, Answer{ClockMillis: 11, StartedAt: testStartedAt + 1})
 	require.False(t, f.Reconciled(), "the call with the raised token is unanswered")
 }
+
+// The answer to a start does not say which incarnation of the backend server gave it. If
+// the server has restarted meanwhile, the next one may have executed the start, and the
+// run must not be reported as ended when the restart becomes known.
+func TestRunStartedByNextIncarnationIsNotReportedAsEnded(t *testing.T) {
+	f := newFixture(t)
+	f.answer(f.startRun(1, "a"), Answer{ClockMillis: 3})
+	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 4, StartedAt: testStartedAt + 1, Active: []ActiveRun{{"a", 1}}})
+	require.Empty(t, f.ended)
+	require.Zero(t, f.countCalls(KindStop))
+	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 5, StartedAt: testStartedAt + 1, Active: []ActiveRun{{"a", 1}}})
+	require.True(t, f.Reconciled())
+	require.Empty(t, f.ended)
+	require.Equal(t, 1, f.RunCount())
+}
+
+// As above, but the earlier incarnation executed the start.
+func TestRunStartedBeforeRestartEndsWithIt(t *testing.T) {
+	f := newFixture(t)
+	f.answer(f.startRun(1, "a"), Answer{ClockMillis: 5001})
+	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 4, StartedAt: testStartedAt + 1})
+	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 5, StartedAt: testStartedAt + 1})
+	require.Equal(t, []End{{ID: 1, Reason: EndStopped, Started: true, Lost: true}}, f.ended)
+}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -49,6 +49,8 @@
 	confirmedSerial uint64    // serial of the newest call when the run was confirmed to be active
 	token           int64     // of the last start call
 	attempts        int       // start calls sent
+	startedBy       int64     // start time of the incarnation that is known to have executed the start; 0: unknown
+	acknowledged    bool      // a start call was answered with success
 	serverLost      bool      // the backend server was lost since the start, which may be the cause or may have prevented it
 	stopping        bool
 	stopRequestedAt time.Time // when Stop was called
@@ -232,7 +234,7 @@
 		}
 	}
 	if now.After(l.leaseExpiry) && l.anyInState(running) {
-		l.endRunning(now, l.Unresponsive())
+		l.endExpired(now)
 		l.Reconcile(now)
 	}
 	l.renewIfDue(now)
@@ -248,14 +250,12 @@
 	return false
 }
 
-// endRunning ends the runs that were confirmed to be active, since their leases
-// have expired or the backend server has restarted. A start without an answer may
-// still be executed: it stays unconfirmed until the reconciliation call that
-// follows shows its outcome (rule 1). serverLost reports whether the backend server
-// is the cause, unless it leaves as planned.
-func (l *Leaser) endRunning(now time.Time, serverLost bool) {
+// endExpired ends the runs that were confirmed to be active, since their leases have
+// expired.
+func (l *Leaser) endExpired(now time.Time) {
+	lost := l.Unresponsive()
 	for _, r := range l.runs {
-		r.serverLost = r.serverLost || serverLost && !l.draining
+		l.markLost(r, lost)
 		if r.state == running {
 			l.endRun(now, r, EndStopped, true)
 			continue
@@ -264,6 +264,25 @@
 	}
 }
 
+// endRestarted ends the runs that an earlier incarnation of the backend server is known
+// to have executed. The present incarnation may execute, or may have executed, the
+// other starts: they are unconfirmed until the reconciliation call that follows shows
+// their outcome (rules 1 and 3).
+func (l *Leaser) endRestarted(now time.Time) {
+	for _, r := range l.runs {
+		l.markLost(r, true)
+		if r.state == running && r.startedBy != 0 {
+			l.endRun(now, r, EndStopped, true)
+			continue
+		}
+		r.state = unconfirmed
+	}
+}
+
+// markLost records whether the backend server was lost under a run. One that leaves as
+// planned is not.
+func (l *Leaser) markLost(r *run, lost bool) { r.serverLost = r.serverLost || lost && !l.draining }
+
 // renewIfDue keeps one renewal in flight while there are runs, and sends a last
 // one to acknowledge ends that the backend server may forget. Until the Leaser is
 // reconciled, it sends reconciliation calls instead.
