--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -200,15 +200,6 @@
 	l.queueCall(now, Call{Kind: KindStop, Task: r.task, Number: r.number, id: r.id})
 }
 
-// leaseEnd returns the end of a lease that begins now, in ms of the backend
-// server's clock, or 0 while that clock is unknown.
-func (l *Leaser) leaseEnd(now time.Time) int64 {
-	if l.clockReadAt.IsZero() {
-		return 0
-	}
-	return l.serverClock + now.Sub(l.clockReadAt).Milliseconds() + l.Settings.Lease.Milliseconds()
-}
-
 // queueCall queues a call with the current token. If the call extends the leases,
 // leaseExpiry moves too; it allows for a backend server clock that runs slow.
 func (l *Leaser) queueCall(now time.Time, c Call) {
