--- a/cmd/mustardleverd/hosted_agent.go
+++ b/cmd/mustardleverd/hosted_agent.go
@@ -72,8 +72,9 @@
 func newLeasedExecutor(ctx context.Context, p configurer.Process, a *server.Agent, store *platform.Store, log *logrus.Entry) *executor.LeasedExecutor {
 	backends := platform.NewBackends()
 	service := p.Platform.Service
+	maxLease := time.Duration(p.Platform.MaxLeaseMillis) * time.Millisecond
 	leased := &executor.LeasedExecutor{
-		Settings:       leaser.Settings{Lease: min(hostedLease, time.Duration(p.Platform.MaxLeaseMillis)*time.Millisecond)},
+		Settings:       leaser.Settings{Lease: min(hostedLease, maxLease), MaxLease: maxLease},
 		ReportInterval: time.Duration(p.Platform.ReportIntervalMillis) * time.Millisecond,
 		Log:            log, Call: backends.Call,
 		SetUnresponsive: func(unresponsive bool) { a.SetUnresponsive(service, unresponsive) },
--- a/leaser/answer.go
+++ b/leaser/answer.go
@@ -193,4 +193,6 @@
 		return
 	}
 	l.reconciled = true
+	// Calls that the backend server executed before this one may have set a longer lease.
+	l.extendExpiry(now.Add(onSlowClock(l.Settings.MaxLease)))
 }
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -17,12 +17,14 @@
 	stopTimeout          = 250 * time.Millisecond // for a stop to take effect, with time for two retries; then the leases are left to expire
 	fullListLength       = 500                    // ended runs in one answer; a list of this length may be incomplete
 	defaultLease         = 700 * time.Millisecond
+	defaultMaxLease      = 1000 * time.Millisecond
 	defaultRenewalWait   = 50 * time.Millisecond
 )
 
 // Settings configures a Leaser. Zero fields take the defaults.
 type Settings struct {
 	Lease       time.Duration // lease duration that starts and renewals ask for; default 700 ms
+	MaxLease    time.Duration // longest lease that the backend server grants; default 1 s
 	RenewalWait time.Duration // how long a renewal may wait for a run to end; default 50 ms, kept short because ends go unnoticed while a renewal is unanswered
 }
 
@@ -94,6 +96,9 @@
 	if l.Settings.Lease == 0 {
 		l.Settings.Lease = defaultLease
 	}
+	if l.Settings.MaxLease == 0 {
+		l.Settings.MaxLease = defaultMaxLease
+	}
 	if l.Settings.RenewalWait == 0 {
 		l.Settings.RenewalWait = defaultRenewalWait
 	}
@@ -158,7 +163,7 @@
 	r.state, r.token = starting, l.token
 	r.attempts++
 	c := Call{Kind: KindStart, Task: r.task, Number: r.number, Spec: r.spec, LeaseEndMillis: l.leaseEnd(now), id: r.id}
-	if !l.mayRenew(now) && now.Before(l.leaseExpiry) {
+	if !l.mayRenew(now) && now.Before(l.leaseExpiry) && l.maxUntil > 0 {
 		c.LeaseEndMillis = l.maxUntil // the run joins the current lease, since a start call must name a lease end
 	}
 	l.queueCall(now, c)
@@ -207,10 +212,7 @@
 	c.serial, c.startedAt, c.Token = l.serial, l.startedAt, l.token
 	if c.LeaseEndMillis > l.maxUntil {
 		l.maxUntil = c.LeaseEndMillis
-		expiry := now.Add(time.Duration(float64(l.Settings.Lease) * (1 + 2*maxClockDrift)))
-		if expiry.After(l.leaseExpiry) {
-			l.leaseExpiry = expiry
-		}
+		l.extendExpiry(now.Add(onSlowClock(l.Settings.Lease)))
 	}
 	l.calls = append(l.calls, c)
 }
@@ -224,10 +226,7 @@
 			l.sendStop(now, r)
 		}
 	}
-	if now.After(l.leaseExpiry) && l.anyInState(running) {
-		l.endExpired(now)
-		l.Reconcile(now)
-	}
+	l.endExpired(now)
 	l.renewIfDue(now)
 }
 
@@ -241,20 +240,6 @@
 	return false
 }
 
-// endExpired ends the runs that were confirmed to be active, since their leases have
-// expired.
-func (l *Leaser) endExpired(now time.Time) {
-	lost := l.Unresponsive()
-	for _, r := range l.runs {
-		l.markLost(r, lost)
-		if r.state == running {
-			l.endRun(now, r, EndStopped, true)
-			continue
-		}
-		r.state = unconfirmed
-	}
-}
-
 // endRestarted ends the runs that an earlier incarnation of the backend server is known
 // to have executed. The present incarnation may execute, or may have executed, the
 // other starts: they are unconfirmed until the reconciliation call that follows shows
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -21,8 +21,16 @@
 	ended      []End
 }
 
-// newFixture returns a reconciled Leaser whose backend server has no runs.
+// newFixture returns a Leaser whose backend server has no runs and holds no lease,
+// since it was reconciled long ago.
 func newFixture(t *testing.T) *fixture {
+	f := newReconciledFixture(t)
+	f.leaseExpiry = time.Time{}
+	return f
+}
+
+// newReconciledFixture returns a Leaser that has just been reconciled.
+func newReconciledFixture(t *testing.T) *fixture {
 	f := &fixture{T: t, now: testTime}
 	f.Init(f.now)
 	f.HandleRestart(f.now, testStartedAt)
