--- a/executor/leased.go
+++ b/executor/leased.go
@@ -162,7 +162,7 @@
 		return func() { x.SetUnresponsive(unresponsive) }
 	}
 	alive := x.report.Address != "" && now.Sub(x.reportedAt) < maxMissedReports*x.ReportInterval
-	shouldOffer := alive && x.report.Ready && x.leaser.Reconciled()
+	shouldOffer := alive && x.report.Ready && x.leaser.Reconciled() && !x.leaser.Outdated(x.report.StartedAt)
 	report := x.report
 	if shouldOffer && x.offered && report.Capacity != x.capacity {
 		x.capacity = report.Capacity
@@ -307,12 +307,13 @@
 }
 
 // HandleReport processes a report of the backend server. It returns false if the
-// report is not newer than the current one.
+// report is not newer than the current one, or is of an incarnation that has been
+// replaced.
 func (x *LeasedExecutor) HandleReport(r Report) bool {
 	accepted := false
 	x.update(func(l *leaser.Leaser, now time.Time) {
 		current := x.report
-		if r.StartedAt < current.StartedAt || r.StartedAt == current.StartedAt && r.ID == current.ID && r.Number <= current.Number {
+		if r.StartedAt < current.StartedAt || l.Outdated(r.StartedAt) || r.StartedAt == current.StartedAt && r.ID == current.ID && r.Number <= current.Number {
 			return
 		}
 		accepted = true
