--- a/cmd/mustardleverd/hosted.go
+++ b/cmd/mustardleverd/hosted.go
@@ -17,12 +17,14 @@
 // Timing on the platform. A caller that gets no answer resends its job after
 // 1.3 s to any entry. No task of the first submission may still be running then.
 // Therefore an agent stops the tasks of an entry from which it received nothing
-// for hostedSessionTimeout, and every task stops when its lease expires, at the
-// latest hostedLease after the agent's last renewal.
+// for hostedSessionTimeout, and leases are not extended beyond hostedOwnerTimeout after
+// the last contact with it. A task that was started late, up to hostedStartTimeout after
+// that contact, holds a lease of at most hostedLease.
 const (
 	hostedHeartbeat         = 100 * time.Millisecond
 	hostedConnectionTimeout = 300 * time.Millisecond
-	hostedSuspectTimeout    = 300 * time.Millisecond // without a message from an entry, three heartbeats; then leases are not renewed for its tasks
+	hostedOwnerTimeout      = 1000 * time.Millisecond // after the last contact with an entry; leases of its tasks end by then
+	hostedStartTimeout      = 500 * time.Millisecond  // after the last contact with an entry; then an agent starts no task for it
 	hostedSessionTimeout    = 600 * time.Millisecond
 	hostedLease             = 700 * time.Millisecond
 	hostedDialTimeout       = 250 * time.Millisecond // a machine without power does not answer; a running one answers within 10 ms
--- a/cmd/mustardleverd/hosted_agent.go
+++ b/cmd/mustardleverd/hosted_agent.go
@@ -23,7 +23,7 @@
 // serveHostedAgent runs an agent on the users' platform.
 func serveHostedAgent(l fx.Lifecycle, p configurer.Process, log *logrus.Entry, r *recorder.Recorder, settings *reloader, metrics *counter.Counter) error {
 	a := &server.Agent{
-		Settings: server.AgentSettings{Identity: identity(p), Entries: p.Entries, Messenger: hostedMessengerSettings(), SuspectTimeout: hostedSuspectTimeout},
+		Settings: server.AgentSettings{Identity: identity(p), Entries: p.Entries, Messenger: hostedMessengerSettings()},
 		Log:      log, Recorder: r,
 	}
 	settings.addEntries = a.AddEntries
@@ -74,9 +74,12 @@
 	service := p.Platform.Service
 	maxLease := time.Duration(p.Platform.MaxLeaseMillis) * time.Millisecond
 	leased := &executor.LeasedExecutor{
-		Settings:       leaser.Settings{Lease: min(hostedLease, maxLease), MaxLease: maxLease},
+		Settings: leaser.Settings{
+			Lease: min(hostedLease, maxLease), MaxLease: maxLease, OwnerTimeout: hostedOwnerTimeout, StartTimeout: hostedStartTimeout,
+		},
 		ReportInterval: time.Duration(p.Platform.ReportIntervalMillis) * time.Millisecond,
 		Log:            log, Call: backends.Call,
+		OwnerContact:    a.LastContact,
 		SetUnresponsive: func(unresponsive bool) { a.SetUnresponsive(service, unresponsive) },
 		SetCapacity:     func(capacity sizer.Resources) { a.SetCapacity(service, capacity) },
 		Withdraw:        func(executor.Report) { a.Withdraw(service) },
@@ -88,7 +91,7 @@
 	leased.Offer = func(r executor.Report) {
 		a.Offer(server.Offer{
 			Service: service, Address: r.Address, Capacity: r.Capacity, Labels: r.Labels,
-			Backend: server.Backend{Start: leased.Run, Stop: leased.Stop, SetOwnerSuspected: leased.SetOwnerSuspected},
+			Backend: server.Backend{Start: leased.Run, Stop: leased.Stop},
 		})
 	}
 	return leased
--- a/executor/leased.go
+++ b/executor/leased.go
@@ -63,6 +63,9 @@
 	Save func(Report)
 	// Withdraw is called when it must not receive any more tasks.
 	Withdraw func(Report)
+	// OwnerContact returns the time of the last contact with the owner of a run. If it
+	// is nil, runs have no owners.
+	OwnerContact func(owner string) time.Time
 	// SetUnresponsive is called when an offered backend server stops or resumes
 	// answering; no task should be started on it while it is unresponsive.
 	SetUnresponsive func(unresponsive bool)
@@ -82,6 +85,7 @@
 	offered      bool            // as last reported by Offer or Withdraw
 	capacity     sizer.Resources // as last reported by Offer or SetCapacity
 	unresponsive bool            // as last reported by SetUnresponsive
+	limited      bool            // as last logged
 	ctx          context.Context
 	goroutines   sync.WaitGroup
 }
@@ -127,7 +131,9 @@
 func (x *LeasedExecutor) decide(decide func(l *leaser.Leaser, now time.Time)) []leaser.End {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	decide(&x.leaser, time.Now())
+	now := time.Now()
+	x.updateContacts(now)
+	decide(&x.leaser, now)
 	calls, ends := x.leaser.TakeDecisions()
 	report := x.report
 	for _, c := range calls {
@@ -136,6 +142,26 @@
 	return ends
 }
 
+// updateContacts passes the last contact with each owner to the leaser, before every
+// decision: a decision that is made late must not rely on an earlier check. The caller
+// holds mu.
+func (x *LeasedExecutor) updateContacts(now time.Time) {
+	for _, owner := range x.leaser.Owners() {
+		x.leaser.SetContact(owner, x.OwnerContact(owner))
+	}
+	limited := x.leaser.Limited(now)
+	if limited == x.limited {
+		return
+	}
+	x.limited = limited
+	log := x.Log.WithFields(logFields(x.report))
+	if limited {
+		log.WithField("owners", x.leaser.Owners()).Warn("Agent shortens leases: an entry with tasks here is silent, or a stop has no effect.")
+		return
+	}
+	log.Info("Agent grants full leases again.")
+}
+
 // notifyChange reports a change of the backend server's availability since the
 // last notification. notifyMu keeps the notifications in order.
 func (x *LeasedExecutor) notifyChange() {
@@ -251,22 +277,25 @@
 // FinishStopped.
 func (x *LeasedExecutor) Run(r starter.Run) {
 	x.decideAndReportAsync(func(l *leaser.Leaser, now time.Time) {
-		l.Start(now, r.ID, r.Request.Name, r.Attempt, r.Request.Body)
+		l.Start(now, x.newRequest(r))
 		l.Tick(now)
 	})
 }
 
+// newRequest returns the request to start a run.
+func (x *LeasedExecutor) newRequest(r starter.Run) leaser.Request {
+	q := leaser.Request{ID: r.ID, Task: r.Request.Name, Number: r.Attempt, Spec: r.Request.Body}
+	if x.OwnerContact != nil {
+		q.Owner, q.ContactAt = r.Requester, x.OwnerContact(r.Requester)
+	}
+	return q
+}
+
 // Stop stops a task. It does not block.
 func (x *LeasedExecutor) Stop(r starter.Run) {
 	x.decideAndReportAsync(func(l *leaser.Leaser, now time.Time) { l.Stop(now, r.ID) })
 }
 
-// SetOwnerSuspected sets whether an owner of a running task is suspected to be
-// lost. It does not block.
-func (x *LeasedExecutor) SetOwnerSuspected(suspected bool) {
-	x.decideAndReportAsync(func(l *leaser.Leaser, _ time.Time) { l.SetOwnerSuspected(suspected) })
-}
-
 // decideAndReportAsync runs a decision synchronously and reports the ends of runs
 // on a new goroutine, since the caller holds the lock that Finish and
 // FinishStopped acquire.
--- a/leaser/answer.go
+++ b/leaser/answer.go
@@ -179,7 +179,7 @@
 	for _, e := range a.Active {
 		if r := l.byTask[e.Task]; r == nil || r.number != e.Number {
 			unknownRuns++
-			l.queueCall(now, Call{Kind: KindStop, Task: e.Task, Number: e.Number})
+			l.queueCall(Call{Kind: KindStop, Task: e.Task, Number: e.Number})
 		}
 	}
 	if unknownRuns > 0 || len(a.Ended) >= fullListLength {
--- a/leaser/call.go
+++ b/leaser/call.go
@@ -18,6 +18,16 @@
 // String returns the name of the kind in logs and metrics.
 func (k Kind) String() string { return [...]string{"start", "stop", "hold"}[k] }
 
+// Request is a request to start a run of a task.
+type Request struct {
+	ID        uint64 // in the run's End
+	Task      string
+	Number    int // run number, from 1
+	Spec      json.RawMessage
+	Owner     string    // process that vouches for the run: it ends some time after the last contact with it; empty: none
+	ContactAt time.Time // last contact with the owner
+}
+
 // Call is a call to make to the backend server. Its answer, or the lack of one,
 // must be passed to Leaser.HandleAnswer exactly once.
 type Call struct {
--- a/leaser/doc.go
+++ b/leaser/doc.go
@@ -20,11 +20,16 @@
 //     stopped and has ended. A start that was unconfirmed before the restart
 //     stays unconfirmed until that answer.
 //
-//  4. Leases are renewed for the whole backend server at once. They are not
-//     renewed while an owner of a run there is suspected to be lost, nor while
-//     a stop has no effect. A run that should not continue then ends by lease
+//  4. Leases are renewed for the whole backend server at once. None is extended
+//     beyond a fixed time after the last contact with each owner of a run there,
+//     nor while a stop has no effect, and nothing is started for an owner whose
+//     last contact is too old. A run that should not continue then ends by lease
 //     expiry before the caller submits its job again, even if all stops are
-//     lost.
+//     lost, and however late this process decides.
+//
+//  5. What is known of one incarnation of the backend server is not applied to
+//     another. Answers, reports and lease ends of an earlier one may arrive late,
+//     and the answer to a start or a stop does not say which one gave it.
 //
 // The package only makes decisions: it does no I/O and reads no clock.
 package leaser
--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -1,17 +1,68 @@
 package leaser
 
-import "time"
-
-// leaseEnd returns the end of a lease that begins now, in ms of the backend
-// server's clock, or 0 while that clock is unknown. That clock may run slow, so the
-// lease may be shorter than Settings.Lease, by maxClockDrift of the time since the clock
-// was read, but not longer.
-func (l *Leaser) leaseEnd(now time.Time) int64 {
-	if l.clockReadAt.IsZero() {
-		return 0
-	}
-	elapsed := float64(now.Sub(l.clockReadAt)) * (1 - maxClockDrift)
-	return l.serverClock + time.Duration(elapsed).Milliseconds() + l.Settings.Lease.Milliseconds()
+import (
+	"slices"
+	"time"
+)
+
+// leaseDuration returns how long a lease that begins now may last, 0 or less if leases
+// must not be extended (rule 4): a stop has been without effect for stopTimeout, or the
+// last contact with an owner of a run is too long ago.
+func (l *Leaser) leaseDuration(now time.Time) time.Duration {
+	d := l.Settings.Lease
+	for _, r := range l.runs {
+		if r.stopping && now.Sub(r.stopRequestedAt) >= stopTimeout {
+			return 0
+		}
+		if r.owner != "" {
+			d = min(d, r.contactAt.Add(l.Settings.OwnerTimeout).Sub(now))
+		}
+	}
+	return d
+}
+
+// Limited reports whether leases are kept shorter than Settings.Lease.
+func (l *Leaser) Limited(now time.Time) bool { return l.leaseDuration(now) < l.Settings.Lease }
+
+// Owners returns the owners of runs that are not being stopped, sorted.
+func (l *Leaser) Owners() []string {
+	var owners []string
+	for _, r := range l.runs {
+		if r.owner != "" && !r.stopping && !slices.Contains(owners, r.owner) {
+			owners = append(owners, r.owner)
+		}
+	}
+	slices.Sort(owners)
+	return owners
+}
+
+// SetContact records when the last contact with an owner was. Runs that are being
+// stopped keep the time of the contact before: the owner no longer vouches for them.
+func (l *Leaser) SetContact(owner string, at time.Time) {
+	for _, r := range l.runs {
+		if r.owner == owner && !r.stopping && at.After(r.contactAt) {
+			r.contactAt = at
+		}
+	}
+}
+
+// extendLeases sets the lease end that a call names to that of a lease that begins now,
+// in ms of the backend server's clock, or leaves it 0 while that clock is unknown. That
+// clock may run slow, so the lease may be shorter than leaseDuration, by maxClockDrift of
+// the time since the clock was read, but not longer. It reports whether leases may be
+// extended.
+func (l *Leaser) extendLeases(now time.Time, c *Call) bool {
+	d := l.leaseDuration(now)
+	if d <= 0 || l.clockReadAt.IsZero() {
+		return d > 0
+	}
+	elapsed := time.Duration(float64(now.Sub(l.clockReadAt)) * (1 - maxClockDrift))
+	c.LeaseEndMillis = l.serverClock + elapsed.Milliseconds() + d.Milliseconds()
+	if c.LeaseEndMillis > l.maxUntil {
+		l.maxUntil = c.LeaseEndMillis
+		l.extendExpiry(now.Add(onSlowClock(d)))
+	}
+	return true
 }
 
 // onSlowClock returns the longest time in which d elapses on the backend server's clock.
--- a/leaser/lease_test.go
+++ b/leaser/lease_test.go
@@ -53,3 +53,82 @@
 	f.advance(defaultMaxLease - defaultLease)
 	require.Len(t, f.ended, 2)
 }
+
+// startOwned starts a run of a task for an owner that was in contact just now.
+func (f *fixture) startOwned(id uint64, task, owner string) {
+	f.Start(f.now, Request{ID: id, Task: task, Owner: owner, ContactAt: f.now})
+	f.Tick(f.now)
+	f.answer(f.takeCall(KindStart), Answer{ClockMillis: f.serverClockMillis(), StartedAt: testStartedAt})
+}
+
+// serverClockMillis returns a backend server clock that runs at the right speed and
+// shows 5,000 at the creation of the fixture.
+func (f *fixture) serverClockMillis() int64 { return 5000 + f.now.Sub(testTime).Milliseconds() }
+
+// The entry that owns a run is lost, and all of its stops may be lost too. The run
+// must end by lease expiry before the caller submits the job again 1.3 s later, however
+// late the agent decides on renewals.
+func TestLeasesEndAfterLastContactWithOwner(t *testing.T) {
+	f := newFixture(t)
+	f.startOwned(1, "a", "lost")
+	f.startOwned(2, "b", "present")
+	limit := 5000 + defaultOwnerTimeout.Milliseconds()
+	listed := []ActiveRun{{"a", 1}, {"b", 1}}
+	until := int64(0)
+	for f.now.Sub(testTime) < 900*time.Millisecond {
+		f.SetContact("present", f.now)
+		renewal := f.takeCall(KindRenew)
+		until = max(until, renewal.LeaseEndMillis)
+		require.LessOrEqual(t, renewal.LeaseEndMillis, limit)
+		f.now = f.now.Add(50 * time.Millisecond)
+		f.answer(renewal, Answer{ClockMillis: f.serverClockMillis(), StartedAt: testStartedAt, Active: listed})
+	}
+	require.Greater(t, until, limit-20, "renewed as long as allowed")
+	require.True(t, f.Limited(f.now))
+	f.Start(f.now, Request{ID: 3, Task: "c", Owner: "present", ContactAt: f.now})
+	require.Equal(t, until, f.takeCall(KindStart).LeaseEndMillis, "the run joins the current lease, which a start must name")
+	f.SetContact("lost", f.now)
+	f.sendRenewal(f.now)
+	f.takeCall(KindRenew)
+	require.Greater(t, f.takeCall(KindRenew).LeaseEndMillis, limit, "the owner is in contact again")
+	require.False(t, f.Limited(f.now))
+}
+
+// A start that is read late, for example after a pause of the agent, may have been started
+// elsewhere since. It is not executed.
+func TestStartOfSilentOwnerIsNotExecuted(t *testing.T) {
+	f := newFixture(t)
+	f.Start(f.now, Request{ID: 1, Task: "a", Owner: "entry", ContactAt: f.now.Add(-defaultStartTimeout - time.Millisecond)})
+	f.drain()
+	require.Zero(t, f.countCalls(KindStart))
+	require.Equal(t, []End{{ID: 1}}, f.ended)
+	f.Start(f.now, Request{ID: 2, Task: "a", Owner: "entry", ContactAt: f.now.Add(-defaultStartTimeout)})
+	require.Equal(t, int64(5500), f.takeCall(KindStart).LeaseEndMillis)
+}
+
+// Without a lease that it could join, a start is not sent while leases must not be
+// extended: it would extend those of the runs that have to end.
+func TestStartDoesNotExtendLeasesOfOthers(t *testing.T) {
+	f := newFixture(t)
+	f.Start(f.now, Request{ID: 1, Task: "a", Owner: "lost", ContactAt: f.now})
+	f.answer(f.takeCall(KindStart), Answer{Status: StatusNoAnswer})
+	f.now = f.now.Add(2 * defaultOwnerTimeout)
+	f.Start(f.now, Request{ID: 2, Task: "b", Owner: "present", ContactAt: f.now})
+	f.drain()
+	require.Zero(t, f.countCalls(KindStart))
+	require.Equal(t, []End{{ID: 2, Reason: EndStopped}}, f.ended)
+}
+
+// An owner that has asked for a stop no longer vouches for the run, though it is in
+// contact.
+func TestRunToBeStoppedIsNotRenewedForItsOwner(t *testing.T) {
+	f := newFixture(t)
+	f.startOwned(1, "a", "entry")
+	f.now = f.now.Add(400 * time.Millisecond)
+	f.Stop(f.now, 1)
+	f.SetContact("entry", f.now)
+	require.Empty(t, f.Owners())
+	f.sendRenewal(f.now)
+	f.takeCall(KindRenew)
+	require.LessOrEqual(t, f.takeCall(KindRenew).LeaseEndMillis, 5000+defaultOwnerTimeout.Milliseconds())
+}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -18,14 +18,18 @@
 	fullListLength       = 500                    // ended runs in one answer; a list of this length may be incomplete
 	defaultLease         = 700 * time.Millisecond
 	defaultMaxLease      = 1000 * time.Millisecond
+	defaultOwnerTimeout  = 1000 * time.Millisecond
+	defaultStartTimeout  = 500 * time.Millisecond
 	defaultRenewalWait   = 50 * time.Millisecond
 )
 
 // Settings configures a Leaser. Zero fields take the defaults.
 type Settings struct {
-	Lease       time.Duration // lease duration that starts and renewals ask for; default 700 ms
-	MaxLease    time.Duration // longest lease that the backend server grants; default 1 s
-	RenewalWait time.Duration // how long a renewal may wait for a run to end; default 50 ms, kept short because ends go unnoticed while a renewal is unanswered
+	Lease        time.Duration // lease duration that starts and renewals ask for; default 700 ms
+	MaxLease     time.Duration // longest lease that the backend server grants; default 1 s
+	OwnerTimeout time.Duration // no lease is extended beyond this time after the last contact with an owner of a run; default 1 s
+	StartTimeout time.Duration // nothing is started for an owner whose last contact is longer ago; default 500 ms
+	RenewalWait  time.Duration // how long a renewal may wait for a run to end; default 50 ms, kept short because ends go unnoticed while a renewal is unanswered
 }
 
 // state is what is known about a run.
@@ -47,6 +51,8 @@
 	number          int
 	spec            json.RawMessage
 	state           state
+	owner           string    // process that vouches for the run; empty: none
+	contactAt       time.Time // last contact with the owner before the run was to be stopped
 	requestedAt     time.Time // when Start was called
 	confirmedSerial uint64    // serial of the newest call when the run was confirmed to be active
 	token           int64     // of the last start call
@@ -82,7 +88,6 @@
 	clockReadAt         time.Time // by the local clock; zero while the backend server's clock is unknown
 	maxUntil            int64     // latest lease end that was sent, by the backend server's clock, ms
 	leaseExpiry         time.Time // all active runs have ended by then, unless renewed; local clock
-	ownerSuspected      bool      // an owner of a run is suspected to be lost
 	draining            bool      // the backend server leaves as planned, which ends its runs
 	lastContact         time.Time // when a renewal or reconciliation call last succeeded, or Start found no runs
 
@@ -99,6 +104,12 @@
 	if l.Settings.MaxLease == 0 {
 		l.Settings.MaxLease = defaultMaxLease
 	}
+	if l.Settings.OwnerTimeout == 0 {
+		l.Settings.OwnerTimeout = defaultOwnerTimeout
+	}
+	if l.Settings.StartTimeout == 0 {
+		l.Settings.StartTimeout = defaultStartTimeout
+	}
 	if l.Settings.RenewalWait == 0 {
 		l.Settings.RenewalWait = defaultRenewalWait
 	}
@@ -140,33 +151,43 @@
 	if l.reconcileInFlight != 0 || now.Before(l.retryAt) {
 		return
 	}
-	l.queueCall(now, Call{Kind: KindRenew, AckedEnds: l.lastEnd, Wait: wait, reconcile: true})
+	l.queueCall(Call{Kind: KindRenew, AckedEnds: l.lastEnd, Wait: wait, reconcile: true})
 	l.reconcileInFlight = l.serial
 }
 
-// Start starts a run of a task. The run's End carries the given id. If Reconciled
-// is false or the task has a run already, the End reports that nothing was started.
-func (l *Leaser) Start(now time.Time, id uint64, task string, number int, spec json.RawMessage) {
-	if !l.reconciled || l.byTask[task] != nil {
-		l.ends = append(l.ends, End{ID: id})
+// Start starts a run of a task. The run's End carries the ID of the request. If
+// Reconciled is false, the task has a run already, or the last contact with the owner is
+// longer ago than Settings.StartTimeout, the End reports that nothing was started.
+func (l *Leaser) Start(now time.Time, q Request) {
+	stale := q.Owner != "" && now.Sub(q.ContactAt) > l.Settings.StartTimeout
+	if !l.reconciled || l.byTask[q.Task] != nil || stale {
+		l.ends = append(l.ends, End{ID: q.ID})
 		return
 	}
 	if len(l.runs) == 0 {
 		l.lastContact = now // without runs no renewals were sent, so an old contact is no sign of a failure
 	}
-	r := &run{id: id, task: task, number: max(number, 1), spec: spec, requestedAt: now}
-	l.runs[id], l.byTask[task] = r, r
+	q.Number = max(q.Number, 1)
+	r := &run{id: q.ID, task: q.Task, number: q.Number, spec: q.Spec, owner: q.Owner, contactAt: q.ContactAt, requestedAt: now}
+	l.runs[r.id], l.byTask[r.task] = r, r
 	l.sendStart(now, r)
 }
 
+// sendStart sends a start call. A start has to name a lease end: while leases must not
+// be extended, the run joins the current lease, and without one it cannot start.
 func (l *Leaser) sendStart(now time.Time, r *run) {
+	c := Call{Kind: KindStart, Task: r.task, Number: r.number, Spec: r.spec, id: r.id}
+	extended := l.extendLeases(now, &c)
+	if now.Before(l.leaseExpiry) && l.maxUntil > c.LeaseEndMillis {
+		c.LeaseEndMillis, extended = l.maxUntil, true
+	}
+	if !extended {
+		l.endRun(now, r, EndStopped, false)
+		return
+	}
 	r.state, r.token = starting, l.token
 	r.attempts++
-	c := Call{Kind: KindStart, Task: r.task, Number: r.number, Spec: r.spec, LeaseEndMillis: l.leaseEnd(now), id: r.id}
-	if !l.mayRenew(now) && now.Before(l.leaseExpiry) && l.maxUntil > 0 {
-		c.LeaseEndMillis = l.maxUntil // the run joins the current lease, since a start call must name a lease end
-	}
-	l.queueCall(now, c)
+	l.queueCall(c)
 }
 
 // Stop stops a run. Its End follows once the run has ended.
@@ -183,37 +204,15 @@
 // are then not reported as lost.
 func (l *Leaser) SetDraining(draining bool) { l.draining = draining }
 
-// SetOwnerSuspected sets whether an owner of a run is suspected to be lost.
-func (l *Leaser) SetOwnerSuspected(suspected bool) { l.ownerSuspected = suspected }
-
-// mayRenew reports whether leases may be renewed: no owner of a run is suspected
-// to be lost, and no stop has been without effect for stopTimeout (rule 4).
-func (l *Leaser) mayRenew(now time.Time) bool {
-	if l.ownerSuspected {
-		return false
-	}
-	for _, r := range l.runs {
-		if r.stopping && now.Sub(r.stopRequestedAt) >= stopTimeout {
-			return false
-		}
-	}
-	return true
-}
-
 func (l *Leaser) sendStop(now time.Time, r *run) {
 	r.stopSentAt = now
-	l.queueCall(now, Call{Kind: KindStop, Task: r.task, Number: r.number, id: r.id})
+	l.queueCall(Call{Kind: KindStop, Task: r.task, Number: r.number, id: r.id})
 }
 
-// queueCall queues a call with the current token. If the call extends the leases,
-// leaseExpiry moves too; it allows for a backend server clock that runs slow.
-func (l *Leaser) queueCall(now time.Time, c Call) {
+// queueCall queues a call with the current token.
+func (l *Leaser) queueCall(c Call) {
 	l.serial++
 	c.serial, c.startedAt, c.Token = l.serial, l.startedAt, l.token
-	if c.LeaseEndMillis > l.maxUntil {
-		l.maxUntil = c.LeaseEndMillis
-		l.extendExpiry(now.Add(onSlowClock(l.Settings.Lease)))
-	}
 	l.calls = append(l.calls, c)
 }
 
@@ -275,20 +274,20 @@
 	l.sendRenewal(now)
 }
 
-// sendRenewal sends a renewal. It extends the leases, unless mayRenew forbids that
+// sendRenewal sends a renewal. It extends the leases, unless leaseDuration forbids that
 // or no renewal was answered for renewalCutoff: unanswered renewals may have been
 // executed, and the leases would never expire. The call waits for a run to end,
 // unless a start is unconfirmed or the previous renewal failed.
 func (l *Leaser) sendRenewal(now time.Time) {
 	c := Call{Kind: KindRenew, AckedEnds: l.lastEnd}
-	if len(l.runs) > 0 && now.Sub(l.lastContact) < renewalCutoff && l.mayRenew(now) {
-		c.LeaseEndMillis = l.leaseEnd(now)
+	if len(l.runs) > 0 && now.Sub(l.lastContact) < renewalCutoff {
+		l.extendLeases(now, &c)
 	}
 	if len(l.runs) > 0 && !l.anyInState(unconfirmed) && l.consecutiveFailures == 0 {
 		c.Wait = l.Settings.RenewalWait
 	}
 	l.renewalsInFlight++
-	l.queueCall(now, c)
+	l.queueCall(c)
 }
 
 // endRun removes a run and records its End. It reports started as false only for a
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -73,7 +73,7 @@
 }
 
 func (f *fixture) startRun(id uint64, task string) Call {
-	f.Start(f.now, id, task, 1, nil)
+	f.Start(f.now, Request{ID: id, Task: task})
 	f.Tick(f.now)
 	return f.takeCall(KindStart)
 }
@@ -177,7 +177,7 @@
 	stop := f.takeCall(KindStop)
 	require.Equal(t, "x", stop.Task)
 	require.Equal(t, 4, stop.Number)
-	f.Start(f.now, 1, "a", 1, nil)
+	f.Start(f.now, Request{ID: 1, Task: "a"})
 	f.drain()
 	require.Zero(t, f.countCalls(KindStart))
 	require.Equal(t, []End{{ID: 1}}, f.ended, "the run is reported as not started")
@@ -325,26 +325,6 @@
 	return f
 }
 
-// The entry that owns a run is lost, and all of its stops may be lost too. The run
-// must end by lease expiry before the caller submits the job again 1.3 s later.
-func TestNoRenewalWhileOwnerIsSuspected(t *testing.T) {
-	f := newFixtureWithRun(t)
-	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 5050, StartedAt: testStartedAt, Active: []ActiveRun{{"a", 1}}})
-	until := f.takeCall(KindRenew).LeaseEndMillis
-	require.Positive(t, until)
-	f.SetOwnerSuspected(true)
-	f.now = f.now.Add(20 * time.Millisecond)
-	f.sendRenewal(f.now)
-	require.Zero(t, f.takeCall(KindRenew).LeaseEndMillis)
-	require.Equal(t, until, f.startRun(2, "b").LeaseEndMillis, "the run joins the current lease, which a start must name")
-	f.SetOwnerSuspected(false)
-	f.sendRenewal(f.now)
-	require.Positive(t, f.takeCall(KindRenew).LeaseEndMillis)
-	f.SetOwnerSuspected(true)
-	f.now = f.now.Add(time.Second)
-	require.Positive(t, f.startRun(3, "c").LeaseEndMillis, "the lease has expired, so the start begins a new one")
-}
-
 func TestNoRenewalWhileStopHasNoEffect(t *testing.T) {
 	f := newFixtureWithRun(t)
 	renewal := f.takeCall(KindRenew)
--- a/leaser/lost_test.go
+++ b/leaser/lost_test.go
@@ -56,9 +56,9 @@
 		require.False(t, f.ended[0].Lost)
 	})
 	t.Run("leases not renewed for the owner", func(t *testing.T) {
-		f := startConfirmed(t)
-		f.SetOwnerSuspected(true)
-		for range 50 {
+		f := newFixture(t)
+		f.startOwned(1, "a", "entry")
+		for range 60 {
 			if f.countCalls(KindRenew) > 0 {
 				f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 5001, StartedAt: testStartedAt, Active: []ActiveRun{{"a", 1}}})
 			}
--- a/leaser/view.go
+++ b/leaser/view.go
@@ -29,7 +29,7 @@
 // View returns the state of the leases for operators.
 func (l *Leaser) View(now time.Time) View {
 	v := View{
-		Reconciled: l.reconciled, Unresponsive: l.Unresponsive(), Renewing: l.mayRenew(now), Token: l.token, LastContactMillis: -1,
+		Reconciled: l.reconciled, Unresponsive: l.Unresponsive(), Renewing: l.leaseDuration(now) > 0, Token: l.token, LastContactMillis: -1,
 		LeaseLeftMillis: max(l.leaseExpiry.Sub(now).Milliseconds(), 0), Runs: make([]RunView, 0, len(l.runs)),
 	}
 	if !l.lastContact.IsZero() {
--- a/messenger/accept.go
+++ b/messenger/accept.go
@@ -149,6 +149,7 @@
 		return nil
 	}
 	s.lastContact = time.Now()
+	s.recordContact(h, b)
 	s.acknowledge(b.Ack)
 	messages := s.acceptNew(b)
 	peer := s.peer
--- /dev/null
+++ b/messenger/contact_test.go
@@ -0,0 +1,52 @@
+package messenger
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mustardlever.dev/mustardlever/protocol"
+)
+
+// A batch that waited in a buffer, for example while this process was paused, shows that
+// the peer was running when it sent the batch, not when the batch is read.
+func TestBufferedBatchIsNoRecentContact(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, peer := startHub(t, protocol.RoleEntry)
+		require.Zero(t, h.ConfirmedContact(peer.Incarnation))
+		require.True(t, attachTo(t, h, hello{Identity: peer, Epoch: 7, PeerEpoch: h.ensureSession(peer).localEpoch}))
+		s := h.findSession(peer.Incarnation)
+		record := func(b batch) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.recordContact(h, b)
+		}
+		time.Sleep(time.Second)
+		sentAt, stamp := time.Now(), h.stamp()
+		time.Sleep(900 * time.Millisecond)
+		record(batch{Sent: 20, Echo: stamp})
+		require.Equal(t, sentAt, h.ConfirmedContact(peer.Incarnation))
+		record(batch{Sent: 10, Echo: stamp - 5})
+		require.Equal(t, sentAt, h.ConfirmedContact(peer.Incarnation), "batches may overtake each other over two connections")
+		require.EqualValues(t, 20, s.peerStamp)
+		record(batch{})
+		require.Equal(t, time.Now(), h.ConfirmedContact(peer.Incarnation), "a peer that stamps no batches")
+		h.Stop()
+	})
+}
+
+// Contact is confirmed by heartbeats alone.
+func TestContactIsConfirmedByHeartbeats(t *testing.T) {
+	p := newPair(t, Settings{Entries: Timing{Heartbeat: 20 * time.Millisecond}})
+	begin := time.Now()
+	for _, h := range []*Hub{p.a, p.b} {
+		peer := p.a.Self.Incarnation
+		if h == p.a {
+			peer = p.b.Self.Incarnation
+		}
+		require.Eventually(t, func() bool { return h.ConfirmedContact(peer).After(begin) }, 5*time.Second, time.Millisecond)
+		require.False(t, h.ConfirmedContact(peer).After(time.Now()))
+	}
+}
--- a/messenger/dial.go
+++ b/messenger/dial.go
@@ -173,6 +173,7 @@
 	ctx, cancel := context.WithTimeout(h.ctx, helloTimeout)
 	defer cancel()
 	var peerHello hello
+	helloSentAt := time.Now()
 	if _, err := c.rpc.Call(ctx, methodHello, hello{Identity: h.Self}, &peerHello); err != nil {
 		return false
 	}
@@ -186,6 +187,9 @@
 	if s == nil || !h.attach(c, s, peerHello, h.Self.Name < peerHello.Identity.Name) {
 		return false
 	}
+	s.mu.Lock()
+	s.confirmContact(helloSentAt)
+	s.mu.Unlock()
 	if err := c.rpc.Notify(ctx, methodBegin, h.newHello(s)); err != nil {
 		h.connEnded(s, c)
 		return false
--- a/messenger/hub.go
+++ b/messenger/hub.go
@@ -61,6 +61,7 @@
 	selector      selector.Selector // entries to keep connected
 	dialing       map[string]bool   // by address: it has a redialLoop
 	incarnationAt map[string]string // by address: the incarnation that last answered a hello there
+	startedAt     time.Time
 	ctx           context.Context
 	cancel        context.CancelFunc
 	goroutines    sync.WaitGroup
@@ -71,6 +72,7 @@
 // a process that only dials.
 func (h *Hub) Start(l net.Listener) {
 	h.Settings = h.Settings.withDefaults()
+	h.startedAt = time.Now()
 	h.sessions = make(map[string]*session)
 	h.nextEpochs = make(map[string]uint64)
 	h.dialing = make(map[string]bool)
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -14,6 +14,8 @@
 	First    uint64             `json:"first,omitempty"`
 	Ack      uint64             `json:"ack"`
 	Clock    int64              `json:"clock,omitempty"`
+	Sent     int64              `json:"sent,omitempty"` // stamp of this batch, see Hub.stamp
+	Echo     int64              `json:"echo,omitempty"` // newest stamp that the sender has received from its peer
 	Messages []protocol.Message `json:"messages,omitempty"`
 }
 
@@ -31,6 +33,8 @@
 	closed      bool      // removed from the Hub; a new session may replace it
 	conn        *conn     // nil while disconnected
 	preferred   bool      // conn was dialed by the process whose name sorts first
+	confirmedAt time.Time // latest time at which the peer is known to have been running, see recordContact
+	peerStamp   int64     // newest stamp in a batch of the peer
 	lastContact time.Time // when the peer last attached a connection or sent a batch; initially the creation time
 
 	unacked      []protocol.Message // messages that the peer has not acknowledged
--- a/server/agent.go
+++ b/server/agent.go
@@ -40,7 +40,6 @@
 	BackendServers []BackendServer   // one per service
 	Messenger      messenger.Settings
 	Starter        starter.Settings
-	SuspectTimeout time.Duration // time without contact after which an entry is suspected to be lost, shorter than the session timeout; 0: never
 }
 
 // Agent runs the tasks of its backend servers. Set the fields before Start.
@@ -62,10 +61,9 @@
 
 // agentShard holds the state of one service. The mutex guards the other fields.
 type agentShard struct {
-	mu             sync.Mutex
-	starter        starter.Starter
-	backend        Backend
-	ownerSuspected bool // last value passed to backend.SetOwnerSuspected
+	mu      sync.Mutex
+	starter starter.Starter
+	backend Backend
 }
 
 // Start connects to the entries and announces the backend servers.
@@ -233,7 +231,6 @@
 			a.releaseSurplusEntries()
 		}
 		for _, s := range a.shardList() {
-			a.updateSuspected(s)
 			peers := a.applyDecisions(s, func(st *starter.Starter) {
 				if cleanup {
 					st.Tick(now)
@@ -256,6 +253,10 @@
 	return n
 }
 
+// LastContact returns the latest time at which the entry is known to have been running,
+// zero without a session.
+func (a *Agent) LastContact(entry string) time.Time { return a.hub.ConfirmedContact(entry) }
+
 // Peers returns the entries with an open session.
 func (a *Agent) Peers() []protocol.Identity { return a.hub.Peers() }
 
--- a/server/backend.go
+++ b/server/backend.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"slices"
 	"time"
 
 	"mustardlever.dev/mustardlever/executor"
@@ -24,10 +23,9 @@
 // block. The end of each run must be reported to Agent.Finish or
 // Agent.FinishStopped.
 type Backend struct {
-	Start             func(starter.Run)
-	Stop              func(starter.Run)    // nil: runs cannot be stopped
-	SetOwnerSuspected func(suspected bool) // called when an entry with tasks there becomes suspected to be lost, and when none is suspected any more; may be nil
-	Close             func()               // may be nil
+	Start func(starter.Run)
+	Stop  func(starter.Run) // nil: runs cannot be stopped
+	Close func()            // may be nil
 }
 
 // Offer describes a backend server that an agent announces to the entries.
@@ -140,27 +138,3 @@
 		peers.flush(&a.hub)
 	}
 }
-
-// updateSuspected calls SetOwnerSuspected when an entry with tasks at the backend
-// server becomes unresponsive, and when none is unresponsive any more.
-func (a *Agent) updateSuspected(s *agentShard) {
-	if s.backend.SetOwnerSuspected == nil || a.Settings.SuspectTimeout <= 0 {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	suspected := slices.ContainsFunc(s.starter.SessionBoundOwners(), func(entry string) bool {
-		return !a.hub.Reachable(entry, a.Settings.SuspectTimeout)
-	})
-	if suspected == s.ownerSuspected {
-		return
-	}
-	s.ownerSuspected = suspected
-	s.backend.SetOwnerSuspected(suspected)
-	log := a.Log.WithField("service", s.starter.Service)
-	if suspected {
-		log.WithField("silent-ms", a.Settings.SuspectTimeout.Milliseconds()).Warn("Agent renews no leases: an entry with tasks here is unresponsive.")
-		return
-	}
-	log.Info("Agent renews leases again: all entries with tasks here are responsive.")
-}
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -128,18 +128,6 @@
 // RunCount returns the number of queued and running tasks.
 func (s *Starter) RunCount() int { return len(s.runs) }
 
-// SessionBoundOwners returns the entries with session-bound tasks that are queued or
-// running.
-func (s *Starter) SessionBoundOwners() []string {
-	var owners []string
-	for _, r := range s.runs {
-		if r.sessionBound {
-			owners = appendUnique(owners, r.Requester)
-		}
-	}
-	return owners
-}
-
 // EntryConnected records a new session with an entry. The agent is announced to the
 // entry once no session-bound task of an earlier session is queued or running: the
 // entry may then start these tasks on other agents.
