--- a/leaser/answer.go
+++ b/leaser/answer.go
@@ -5,19 +5,20 @@
 // HandleAnswer processes the answer to a call, or the lack of one
 // (StatusNoAnswer).
 func (l *Leaser) HandleAnswer(now time.Time, c Call, a Answer) {
+	newestReconcile := c.serial == l.reconcileInFlight
 	switch {
-	case c.Kind == KindRenew && c.reconcile:
-		l.reconcileInFlight = false
-	case c.Kind == KindRenew:
+	case c.Kind == KindRenew && !c.reconcile:
 		l.renewalsInFlight--
+	case newestReconcile:
+		l.reconcileInFlight = 0
 	}
-	if a.Status == StatusWrongIncarnation || a.StartedAt != 0 && l.startedAt != 0 && a.StartedAt != l.startedAt {
+	switch l.originOf(c, a) {
+	case originEarlier:
+		return // resetAfterRestart has ended the runs of that incarnation
+	case originLater:
 		l.resetAfterRestart(now, a.StartedAt)
 		return
 	}
-	if c.startedAt != l.startedAt && l.startedAt != 0 && c.startedAt != 0 {
-		return // the call was for an earlier incarnation, which resetAfterRestart has handled
-	}
 	if a.StartedAt != 0 {
 		l.startedAt = a.StartedAt
 	}
@@ -28,7 +29,7 @@
 	case KindStart:
 		l.handleStartAnswer(now, c, a)
 	case KindRenew:
-		l.handleRenewalAnswer(now, c, a)
+		l.handleRenewalAnswer(now, c, a, newestReconcile)
 	case KindStop:
 		if a.Status == StatusFenced {
 			l.raiseToken(c)
@@ -37,25 +38,6 @@
 	l.Tick(now)
 }
 
-// HandleRestart records that the backend server has restarted: its earlier runs
-// have ended, and it has no fencing token. It has no effect if startedAt is that of
-// the known incarnation.
-func (l *Leaser) HandleRestart(now time.Time, startedAt int64) {
-	if startedAt != l.startedAt {
-		l.resetAfterRestart(now, startedAt)
-	}
-}
-
-// resetAfterRestart ends the active runs, clears what was known of the earlier
-// incarnation and starts a reconciliation.
-func (l *Leaser) resetAfterRestart(now time.Time, startedAt int64) {
-	l.endRunning(now, true)
-	l.startedAt, l.lastEnd, l.ackedEnds, l.maxUntil = startedAt, 0, 0, 0
-	l.clockReadAt, l.retryAt, l.consecutiveFailures = time.Time{}, time.Time{}, 0
-	l.reconcileInFlight = false
-	l.Reconcile(now)
-}
-
 // raiseToken raises the token if the rejected call carried the current one.
 func (l *Leaser) raiseToken(c Call) {
 	if c.Token == l.token {
@@ -71,6 +53,7 @@
 	switch a.Status {
 	case StatusDone:
 		r.state, r.confirmedSerial = running, l.serial
+		r.acknowledged, r.startedBy = true, a.StartedAt
 		if r.stopping {
 			l.sendStop(now, r)
 		}
@@ -112,7 +95,7 @@
 	}
 }
 
-func (l *Leaser) handleRenewalAnswer(now time.Time, c Call, a Answer) {
+func (l *Leaser) handleRenewalAnswer(now time.Time, c Call, a Answer, newestReconcile bool) {
 	if a.Status != StatusDone {
 		l.handleRenewalFailure(now, c, a)
 		return
@@ -129,7 +112,7 @@
 	for _, r := range l.runs {
 		l.reconcileRun(now, r, c, active, len(a.Ended) >= fullListLength)
 	}
-	if !l.reconciled && c.reconcile {
+	if !l.reconciled && newestReconcile {
 		l.advanceReconciliation(now, a)
 	}
 }
@@ -168,6 +151,9 @@
 // to be read.
 func (l *Leaser) reconcileRun(now time.Time, r *run, c Call, active map[ActiveRun]bool, truncated bool) {
 	listed := active[ActiveRun{r.task, r.number}]
+	if listed {
+		r.startedBy = l.startedAt
+	}
 	switch {
 	case r.state == unconfirmed && listed:
 		// Answers to calls that were sent earlier may still arrive, and may list the
@@ -177,7 +163,7 @@
 			l.sendStop(now, r)
 		}
 	case r.state == unconfirmed && c.Token > r.token && !truncated:
-		l.endRun(now, r, EndStopped, false) // calls with an older token are rejected from now on
+		l.endRun(now, r, EndStopped, r.acknowledged) // calls with an older token are rejected from now on
 	case r.state == running && !listed && c.serial > r.confirmedSerial && !truncated:
 		l.endRun(now, r, EndStopped, true) // it ended, and the backend server has forgotten its end
 	}
@@ -193,7 +179,7 @@
 	for _, e := range a.Active {
 		if r := l.byTask[e.Task]; r == nil || r.number != e.Number {
 			unknownRuns++
-			l.queueCall(now, Call{Kind: KindStop, Task: e.Task, Number: e.Number})
+			l.queueCall(Call{Kind: KindStop, Task: e.Task, Number: e.Number})
 		}
 	}
 	if unknownRuns > 0 || len(a.Ended) >= fullListLength {
@@ -207,4 +193,6 @@
 		return
 	}
 	l.reconciled = true
+	// Calls that the backend server executed before this one may have set a longer lease.
+	l.extendExpiry(now.Add(onSlowClock(l.Settings.MaxLease)))
 }
