--- a/leaser/answer.go
+++ b/leaser/answer.go
@@ -112,8 +112,11 @@
 	for _, r := range l.runs {
 		l.reconcileRun(now, r, c, active, len(a.Ended) >= fullListLength)
 	}
-	if !l.reconciled && newestReconcile {
+	switch {
+	case !l.reconciled && newestReconcile:
 		l.advanceReconciliation(now, a)
+	case l.reconciled && c.serial > l.endSerial && l.stopUnknown(a) > 0:
+		l.Reconcile(now)
 	}
 }
 
@@ -175,14 +178,7 @@
 // seen; an earlier process may have sent a start with a higher token that arrives
 // later. One more call with the token raised by tokenIncrement fences that start.
 func (l *Leaser) advanceReconciliation(now time.Time, a Answer) {
-	unknownRuns := 0
-	for _, e := range a.Active {
-		if r := l.byTask[e.Task]; r == nil || r.number != e.Number {
-			unknownRuns++
-			l.queueCall(Call{Kind: KindStop, Task: e.Task, Number: e.Number})
-		}
-	}
-	if unknownRuns > 0 || len(a.Ended) >= fullListLength {
+	if l.stopUnknown(a) > 0 || len(a.Ended) >= fullListLength {
 		l.sendReconcile(now, l.Settings.RenewalWait)
 		return
 	}
@@ -196,3 +192,16 @@
 	// Calls that the backend server executed before this one may have set a longer lease.
 	l.extendExpiry(now.Add(onSlowClock(l.Settings.MaxLease)))
 }
+
+// stopUnknown stops the active runs of an answer that this process does not know, and
+// returns their number.
+func (l *Leaser) stopUnknown(a Answer) int {
+	unknown := 0
+	for _, e := range a.Active {
+		if r := l.byTask[e.Task]; r == nil || r.number != e.Number {
+			unknown++
+			l.queueCall(Call{Kind: KindStop, Task: e.Task, Number: e.Number})
+		}
+	}
+	return unknown
+}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -84,6 +84,7 @@
 	lastEnd             int       // serial of the newest end that was processed
 	ackedEnds           int       // serial of the newest end that the backend server was told to forget
 	serial              uint64    // of the newest call
+	endSerial           uint64    // serial of the newest call when a run was last removed
 	serverClock         int64     // backend server's clock at clockReadAt, ms
 	clockReadAt         time.Time // by the local clock; zero while the backend server's clock is unknown
 	maxUntil            int64     // latest lease end that was sent, by the backend server's clock, ms
@@ -295,5 +296,6 @@
 func (l *Leaser) endRun(now time.Time, r *run, reason EndReason, started bool) {
 	delete(l.runs, r.id)
 	delete(l.byTask, r.task)
+	l.endSerial = l.serial
 	l.ends = append(l.ends, End{ID: r.id, Reason: reason, Started: started, Lost: r.serverLost, Duration: now.Sub(r.requestedAt)})
 }
