--- a/pausedetector/detector.go
+++ b/pausedetector/detector.go
@@ -36,13 +36,20 @@
 	return referenceTime.Add(bootClock() - referenceBoot)
 }
 
-// Detector detects long gaps between calls of Beat. Set MaxGap; with the zero value
-// no gap is detected. It is safe for concurrent use.
+// steadyNow returns the current time. Its monotonic part does not include suspensions.
+func steadyNow() time.Time { return referenceTime.Add(time.Since(referenceTime)) }
+
+// Detector detects long gaps between calls of Beat, and suspensions of the machine
+// between them. Set MaxGap; with the zero value nothing is detected. It is safe for
+// concurrent use.
 type Detector struct {
-	MaxGap time.Duration    // longest gap that does not count as a pause
-	Clock  func() time.Time // default Now
+	MaxGap        time.Duration    // longest gap that does not count as a pause
+	MaxSuspension time.Duration    // longest suspension that does not count as a pause; 0: MaxGap only
+	Clock         func() time.Time // default Now
+	SteadyClock   func() time.Time // does not include suspensions; default a monotonic clock
 
 	lastBeat atomic.Int64 // Unix nanoseconds; 0: none yet
+	maxLead  atomic.Int64 // at the last beat, see read
 }
 
 // now returns the current time in Unix nanoseconds.
@@ -53,17 +60,45 @@
 	return d.Clock().UnixNano()
 }
 
+// steady returns the time of SteadyClock in Unix nanoseconds.
+func (d *Detector) steady() int64 {
+	if d.SteadyClock == nil {
+		return steadyNow().UnixNano()
+	}
+	return d.SteadyClock().UnixNano()
+}
+
+// read returns the time of Clock in Unix nanoseconds, and bounds of the time by which it
+// is ahead of SteadyClock, in ns. The bounds differ because the clocks are read one after
+// the other.
+func (d *Detector) read() (now, minLead, maxLead int64) {
+	before := d.steady()
+	now = d.now()
+	return now, now - d.steady(), now - before
+}
+
 // Beat records that the process is running. Call it several times per MaxGap.
-func (d *Detector) Beat() { d.lastBeat.Store(d.now()) }
+func (d *Detector) Beat() {
+	now, _, maxLead := d.read()
+	d.maxLead.Store(maxLead)
+	d.lastBeat.Store(now)
+}
 
-// Paused reports whether the last beat was more than MaxGap ago. It then records a
-// beat, so that only one of several callers reports each gap.
+// Paused reports whether the last beat was more than MaxGap ago, or the machine was
+// suspended for more than MaxSuspension since. It then records a beat, so that only one
+// of several callers reports each pause.
 func (d *Detector) Paused() bool {
-	lastBeat, now := d.lastBeat.Load(), d.now()
-	if d.MaxGap <= 0 || lastBeat == 0 || time.Duration(now-lastBeat) <= d.MaxGap {
+	lastBeat, lastMaxLead := d.lastBeat.Load(), d.maxLead.Load()
+	now, minLead, maxLead := d.read()
+	if d.MaxGap <= 0 || lastBeat == 0 {
+		return false
+	}
+	suspended := d.MaxSuspension > 0 && time.Duration(minLead-lastMaxLead) > d.MaxSuspension
+	if !suspended && time.Duration(now-lastBeat) <= d.MaxGap || !d.lastBeat.CompareAndSwap(lastBeat, now) {
 		return false
 	}
-	return d.lastBeat.CompareAndSwap(lastBeat, now)
+	d.maxLead.Store(maxLead)
+	return true
 }
 
 // Sleep waits for d, or until ctx is done.
--- a/server/agent.go
+++ b/server/agent.go
@@ -30,6 +30,10 @@
 // on other agents; they wait longer than pauseLimit before they do so.
 const pauseLimit = time.Second
 
+// maxSuspension is the longest suspension of the VM that the agent tolerates. The time of
+// the last contact with an entry is measured without suspensions.
+const maxSuspension = 50 * time.Millisecond
+
 // cleanupInterval is the time between two removals of obsolete state by an agent.
 const cleanupInterval = time.Second
 
@@ -72,7 +76,7 @@
 	a.hub.Self = a.Settings.Identity.WithNewIncarnation()
 	a.hub.Settings = a.Settings.Messenger
 	a.Recorder.Process, a.Recorder.Zone = a.hub.Self.Incarnation, a.hub.Self.Zone
-	a.detector.MaxGap = pauseLimit
+	a.detector.MaxGap, a.detector.MaxSuspension = pauseLimit, maxSuspension
 	a.detector.Beat()
 	a.shards = make(map[string]*agentShard)
 	for _, b := range a.Settings.BackendServers {
