--- a/leaser/answer.go
+++ b/leaser/answer.go
@@ -110,7 +110,7 @@
 		l.processEnd(now, e)
 	}
 	for _, r := range l.runs {
-		l.reconcileRun(now, r, c, active, len(a.Ended) >= fullListLength)
+		l.reconcileRun(now, r, c, active, a.incomplete())
 	}
 	switch {
 	case !l.reconciled && newestReconcile:
@@ -149,10 +149,10 @@
 	}
 }
 
-// reconcileRun updates a run from the list of active runs. While the list of ended
-// runs is truncated, a run that is not listed as active may have an end that is yet
-// to be read.
-func (l *Leaser) reconcileRun(now time.Time, r *run, c Call, active map[ActiveRun]bool, truncated bool) {
+// reconcileRun updates a run from the list of active runs. While the lists are
+// incomplete, a run that is not listed as active may be active or have an end that is
+// yet to be read.
+func (l *Leaser) reconcileRun(now time.Time, r *run, c Call, active map[ActiveRun]bool, incomplete bool) {
 	listed := active[ActiveRun{r.task, r.number}]
 	if listed {
 		r.startedBy = l.startedAt
@@ -165,9 +165,9 @@
 		if r.stopping {
 			l.sendStop(now, r)
 		}
-	case r.state == unconfirmed && c.Token > r.token && !truncated:
+	case r.state == unconfirmed && c.Token > r.token && !incomplete:
 		l.endRun(now, r, EndStopped, r.acknowledged) // calls with an older token are rejected from now on
-	case r.state == running && !listed && c.serial > r.confirmedSerial && !truncated:
+	case r.state == running && !listed && c.serial > r.confirmedSerial && !incomplete:
 		l.endRun(now, r, EndStopped, true) // it ended, and the backend server has forgotten its end
 	}
 }
@@ -178,7 +178,7 @@
 // seen; an earlier process may have sent a start with a higher token that arrives
 // later. One more call with the token raised by tokenIncrement fences that start.
 func (l *Leaser) advanceReconciliation(now time.Time, a Answer) {
-	if l.stopUnknown(a) > 0 || len(a.Ended) >= fullListLength {
+	if l.stopUnknown(a) > 0 || a.incomplete() {
 		l.sendReconcile(now, l.Settings.RenewalWait)
 		return
 	}
--- a/leaser/call.go
+++ b/leaser/call.go
@@ -104,6 +104,9 @@
 	UnreadableRows int // rows of both lists that could not be decoded
 }
 
+// incomplete reports whether the lists may lack runs.
+func (a Answer) incomplete() bool { return len(a.Ended) >= fullListLength || a.UnreadableRows > 0 }
+
 // End reports that a run has ended, or certainly did not start (Started is false).
 type End struct {
 	ID       uint64
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -206,6 +206,18 @@
 	require.Empty(t, f.ended)
 }
 
+// A row that cannot be decoded may be that of a run, or of an unknown one.
+func TestUnreadableRowsEndNoRun(t *testing.T) {
+	f := newFixtureWithRun(t)
+	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 5050, StartedAt: testStartedAt, Active: []ActiveRun{{"a", 1}}})
+	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 5100, StartedAt: testStartedAt, UnreadableRows: 1})
+	require.Empty(t, f.ended)
+	f.HandleRestart(f.now, testStartedAt+1)
+	f.takeCall(KindRenew) // of the earlier incarnation
+	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 20, StartedAt: testStartedAt + 1, UnreadableRows: 1})
+	require.False(t, f.Reconciled())
+}
+
 // An answer that was overtaken may list a run whose end is known already.
 func TestEndedRunIsNotUnknown(t *testing.T) {
 	f := newFixtureWithRun(t)
