--- a/leaser/answer.go
+++ b/leaser/answer.go
@@ -154,8 +154,11 @@
 // yet to be read.
 func (l *Leaser) reconcileRun(now time.Time, r *run, c Call, active map[ActiveRun]bool, incomplete bool) {
 	listed := active[ActiveRun{r.task, r.number}]
-	if listed {
+	if listed && r.startedBy == 0 {
 		r.startedBy = l.startedAt
+		if r.calledAt != l.startedAt {
+			l.extendExpiry(now.Add(onSlowClock(l.Settings.MaxLease))) // its lease end is by another clock
+		}
 	}
 	switch {
 	case r.state == unconfirmed && listed:
--- a/leaser/lease_test.go
+++ b/leaser/lease_test.go
@@ -54,6 +54,23 @@
 	require.Len(t, f.ended, 2)
 }
 
+// As above, and the present incarnation lists the run. It executed a call to the earlier one.
+func TestRunFoundAfterRestartMayHoldLongerLease(t *testing.T) {
+	f := newFixture(t)
+	f.answer(f.startRun(1, "a"), Answer{Status: StatusNoAnswer})
+	f.now = f.now.Add(2 * defaultMaxLease)
+	renewal := f.takeCall(KindRenew)
+	f.HandleRestart(f.now, testStartedAt+1)
+	f.drain()
+	listed := []ActiveRun{{"a", 1}}
+	f.answer(renewal, Answer{ClockMillis: 100, StartedAt: testStartedAt + 1, Active: listed})
+	require.Empty(t, f.ended)
+	f.advance(defaultMaxLease)
+	require.Empty(t, f.ended)
+	f.advance(50 * time.Millisecond)
+	require.Len(t, f.ended, 1)
+}
+
 // startOwned starts a run of a task for an owner that was in contact just now.
 func (f *fixture) startOwned(id uint64, task, owner string) {
 	f.Start(f.now, Request{ID: id, Task: task, Owner: owner, ContactAt: f.now})
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -57,6 +57,7 @@
 	confirmedSerial uint64    // serial of the newest call when the run was confirmed to be active
 	token           int64     // of the last start call
 	attempts        int       // start calls sent
+	calledAt        int64     // incarnation that the last start call was made to
 	startedBy       int64     // start time of the incarnation that is known to have executed the start; 0: unknown
 	acknowledged    bool      // a start call was answered with success
 	serverLost      bool      // the backend server was lost since the start, which may be the cause or may have prevented it
@@ -186,7 +187,7 @@
 		l.endRun(now, r, EndStopped, false)
 		return
 	}
-	r.state, r.token = starting, l.token
+	r.state, r.token, r.calledAt = starting, l.token, l.startedAt
 	r.attempts++
 	l.queueCall(c)
 }
