--- a/leaser/answer.go
+++ b/leaser/answer.go
@@ -38,13 +38,6 @@
 	l.Tick(now)
 }
 
-// raiseToken raises the token if the rejected call carried the current one.
-func (l *Leaser) raiseToken(c Call) {
-	if c.Token == l.token {
-		l.token += tokenIncrement
-	}
-}
-
 func (l *Leaser) handleStartAnswer(now time.Time, c Call, a Answer) {
 	r := l.runs[c.id]
 	if r == nil || r.state != starting {
@@ -100,7 +93,7 @@
 		l.handleRenewalFailure(now, c, a)
 		return
 	}
-	l.consecutiveFailures, l.lastContact = 0, now
+	l.consecutiveFailures, l.lastContact, l.fenceIncrement = 0, now, 0
 	l.ackedEnds = max(l.ackedEnds, c.AckedEnds)
 	active := make(map[ActiveRun]bool, len(a.Active))
 	for _, e := range a.Active {
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -6,7 +6,6 @@
 )
 
 const (
-	tokenIncrement       = 1 << 20                // raises a fencing token that was too low
 	runNumberIncrement   = 1 << 10                // raises a run number that was too low
 	maxStartAttempts     = 4                      // of one start that was rejected for its token, run number or lease
 	maxClockDrift        = 0.02                   // fraction by which the backend server's clock may run slow
@@ -75,6 +74,7 @@
 	startedAt           int64           // start time of the backend server's incarnation; 0: unknown
 	replacedAt          int64           // start time of the incarnation before; 0: none known
 	tokenRaised         bool            // the token has been raised above those of all earlier processes
+	fenceIncrement      int64           // last increment of the token after a rejection; 0 once a renewal has been accepted
 	reconciled          bool            // a reconciliation call showed that there are no unknown runs
 	reconcileInFlight   uint64          // serial of the newest reconciliation call while it is in flight, else 0
 	renewalsInFlight    int             // without reconciliation calls
@@ -97,8 +97,7 @@
 	ends  []End
 }
 
-// Init prepares the Leaser. The fencing token starts from the wall clock, so that
-// the backend server seldom rejects the first call for a token that is too low.
+// Init prepares the Leaser.
 func (l *Leaser) Init(now time.Time) {
 	if l.Settings.Lease == 0 {
 		l.Settings.Lease = defaultLease
@@ -115,7 +114,7 @@
 	if l.Settings.RenewalWait == 0 {
 		l.Settings.RenewalWait = defaultRenewalWait
 	}
-	l.token = now.UnixMilli()
+	l.token = initialToken(now)
 	l.runs = make(map[uint64]*run)
 	l.byTask = make(map[string]*run)
 }
