--- a/coordinator/progress.go
+++ b/coordinator/progress.go
@@ -85,13 +85,14 @@
 }
 
 // expects reports whether the outcome belongs to the outstanding start of the
-// task. A refusal must be of the same attempt.
+// task. It must be of the same attempt, except for the result of a task that is started
+// at most once: that is final, whichever start it answers.
 func (j *job) expects(agent string, m *protocol.Outcome) bool {
 	if m.Task < 0 || m.Task >= len(j.tasks) {
 		return false
 	}
 	t := &j.tasks[m.Task]
-	return t.state == sent && t.agent == agent && (m.Result != nil || m.Attempt == t.attempt)
+	return t.state == sent && t.agent == agent && (m.Attempt == t.attempt || m.Result != nil && !j.restartable)
 }
 
 // removeStart removes an outstanding start of a task from its agent.
--- a/coordinator/sync_test.go
+++ b/coordinator/sync_test.go
@@ -117,6 +117,29 @@
 	require.Len(t, drainStarts(c), 2, "an agent announces itself only after all earlier tasks have stopped")
 }
 
+// An agent that was lost announces itself in a new session once the tasks of the closed
+// one have ended, and then reports their outcomes. The tasks have been started again by
+// then, maybe at the same agent: the outcome of an earlier attempt says nothing about the
+// present one.
+func TestOutcomeOfEarlierAttemptDoesNotEndPresentOne(t *testing.T) {
+	c := newTestCoordinator()
+	mustRunSync(t, c, syncJob("a"))
+	earlier := drainStarts(c)
+	c.AgentLost(testStart, testAgent)
+	c.Receive(testStart, testAgent, protocol.Message{Announce: &protocol.Announce{Capacity: sizer.Slots(4), Load: freeLoad}})
+	present := drainStarts(c)
+	require.Len(t, present, 2)
+	require.Greater(t, present[0].Attempt, earlier[0].Attempt)
+	failTask(c, testStart, testAgent, earlier[0])
+	completeTask(c, testStart, earlier[1])
+	require.Empty(t, drainStarts(c))
+	require.Equal(t, 1, c.Counts().Unfinished, "the job waits for both tasks")
+	completeTask(c, testStart, present[0])
+	completeTask(c, testStart, present[1])
+	answer, _ := finalAnswer(t, c)
+	require.Equal(t, StateComplete, answer.State)
+}
+
 // A job is reported as not run only if none of its starts can have been executed.
 func TestNotRunIsReportedOnlyWhenCertain(t *testing.T) {
 	tests := []struct {
