--- a/tests/crash_test.go
+++ b/tests/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -55,6 +56,27 @@
 	require.Equal(t, before, f.checker.Starts(jobID(1)), "so does an entry that has restarted")
 }
 
+// Guards against soak seed 625: a job without fault was given up since its executors, one
+// after the other, were silent until the leases had expired. They ran on.
+func TestTaskOnSilentExecutorsIsNotGivenUp(t *testing.T) {
+	f := newPlatformFleet(t, 2, 4)
+	answered := make(chan string)
+	go func() {
+		_, answer := postJob(f.entries[0], jobID(1), standin.Job(1, standin.Work{DurationMillis: 1500, Millicores: taskMillicores}))
+		answered <- answer
+	}()
+	for n := range 3 {
+		require.Eventually(t, func() bool { return f.checker.Starts(jobID(1)) > n }, 3*time.Second, time.Millisecond)
+		i := slices.IndexFunc(f.executors, func(x *standin.Executor) bool { return x.Name == f.checker.ExecutorOf(jobID(1)) })
+		time.Sleep(50 * time.Millisecond)
+		f.executors[i].SetUnresponsive(true)
+		time.Sleep(1100 * time.Millisecond) // longer than the leases, which are extended for up to 200 ms more
+		f.executors[i].SetUnresponsive(false)
+	}
+	require.JSONEq(t, `{"state":"completed"}`, <-answered)
+	require.Equal(t, 4, f.checker.Starts(jobID(1)), "each silence ended one run")
+}
+
 // Guards against issue 27, LIMIT: an executor whose capacity has shrunk was given
 // tasks as before.
 func TestShrunkCapacityIsRespected(t *testing.T) {
