--- a/cmd/mustardleverd/hosted_agent.go
+++ b/cmd/mustardleverd/hosted_agent.go
@@ -82,6 +82,7 @@
 		Withdraw:        func(executor.Report) { a.Withdraw(service) },
 		Finish:          func(id uint64, result *protocol.Result) { a.Finish(service, id, result) },
 		FinishStopped:   func(id uint64, serverLost bool) { a.FinishStopped(service, id, serverLost) },
+		RetractLoss:     func(id uint64) { a.RetractLoss(service, id) },
 	}
 	saver := &executor.ReportSaver{Log: log, Write: func(ctx context.Context, r executor.Report) error { return store.WriteBackend(ctx, p.Name, r) }}
 	leased.Save = func(r executor.Report) { saver.Save(ctx, r) }
--- a/coordinator/losses.go
+++ b/coordinator/losses.go
@@ -17,6 +17,8 @@
 	// Callers submit a job again within seconds.
 	lossRetention = 2 * time.Minute
 	maxLossTasks  = 4096 // tasks with losses; beyond that the oldest are forgotten
+	// maxLossesPerTask bounds the losses of a task that are kept, retracted ones included.
+	maxLossesPerTask = 16
 	// maxLossesPerMessage keeps messages below 64 KiB.
 	maxLossesPerMessage = 500
 )
@@ -28,17 +30,51 @@
 	names  []string // of the tasks, in the order of their first loss
 }
 
-// taskLosses holds the losses of one task, up to maxServerLosses.
+// taskLosses holds the losses of one task: up to maxServerLosses, and retracted ones, so
+// that the loss itself, which may arrive later by way of another entry, does not count.
 type taskLosses struct {
 	losses []protocol.ServerLoss
 	lastAt time.Time
 }
 
 // exhausted reports whether the task must not be started any more.
-func (t *taskLosses) exhausted() bool { return t != nil && len(t.losses) >= maxServerLosses }
+func (t *taskLosses) exhausted() bool {
+	if t == nil {
+		return false
+	}
+	n := 0
+	for _, loss := range t.losses {
+		if !loss.Retracted {
+			n++
+		}
+	}
+	return n >= maxServerLosses
+}
 
-// add adds a loss. It reports whether the loss is new and the task was not exhausted
-// before.
+// record records a loss or its retraction. It reports whether that is new. It records
+// no further losses of an exhausted task.
+func (t *taskLosses) record(loss protocol.ServerLoss) bool {
+	i := slices.IndexFunc(t.losses, func(k protocol.ServerLoss) bool {
+		return k.Task == loss.Task && k.Attempt == loss.Attempt && k.Agent == loss.Agent
+	})
+	switch {
+	case i >= 0 && (t.losses[i].Retracted || !loss.Retracted):
+		return false
+	case i >= 0:
+		t.losses[i].Retracted = true
+		return true
+	case t.exhausted():
+		return false
+	}
+	if len(t.losses) == maxLossesPerTask {
+		i := slices.IndexFunc(t.losses, func(k protocol.ServerLoss) bool { return k.Retracted })
+		t.losses = slices.Delete(t.losses, i, i+1)
+	}
+	t.losses = append(t.losses, loss)
+	return true
+}
+
+// add adds a loss or its retraction. It reports whether that is new and of use.
 func (l *lossTable) add(now time.Time, loss protocol.ServerLoss) bool {
 	if l.byTask == nil {
 		l.byTask = make(map[string]*taskLosses)
@@ -50,10 +86,10 @@
 		l.byTask[loss.Task] = t
 		l.names = append(l.names, loss.Task)
 	}
-	if t.exhausted() || slices.Contains(t.losses, loss) {
+	if !t.record(loss) {
 		return false
 	}
-	t.losses, t.lastAt = append(t.losses, loss), now
+	t.lastAt = now
 	return true
 }
 
@@ -123,6 +159,10 @@
 		if j.requests[i].Name != l.Task {
 			continue
 		}
+		if l.Retracted {
+			c.decide("server-ran-on", j, i, l.Agent, "the backend server that was reported as lost answers again")
+			return
+		}
 		c.decide("server-lost", j, i, l.Agent, "the backend server was lost while the task ran")
 		if c.losses.exhausted(l.Task) {
 			c.stop(now, j, protocol.ReasonServersLost)
--- a/coordinator/losses_test.go
+++ b/coordinator/losses_test.go
@@ -120,6 +120,54 @@
 	require.Equal(t, []protocol.ServerLoss{loss}, lossesTo(outputs, "entry-4.1"))
 }
 
+// A server that was reported as lost may only have been silent. If it answers again, its
+// loss counts for nothing, in whatever order the entries learn of it.
+func TestRetractedLossDoesNotCount(t *testing.T) {
+	loss := func(i int, retracted bool) protocol.ServerLoss {
+		return protocol.ServerLoss{Task: "a", Attempt: i, Agent: "agent.1", Retracted: retracted}
+	}
+	var l lossTable
+	for i := range 4 * maxLossesPerTask {
+		require.True(t, l.add(testStart, loss(i, i%2 == 0)))
+		require.Equal(t, i%2 == 1, l.add(testStart, loss(i, true)))
+		require.False(t, l.add(testStart, loss(i, false)))
+		require.False(t, l.exhausted("a"))
+	}
+	require.Len(t, l.byTask["a"].losses, maxLossesPerTask)
+	for i := range maxServerLosses {
+		require.False(t, l.exhausted("a"))
+		require.True(t, l.add(testStart, loss(1000+i, false)))
+	}
+	require.True(t, l.exhausted("a"))
+	require.LessOrEqual(t, len(l.byTask["a"].losses), maxLossesPerTask)
+	require.False(t, l.add(testStart, loss(2000, false)))
+	require.True(t, l.add(testStart, loss(1001, true)))
+	require.False(t, l.exhausted("a"), "a task that was given up may be started again")
+}
+
+func TestRetractionIsSpreadToOtherEntries(t *testing.T) {
+	c := newTestCoordinator()
+	c.ConnectedEntries = func() []string { return []string{"entry-2.1"} }
+	mustRunSync(t, c, namedJob("a"))
+	name := drainStarts(c)[0].Request.Name
+	retracted := protocol.ServerLoss{Task: name, Attempt: 7, Agent: "agent.1", Retracted: true}
+	for i := range 2 * maxServerLosses {
+		loss := protocol.ServerLoss{Task: name, Attempt: 7 + i, Agent: "agent.1"}
+		c.Receive(testStart, "agent.1", protocol.Message{ServerLosses: []protocol.ServerLoss{loss}})
+		c.TakeDecisions()
+		retracted.Attempt = loss.Attempt
+		c.Receive(testStart, "agent.1", protocol.Message{ServerLosses: []protocol.ServerLoss{retracted}})
+		outputs, _, decisions := c.TakeDecisions()
+		require.Equal(t, []protocol.ServerLoss{retracted}, lossesTo(outputs, "entry-2.1"))
+		require.Len(t, decisions, 1)
+		require.Equal(t, "server-ran-on", decisions[0].Kind)
+	}
+	require.Len(t, c.active, 1)
+	c.BackupConnected("entry-3.1", "z3")
+	outputs, _, _ := c.TakeDecisions()
+	require.Len(t, lossesTo(outputs, "entry-3.1"), 2*maxServerLosses)
+}
+
 func TestLossesAreBounded(t *testing.T) {
 	var l lossTable
 	now := testStart
--- a/executor/leased.go
+++ b/executor/leased.go
@@ -71,6 +71,9 @@
 	// FinishStopped is called when a run was stopped before it completed, or did not
 	// start. serverLost reports whether the backend server was lost meanwhile.
 	FinishStopped func(id uint64, serverLost bool)
+	// RetractLoss is called after FinishStopped with serverLost set when the backend
+	// server turns out to have run on.
+	RetractLoss func(id uint64)
 
 	notifyMu     sync.Mutex // serializes calls of Offer, SetCapacity, Withdraw and SetUnresponsive; acquired before mu
 	mu           sync.Mutex // guards the fields below, up to unresponsive
@@ -236,6 +239,8 @@
 
 func (x *LeasedExecutor) reportEnd(e leaser.End) {
 	switch {
+	case e.RanOn:
+		x.RetractLoss(e.ID)
 	case !e.Started:
 		x.FinishStopped(e.ID, e.Lost)
 	case e.Reason == leaser.EndCompleted:
--- a/leaser/answer.go
+++ b/leaser/answer.go
@@ -21,6 +21,7 @@
 	}
 	if a.StartedAt != 0 {
 		l.startedAt = a.StartedAt
+		l.retractLosses(c)
 	}
 	if a.ClockMillis != 0 {
 		l.serverClock, l.clockReadAt = a.ClockMillis, now
--- a/leaser/call.go
+++ b/leaser/call.go
@@ -100,5 +100,6 @@
 	Reason   EndReason
 	Started  bool
 	Lost     bool          // the backend server was lost: it crashed, or was unresponsive until the leases had expired
+	RanOn    bool          // an earlier End with this ID was wrong about Lost: the backend server has answered since; no other field is set
 	Duration time.Duration // from the call of Leaser.Start until the end was noticed
 }
--- a/leaser/incarnation.go
+++ b/leaser/incarnation.go
@@ -63,6 +63,7 @@
 		l.replacedAt = l.startedAt
 	}
 	l.startedAt, l.lastEnd, l.ackedEnds, l.maxUntil = startedAt, 0, 0, 0
+	l.presumedLosses = nil // they are certain now
 	l.clockReadAt, l.retryAt, l.consecutiveFailures = time.Time{}, time.Time{}, 0
 	l.Reconcile(now)
 }
--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -39,12 +39,15 @@
 // endExpired ends the runs that were confirmed to be active and whose leases have
 // certainly expired, and starts a reconciliation if there are any. A start without an
 // answer may still be executed: it stays unconfirmed until the reconciliation call shows
-// its outcome (rule 1).
+// its outcome (rule 1), and whether the backend server was lost.
 func (l *Leaser) endExpired(now time.Time) {
 	lost, ended := l.Unresponsive(), false
 	for _, r := range l.runs {
 		if r.state == running && l.expired(now, r) {
 			l.markLost(r, lost)
+			if r.serverLost {
+				l.presumeLost(r)
+			}
 			l.endRun(now, r, EndStopped, true)
 			ended = true
 		}
@@ -54,7 +57,6 @@
 	}
 	for _, r := range l.runs {
 		if r.state != running {
-			l.markLost(r, lost)
 			r.state = unconfirmed
 		}
 	}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -75,16 +75,17 @@
 	consecutiveFailures int             // failed renewals and reconciliation calls in a row
 	runs                map[uint64]*run // by ID
 	byTask              map[string]*run
-	lastEnd             int       // serial of the newest end that was processed
-	ackedEnds           int       // serial of the newest end that the backend server was told to forget
-	serial              uint64    // of the newest call
-	serverClock         int64     // backend server's clock at clockReadAt, ms
-	clockReadAt         time.Time // by the local clock; zero while the backend server's clock is unknown
-	maxUntil            int64     // latest lease end that was sent, by the backend server's clock, ms
-	leaseExpiry         time.Time // all active runs have ended by then, unless renewed; local clock
-	ownerSuspected      bool      // an owner of a run is suspected to be lost
-	draining            bool      // the backend server leaves as planned, which ends its runs
-	lastContact         time.Time // when a renewal or reconciliation call last succeeded, or Start found no runs
+	lastEnd             int            // serial of the newest end that was processed
+	ackedEnds           int            // serial of the newest end that the backend server was told to forget
+	serial              uint64         // of the newest call
+	serverClock         int64          // backend server's clock at clockReadAt, ms
+	clockReadAt         time.Time      // by the local clock; zero while the backend server's clock is unknown
+	maxUntil            int64          // latest lease end that was sent, by the backend server's clock, ms
+	leaseExpiry         time.Time      // all active runs have ended by then, unless renewed; local clock
+	ownerSuspected      bool           // an owner of a run is suspected to be lost
+	draining            bool           // the backend server leaves as planned, which ends its runs
+	presumedLosses      []presumedLoss // oldest first
+	lastContact         time.Time      // when a renewal or reconciliation call last succeeded, or Start found no runs
 
 	calls []Call
 	ends  []End
@@ -255,10 +256,6 @@
 	}
 }
 
-// markLost records whether the backend server was lost under a run. One that leaves as
-// planned is not.
-func (l *Leaser) markLost(r *run, lost bool) { r.serverLost = r.serverLost || lost && !l.draining }
-
 // renewIfDue keeps one renewal in flight while there are runs, and sends a last
 // one to acknowledge ends that the backend server may forget. Until the Leaser is
 // reconciled, it sends reconciliation calls instead.
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -19,6 +19,7 @@
 	now        time.Time
 	unanswered []Call
 	ended      []End
+	retracted  []uint64 // IDs of runs whose loss was retracted
 }
 
 // newFixture returns a Leaser whose backend server has no runs and holds no lease,
@@ -45,7 +46,13 @@
 func (f *fixture) drain() {
 	calls, ends := f.TakeDecisions()
 	f.unanswered = append(f.unanswered, calls...)
-	f.ended = append(f.ended, ends...)
+	for _, e := range ends {
+		if e.RanOn {
+			f.retracted = append(f.retracted, e.ID)
+			continue
+		}
+		f.ended = append(f.ended, e)
+	}
 }
 
 // takeCall removes and returns the oldest unanswered call of the kind.
--- a/leaser/lost_test.go
+++ b/leaser/lost_test.go
@@ -46,6 +46,90 @@
 	})
 }
 
+// startSilenced returns a fixture whose run was reported as lost, since the backend
+// server did not answer until the lease had expired.
+func startSilenced(t *testing.T) *fixture {
+	f := startConfirmed(t)
+	f.failCalls(time.Second)
+	require.Len(t, f.ended, 1)
+	require.True(t, f.ended[0].Lost)
+	require.Empty(t, f.retracted)
+	return f
+}
+
+// Guards against soak seed 625: a server that was silent until the leases had expired, and
+// ran on, counted as lost for good.
+func TestLossIsRetracted(t *testing.T) {
+	t.Run("the same incarnation answers again", func(t *testing.T) {
+		f := startSilenced(t)
+		f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 7000, StartedAt: testStartedAt})
+		require.Equal(t, []uint64{1}, f.retracted)
+		f.answer(f.startRun(2, "b"), Answer{ClockMillis: 7001})
+		f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 7002, StartedAt: testStartedAt, Active: []ActiveRun{{"b", 1}}})
+		require.Equal(t, []uint64{1}, f.retracted, "once")
+		require.Len(t, f.ended, 1)
+	})
+	t.Run("not by another incarnation", func(t *testing.T) {
+		f := startSilenced(t)
+		f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 10, StartedAt: testStartedAt + 1})
+		f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 11, StartedAt: testStartedAt + 1})
+		require.Empty(t, f.retracted)
+	})
+	t.Run("not after a report of another incarnation", func(t *testing.T) {
+		f := startSilenced(t)
+		f.HandleRestart(f.now, testStartedAt+1)
+		f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 7000, StartedAt: testStartedAt})
+		f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 10, StartedAt: testStartedAt + 1})
+		require.Empty(t, f.retracted)
+	})
+	t.Run("not by status 421", func(t *testing.T) {
+		f := startSilenced(t)
+		f.answer(f.takeCall(KindRenew), Answer{Status: StatusWrongIncarnation})
+		require.Empty(t, f.retracted)
+	})
+	t.Run("not by an answer that names no incarnation", func(t *testing.T) {
+		f := startSilenced(t)
+		f.answer(f.takeCall(KindRenew), Answer{Status: StatusRefused})
+		require.Empty(t, f.retracted)
+	})
+	t.Run("not by a late answer to a call sent before", func(t *testing.T) {
+		f := startConfirmed(t)
+		late := f.takeCall(KindRenew)
+		for range unresponsiveFailures {
+			f.sendRenewal(f.now)
+		}
+		f.failCalls(time.Second)
+		require.Len(t, f.ended, 1)
+		require.True(t, f.ended[0].Lost)
+		f.answer(late, Answer{ClockMillis: 5010, StartedAt: testStartedAt})
+		require.Empty(t, f.retracted)
+	})
+}
+
+// Whether the backend server was lost under an unconfirmed start is not presumed: the
+// answer that shows its outcome decides.
+func TestUnconfirmedStartIsNotLostWithSilentServer(t *testing.T) {
+	f := startConfirmed(t)
+	f.answer(f.startRun(2, "b"), Answer{Status: StatusNoAnswer})
+	f.failCalls(time.Second)
+	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 7000, StartedAt: testStartedAt})
+	require.Equal(t, []uint64{1}, f.retracted)
+	require.Len(t, f.ended, 2)
+	require.EqualValues(t, 2, f.ended[1].ID)
+	require.False(t, f.ended[1].Lost)
+}
+
+func TestPresumedLossesAreBounded(t *testing.T) {
+	var l Leaser
+	for i := range uint64(2 * maxPresumedLosses) {
+		l.presumeLost(&run{id: i})
+	}
+	require.Len(t, l.presumedLosses, maxPresumedLosses)
+	l.retractLosses(Call{serial: 1})
+	require.Len(t, l.ends, maxPresumedLosses)
+	require.EqualValues(t, maxPresumedLosses, l.ends[0].ID)
+}
+
 func TestRunIsNotLostWithItsServer(t *testing.T) {
 	t.Run("server leaves as planned", func(t *testing.T) {
 		f := startConfirmed(t)
--- a/protocol/message.go
+++ b/protocol/message.go
@@ -123,11 +123,14 @@
 // ServerLoss (agent to entries, and between entries) reports that a backend server
 // was lost while it ran an attempt of the named task: it crashed, or did not answer
 // until the leases of its runs had expired. Agent is the agent incarnation beside it.
-// The message precedes the outcome of the attempt.
+// The message precedes the outcome of the attempt. A retracted loss was none: the
+// backend server has answered again. Earlier releases ignore Retracted.
 type ServerLoss struct {
 	Task    string `json:"task"`
 	Attempt int    `json:"attempt"`
 	Agent   string `json:"agent"`
+
+	Retracted bool `json:"retracted,omitempty"`
 }
 
 // JobName returns the name of the job of a named task: the part before the first dot.
--- a/server/backend.go
+++ b/server/backend.go
@@ -141,6 +141,15 @@
 	}
 }
 
+// RetractLoss reports that the backend server of the service, which FinishStopped
+// reported as lost under a run, has run on.
+func (a *Agent) RetractLoss(service string, id uint64) {
+	if s := a.shard(service); s != nil {
+		peers := a.applyDecisions(s, func(st *starter.Starter) { st.RetractLoss(id) })
+		peers.flush(&a.hub)
+	}
+}
+
 // updateSuspected calls SetOwnerSuspected when an entry with tasks at the backend
 // server becomes unresponsive, and when none is unresponsive any more.
 func (a *Agent) updateSuspected(s *agentShard) {
--- a/starter/start.go
+++ b/starter/start.go
@@ -198,10 +198,8 @@
 // or it did not start. If the backend server was lost meanwhile, all entries are told,
 // since the task may be submitted again at any of them.
 func (s *Starter) FinishStopped(id uint64, serverLost bool) {
-	if r := s.runs[id]; r != nil && serverLost && r.Request.Name != "" {
-		for e := range s.entries {
-			s.send(e, protocol.Message{ServerLosses: []protocol.ServerLoss{{Task: r.Request.Name, Attempt: r.Attempt, Agent: s.Self}}})
-		}
+	if r := s.runs[id]; r != nil && serverLost && !r.serverRanOn && r.Request.Name != "" {
+		s.reportLoss(id, protocol.ServerLoss{Task: r.Request.Name, Attempt: r.Attempt, Agent: s.Self})
 	}
 	reason := protocol.RefusalLeaseExpired
 	if r := s.runs[id]; r != nil && r.stopping {
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -62,6 +62,7 @@
 	need         sizer.Resources
 	sessionBound bool
 	stopping     bool
+	serverRanOn  bool // RetractLoss was called before FinishStopped
 }
 
 // Starter decides which tasks one agent incarnation starts on one backend server
@@ -90,6 +91,7 @@
 	unresponsive     bool // the backend server may not answer: no capacity is offered or used
 	runs             map[uint64]*acceptedRun
 	lastRunID        uint64
+	reportedLosses   []reportedLoss // oldest first
 	retained         []*startRecord // records whose result was retained, oldest first
 	resultBytes      int            // of the retained results
 	recordCount      int            // start records in all tables
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -287,6 +287,53 @@
 	require.NotNil(t, d.Messages[2].Message.Outcome)
 }
 
+// startNamed starts a named, session-bound task and returns the ID of its run.
+func startNamed(t *testing.T, s *Starter, sequence uint64) uint64 {
+	s.Receive(testOwner, protocol.Message{Start: &protocol.Start{
+		Agent: s.Self, Ticket: protocol.Ticket{Sequence: sequence}, Attempt: 5, SessionBound: true, Request: protocol.Request{Name: "a.0.0.0"},
+	}})
+	d := s.TakeDecisions()
+	require.Len(t, d.Starts, 1)
+	return d.Starts[0].ID
+}
+
+// All entries learn that a server reported as lost has run on (soak seed 625).
+func TestRetractedLossIsReportedToAllEntries(t *testing.T) {
+	s := newStarter()
+	id := startNamed(t, s, 1)
+	s.FinishStopped(id, true)
+	s.EntryConnected("entry.2")
+	s.TakeDecisions()
+	s.RetractLoss(id)
+	d := s.TakeDecisions()
+	require.Len(t, d.Messages, 2)
+	for _, o := range d.Messages {
+		require.Equal(t, []protocol.ServerLoss{{Task: "a.0.0.0", Attempt: 5, Agent: "agent.1", Retracted: true}}, o.Message.ServerLosses)
+	}
+	s.RetractLoss(id + 1)
+	require.Empty(t, s.TakeDecisions().Messages)
+}
+
+// The end of a run and the retraction of its loss are reported by different goroutines.
+func TestRetractionMayOvertakeLoss(t *testing.T) {
+	s := newStarter()
+	id := startNamed(t, s, 1)
+	s.RetractLoss(id)
+	s.FinishStopped(id, true)
+	for _, o := range s.TakeDecisions().Messages {
+		require.Empty(t, o.Message.ServerLosses)
+	}
+}
+
+func TestReportedLossesAreBounded(t *testing.T) {
+	s := newStarter()
+	for i := range uint64(2 * maxReportedLosses) {
+		s.FinishStopped(startNamed(t, s, i+1), true)
+		s.TakeDecisions()
+	}
+	require.Len(t, s.reportedLosses, maxReportedLosses)
+}
+
 // Guards against issue 27, LIMIT. Running tasks may exceed a capacity that has shrunk;
 // nothing is started until they fit, and what no longer fits at all is refused.
 func TestShrunkCapacity(t *testing.T) {
