--- a/spec/check.sh
+++ b/spec/check.sh
@@ -14,7 +14,7 @@
 verify() {
 	# shellcheck disable=SC2086
 	spin $1 -a "$spec"
-	gcc -w -O2 -DSAFETY -DCOLLAPSE -DMEMLIM=9000 -o pan pan.c
+	gcc -w "-O${optimize:-2}" -DSAFETY -DCOLLAPSE -DMEMLIM=9000 -o pan pan.c
 	./pan -E -n -m1000000 "-w${HASH:-24}"
 }
 
@@ -49,6 +49,7 @@
 mutants "-DTASKS=1 -DAGENTS=2"
 
 spec=$here/lease.pml
+optimize=1 # its states are few: compiling takes longer than checking
 verify "" > report
 if ! grep -q 'errors: 0' report || grep -q 'not completed' report; then
 	cat report
--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -7,6 +7,11 @@
  * the backend server "life", a restarted one "reborn", a renewal "hold" and a
  * reconciliation "look".
  *
+ * Answers and status reports may arrive after the backend server has restarted, and
+ * after the agent knows the next incarnation. Only lists of runs and reports name their
+ * incarnation; the answer to a start does not. A call that was made to an earlier
+ * incarnation is executed by the present one, or answered with status 421 ("wrong").
+ *
  * Property: the task never runs here and on another backend server at the same
  * time.
  *
@@ -23,7 +28,7 @@
 #define ORDERS 3 /* starts that may be in transit at the same time */
 #endif
 #define RESTARTS 2 /* restarts of the agent */
-#define CRASHES 1  /* restarts of the backend server */
+#define CRASHES 2  /* restarts of the backend server */
 #define RAISES 3   /* increments of the token by one incarnation of the agent */
 #define LEAP 4     /* increment of the token that exceeds RAISES */
 
@@ -37,14 +42,38 @@
 #else
 #define KNOWN fresh = false
 #endif
+/* A restart ends a run that the earlier incarnation is known to have executed. */
+#ifdef NO_STARTED_BY
+#define ENDS_WITH_LIFE started
+#else
+#define ENDS_WITH_LIFE (started && listed)
+#endif
 #ifdef NO_REBORN_DOUBT
-#define REBORN_SETTLES starting = false; started = false; bound = false
+#define REBORN_DOUBT starting = false; bound = false
 #else
-#define REBORN_SETTLES started = false
+#define REBORN_DOUBT unconfirmed = true
 #endif
+/* Late answers and reports that describe an earlier incarnation than the known one. */
+#ifdef NO_ORIGIN
+#define EARLIER_ANSWER reset(holdLife)
+#else
+#define EARLIER_ANSWER skip
+#endif
+#ifdef NO_ORIGIN_WRONG
+#define EARLIER_WRONG reset(UNKNOWN)
+#else
+#define EARLIER_WRONG skip
+#endif
+#ifdef NO_OUTDATED
+#define EARLIER_REPORT reset(reportLife)
+#else
+#define EARLIER_REPORT skip
+#endif
+#define UNKNOWN 9 /* incarnation after status 421; higher than all others */
 
 /* The backend server. */
 bool running;
+byte runOf; /* the start that the run comes from */
 byte xfence;
 byte life;
 byte crashes;
@@ -56,9 +85,14 @@
 /* The agent. */
 byte afence = 1;
 byte knownLife;
+byte replaced; /* the incarnation known before; used while knownLife is UNKNOWN */
 bool clean;    /* reconciled with this incarnation of the backend server */
-bool starting; /* a start was sent and is unconfirmed */
-bool started;  /* a start was confirmed: the answer to a renewal listed its run */
+bool starting; /* a start was sent, and its outcome is unknown */
+bool unconfirmed; /* its answer no longer counts */
+bool started;  /* a start was confirmed, by its answer or by a list of runs */
+bool listed;   /* a list of the known incarnation has shown its run */
+byte newest;   /* the newest start */
+bool answered; /* the answer to the newest start is in transit */
 bool leapt;    /* the token exceeds those of all earlier incarnations of the agent */
 byte raises;
 byte restarts;
@@ -67,11 +101,15 @@
 
 /* A renewal that the backend server has answered; the answer is in transit. */
 bool pending;
+bool wrong;      /* the answer is status 421 */
+byte callLife;   /* incarnation that the call was made to */
 bool shown;      /* the answer lists the newest run */
 bool fresh;      /* the call was sent after a run was last listed */
 byte holdFence;
 byte holdLife;
 
+byte reportLife; /* used within report only */
+
 /* The entry. */
 bool bound; /* the task was sent to this agent, which has not reported its end */
 bool other; /* the task runs on another backend server */
@@ -89,7 +127,11 @@
 inline deliver(i) {
 	sent[i] = false;
 	if
-	:: fenceOf[i] >= xfence -> xfence = fenceOf[i]; running = true; assert(!other)
+	:: fenceOf[i] >= xfence -> xfence = fenceOf[i]; running = true; runOf = i; assert(!other);
+		if
+		:: i == newest -> answered = true
+		:: else
+		fi
 	:: else
 	fi
 }
@@ -117,19 +159,39 @@
 	od
 }
 
+/* Another incarnation is known to have replaced the known one (UNKNOWN: not which one).
+ * An unconfirmed start stays so until a reconciliation. */
+inline reset(newLife) {
+	if
+	:: knownLife != UNKNOWN -> replaced = knownLife
+	:: else
+	fi;
+	knownLife = newLife; clean = false;
+	if
+	:: ENDS_WITH_LIFE -> started = false; bound = false
+	:: started && !ENDS_WITH_LIFE -> started = false; starting = true; REBORN_DOUBT
+	:: starting -> REBORN_DOUBT
+	:: else
+	fi
+}
+
+/* A list of the known incarnation shows the run. */
+inline seen() {
+	starting = false; started = true; listed = true; KNOWN
+}
+
 /* A renewal with the agent's token. Its answer lists the runs if the token is not
  * too low. */
 inline settle() {
 	if
-	:: life != knownLife -> /* a restart: the runs have ended; an unconfirmed start stays so until a reconciliation */
-		knownLife = life; clean = false; REBORN_SETTLES
+	:: life != knownLife -> reset(life)
 	:: else ->
 		if
 		:: afence < xfence -> afence = xfence + 1
 		:: else ->
 			xfence = afence;
 			if
-			:: running -> starting = false; started = true; KNOWN
+			:: running -> seen()
 			:: else -> starting = false; started = false; bound = false
 			fi
 		fi
@@ -138,38 +200,91 @@
 
 /* A start. No answer in transit can list its run. */
 inline start(i) {
-	bound = true; starting = true; sent[i] = true; fenceOf[i] = afence; startFence = afence; shown = false
+	bound = true; starting = true; sent[i] = true; fenceOf[i] = afence; startFence = afence; shown = false;
+	newest = i; answered = false; unconfirmed = false; listed = false
 }
 
 /* The answer to a renewal arrives late, after the answers to other calls. */
 inline lateAnswer() {
 	pending = false;
 	if
-	:: holdLife != knownLife || !clean
-	:: else ->
+	:: wrong ->
+		if
+		:: callLife == knownLife -> reset(UNKNOWN)
+		:: callLife != knownLife && knownLife != UNKNOWN -> EARLIER_WRONG
+		:: else
+		fi
+	:: !wrong && holdLife != knownLife ->
 		if
-		:: shown && (starting || started) -> starting = false; started = true; KNOWN
+		:: callLife == knownLife -> reset(holdLife)
+		:: else -> EARLIER_ANSWER /* no call is made to an unknown incarnation, see send() */
+		fi
+	:: !wrong && holdLife == knownLife && clean ->
+		if
+		:: shown && (starting || started) -> seen()
 		:: !shown && started && fresh -> started = false; bound = false
-		:: !shown && starting && holdFence > startFence -> starting = false; bound = false
+		:: !shown && starting && unconfirmed && holdFence > startFence -> starting = false; bound = false
 		:: else
 		fi
+	:: else
 	fi
 }
 
+/* A call of a renewal that the backend server answers now. If the backend server has
+ * restarted since, it may answer with status 421 and does nothing. */
+inline send() {
+	pending = true; callLife = knownLife;
+	if
+	:: life != knownLife -> wrong = true; shown = false; fresh = false; holdFence = 0; holdLife = 0
+	:: afence >= xfence ->
+		wrong = false; shown = running; fresh = true; holdFence = afence; xfence = afence; holdLife = life
+	:: afence < xfence && life == knownLife -> pending = false
+	fi
+}
+
+/* A status report of the present incarnation, or a delayed one of an earlier incarnation,
+ * arrives. */
+inline report() {
+	if
+	:: reportLife = life
+	:: life > 0 -> reportLife = life - 1
+	:: life > 1 -> reportLife = 0
+	fi;
+	if
+	:: reportLife == knownLife
+	:: reportLife != knownLife && knownLife == UNKNOWN && reportLife != replaced -> reset(reportLife)
+	:: reportLife != knownLife && knownLife != UNKNOWN && reportLife > knownLife -> reset(reportLife)
+	:: else -> EARLIER_REPORT
+	fi;
+	reportLife = 0
+}
+
+/* A reconciliation call. A run that this process has started continues, others are
+ * stopped. */
+#define MINE (runOf == newest && (starting || started))
 inline look() {
-	knownLife = life;
 	if
-	:: afence < xfence -> afence = xfence + 1
+	:: life != knownLife && knownLife != UNKNOWN -> reset(life)
 	:: else ->
-		xfence = afence;
+		knownLife = life;
 		if
+		:: afence < xfence -> afence = xfence + 1
+		:: else ->
+			xfence = afence;
+			if
 #ifndef NO_STOP
-		:: running -> running = false /* stopped; reconciled again */
+			:: running && !MINE -> running = false /* stopped; reconciled again */
 #endif
 #ifndef NO_LEAP
-		:: !running && !leapt -> leapt = true; afence = afence + LEAP
+			:: !(running && !MINE) && !leapt -> leapt = true; afence = afence + LEAP
 #endif
-		:: else -> clean = true; starting = false; started = false; bound = false
+			:: else ->
+				clean = true;
+				if
+				:: running && MINE -> seen()
+				:: else -> starting = false; started = false; bound = false
+				fi
+			fi
 		fi
 	fi
 }
@@ -182,18 +297,22 @@
 	:: atomic { clean && !bound && !other && !sent[0] -> start(0) }
 	:: atomic { clean && !bound && !other && !sent[1] -> start(1) }
 	:: atomic { clean && !bound && !other && !sent[2] -> start(2) }
-	/* The start was not acknowledged in time. */
-	:: atomic { clean && starting && raises < RAISES -> raises++; RAISE; settle() }
+	/* The start was not answered in time. The renewal that shows its outcome is sent then. */
+	:: atomic { clean && starting && !unconfirmed && raises < RAISES -> raises++; RAISE; unconfirmed = true }
+	:: atomic { clean && starting && unconfirmed -> settle() }
+	/* The answer to the start arrives. Renewals that were sent earlier do not show its run. */
+	:: atomic { answered && starting && !unconfirmed ->
+		answered = false; starting = false; started = true; KNOWN }
 	/* A renewal during a run. */
 	:: atomic { clean && started -> settle() }
 	/* The backend server answers a renewal, and the answer arrives later. */
-	:: atomic { clean && !pending && afence >= xfence && life == knownLife ->
-		pending = true; shown = running; fresh = true; holdFence = afence; xfence = afence; holdLife = life }
+	:: atomic { clean && !pending -> send() }
 	:: atomic { pending -> lateAnswer() }
+	:: atomic { knownLife != life || life > 0 -> report() }
 	/* The agent's process is replaced. The new one has no state, and its clock may have
 	 * been set back. */
 	:: atomic { restarts < RESTARTS && crashes == 0 ->
-		restarts++; starting = false; started = false; pending = false; afence = 1; raises = 0; leapt = false;
+		restarts++; starting = false; started = false; pending = false; answered = false; afence = 1; raises = 0; leapt = false;
 #ifdef NO_LOOK
 		clean = true; bound = false; knownLife = life
 #else
