--- a/server/backend.go
+++ b/server/backend.go
@@ -138,3 +138,12 @@
 		peers.flush(&a.hub)
 	}
 }
+
+// RetractLoss reports that the backend server of the service, which FinishStopped
+// reported as lost under a run, has run on.
+func (a *Agent) RetractLoss(service string, id uint64) {
+	if s := a.shard(service); s != nil {
+		peers := a.applyDecisions(s, func(st *starter.Starter) { st.RetractLoss(id) })
+		peers.flush(&a.hub)
+	}
+}
