--- a/leaser/answer.go
+++ b/leaser/answer.go
@@ -12,6 +12,9 @@
 	case newestReconcile:
 		l.reconcileInFlight = 0
 	}
+	if a.Status == StatusWrongIncarnation {
+		a = Answer{Status: a.Status} // of one that cannot be called before its report
+	}
 	switch l.originOf(c, a) {
 	case originEarlier:
 		return // resetAfterRestart has ended the runs of that incarnation
--- a/leaser/incarnation.go
+++ b/leaser/incarnation.go
@@ -29,7 +29,7 @@
 			return originPresent
 		}
 		return originEarlier
-	case l.startedAt == 0 && a.StartedAt <= l.replacedAt:
+	case a.StartedAt == l.replacedAt, l.startedAt == 0 && a.StartedAt < l.replacedAt:
 		return originEarlier
 	case l.startedAt == 0 || a.StartedAt == l.startedAt:
 		return originPresent
--- a/leaser/incarnation_test.go
+++ b/leaser/incarnation_test.go
@@ -114,3 +114,38 @@
 	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 5, StartedAt: testStartedAt + 1})
 	require.Equal(t, []End{{ID: 1, Reason: EndStopped, Started: true, Lost: true}}, f.ended)
 }
+
+// The answer with status 421 may name the incarnation that gave it. Further calls get 421
+// too until its report tells how to call it: they must not make it count as replaced, nor
+// be repeated without a pause, nor keep its report from being used.
+func TestWrongIncarnationThatNamesItselfIsUsedAfterItsReport(t *testing.T) {
+	f := startConfirmed(t)
+	calls := 0
+	for end := f.now.Add(300 * time.Millisecond); f.now.Before(end); f.advance(time.Millisecond) {
+		for f.countCalls(KindRenew) > 0 && calls < 100 {
+			f.answer(f.takeCall(KindRenew), Answer{Status: StatusWrongIncarnation, ClockMillis: 10, StartedAt: testStartedAt + 1})
+			calls++
+		}
+	}
+	require.False(t, f.Outdated(testStartedAt+1), "its report is refused")
+	require.Less(t, calls, 20)
+}
+
+// The wall clock of a backend server's VM may have been set back before a restart: the
+// present incarnation then has the lower start time. A late answer of the replaced one
+// ends no run of the present one.
+func TestReplacedIncarnationWithHigherStartTimeDoesNotReturn(t *testing.T) {
+	f := startConfirmed(t)
+	late := f.takeCall(KindRenew)
+	f.sendRenewal(f.now)
+	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 10, StartedAt: testStartedAt - 1})
+	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 11, StartedAt: testStartedAt - 1})
+	require.True(t, f.Reconciled())
+	f.answer(f.startRun(2, "b"), Answer{ClockMillis: 12})
+	f.sendRenewal(f.now)
+	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 13, StartedAt: testStartedAt - 1, Active: []ActiveRun{{"b", 1}}})
+	require.Len(t, f.ended, 1, "the run of the replaced incarnation")
+	f.answer(late, Answer{ClockMillis: 5100, StartedAt: testStartedAt, Active: []ActiveRun{{"a", 1}}})
+	require.Len(t, f.ended, 1)
+	require.True(t, f.Reconciled())
+}
