--- a/cmd/mustardleverd/hosted.go
+++ b/cmd/mustardleverd/hosted.go
@@ -18,13 +18,13 @@
 // 1.3 s to any entry. No task of the first submission may still be running then.
 // Therefore an agent stops the tasks of an entry from which it received nothing
 // for hostedSessionTimeout, and leases are not extended beyond hostedOwnerTimeout after
-// the last contact with it. A task that was started late, up to hostedStartTimeout after
-// that contact, holds a lease of at most hostedLease.
+// the last contact with it. A task is not started if it might hold a lease of other tasks
+// for longer than hostedStartTimeout after that contact.
 const (
 	hostedHeartbeat         = 100 * time.Millisecond
 	hostedConnectionTimeout = 300 * time.Millisecond
 	hostedOwnerTimeout      = 1000 * time.Millisecond // after the last contact with an entry; leases of its tasks end by then
-	hostedStartTimeout      = 500 * time.Millisecond  // after the last contact with an entry; then an agent starts no task for it
+	hostedStartTimeout      = 1250 * time.Millisecond // after the last contact with an entry; a task that might run longer is not started for it
 	hostedSessionTimeout    = 600 * time.Millisecond
 	hostedLease             = 700 * time.Millisecond
 	hostedDialTimeout       = 250 * time.Millisecond // a machine without power does not answer; a running one answers within 10 ms
--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -46,6 +46,17 @@
 	}
 }
 
+// mayOutlast reports whether a run that starts now might hold a lease for longer than
+// Settings.StartTimeout after the last contact with its owner: a lease that is longer than
+// the run's own is not shortened.
+func (l *Leaser) mayOutlast(now time.Time, r *run) bool {
+	expiry := now.Add(onSlowClock(l.leaseDuration(now)))
+	if l.leaseExpiry.After(expiry) {
+		expiry = l.leaseExpiry
+	}
+	return r.owner != "" && expiry.Sub(r.contactAt) > l.Settings.StartTimeout
+}
+
 // extendLeases sets the lease end that a call names to that of a lease that begins now,
 // in ms of the backend server's clock, or leaves it 0 while that clock is unknown. That
 // clock may run slow, so the lease may be shorter than leaseDuration, by maxClockDrift of
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -18,7 +18,7 @@
 	defaultLease         = 700 * time.Millisecond
 	defaultMaxLease      = 1000 * time.Millisecond
 	defaultOwnerTimeout  = 1000 * time.Millisecond
-	defaultStartTimeout  = 500 * time.Millisecond
+	defaultStartTimeout  = 1250 * time.Millisecond
 	defaultRenewalWait   = 50 * time.Millisecond
 )
 
@@ -27,7 +27,7 @@
 	Lease        time.Duration // lease duration that starts and renewals ask for; default 700 ms
 	MaxLease     time.Duration // longest lease that the backend server grants; default 1 s
 	OwnerTimeout time.Duration // no lease is extended beyond this time after the last contact with an owner of a run; default 1 s
-	StartTimeout time.Duration // nothing is started for an owner whose last contact is longer ago; default 500 ms
+	StartTimeout time.Duration // nothing is started that might run longer than this after the last contact with its owner; default 1.25 s
 	RenewalWait  time.Duration // how long a renewal may wait for a run to end; default 50 ms, kept short because ends go unnoticed while a renewal is unanswered
 }
 
@@ -158,11 +158,10 @@
 }
 
 // Start starts a run of a task. The run's End carries the ID of the request. If
-// Reconciled is false, the task has a run already, or the last contact with the owner is
-// longer ago than Settings.StartTimeout, the End reports that nothing was started.
+// Reconciled is false, the task has a run already, or the run might last too long after
+// the last contact with its owner, the End reports that nothing was started.
 func (l *Leaser) Start(now time.Time, q Request) {
-	stale := q.Owner != "" && now.Sub(q.ContactAt) > l.Settings.StartTimeout
-	if !l.reconciled || l.byTask[q.Task] != nil || stale {
+	if !l.reconciled || l.byTask[q.Task] != nil {
 		l.ends = append(l.ends, End{ID: q.ID})
 		return
 	}
@@ -176,9 +175,14 @@
 }
 
 // sendStart sends a start call. A start has to name a lease end: while leases must not
-// be extended, the run joins the current lease, and without one it cannot start.
+// be extended, the run joins the current lease. Without one, or if that lasts too long for
+// the run, it cannot start.
 func (l *Leaser) sendStart(now time.Time, r *run) {
 	c := Call{Kind: KindStart, Task: r.task, Number: r.number, Spec: r.spec, id: r.id}
+	if l.mayOutlast(now, r) {
+		l.endRun(now, r, EndStopped, false)
+		return
+	}
 	extended := l.extendLeases(now, &c)
 	if now.Before(l.leaseExpiry) && l.maxUntil > c.LeaseEndMillis {
 		c.LeaseEndMillis, extended = l.maxUntil, true
