--- a/leaser/lease_test.go
+++ b/leaser/lease_test.go
@@ -177,3 +177,21 @@
 	f.takeCall(KindRenew)
 	require.LessOrEqual(t, f.takeCall(KindRenew).LeaseEndMillis, 5000+defaultOwnerTimeout.Milliseconds())
 }
+
+// After half a minute without runs the estimate of the backend server's clock makes the
+// first lease short. It must be renewed as soon as the answer to the start shows the
+// clock, not only after a renewal that waits longer than that lease.
+func TestShortLeaseAfterIdleTimeIsRenewedBeforeItExpires(t *testing.T) {
+	f := newFixture(t)
+	const idle = 33 * time.Second // 2% of it are 660 ms
+	f.now = f.now.Add(idle)
+	start := f.startRun(1, "a")
+	first := f.takeCall(KindRenew)
+	left := start.LeaseEndMillis - f.serverClockMillis()
+	require.Positive(t, left)
+	f.now = f.now.Add(2 * time.Millisecond)
+	f.answer(start, Answer{ClockMillis: f.serverClockMillis()})
+	if f.countCalls(KindRenew) == 0 { // the first renewal waits for a run to end
+		require.Less(t, first.Wait.Milliseconds(), left, "the lease expires while the renewal waits")
+	}
+}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -9,6 +9,7 @@
 	runNumberIncrement   = 1 << 10                // raises a run number that was too low
 	maxStartAttempts     = 4                      // of one start that was rejected for its token, run number or lease
 	maxClockDrift        = 0.02                   // fraction by which the backend server's clock may run slow
+	maxClockAge          = time.Second            // of a reading of the backend server's clock while there are runs
 	stopRetryInterval    = 100 * time.Millisecond // between two stop calls for one run
 	renewalRetryDelay    = 30 * time.Millisecond  // after more than unresponsiveFailures failed renewals in a row
 	unresponsiveFailures = 2                      // failed renewals in a row after which the backend server counts as unresponsive
@@ -279,13 +280,15 @@
 // sendRenewal sends a renewal. It extends the leases, unless leaseDuration forbids that
 // or no renewal was answered for renewalCutoff: unanswered renewals may have been
 // executed, and the leases would never expire. The call waits for a run to end,
-// unless a start is unconfirmed or the previous renewal failed.
+// unless a start is unconfirmed, the previous renewal failed, or the backend server's clock
+// was read too long ago, so that the lease may be short.
 func (l *Leaser) sendRenewal(now time.Time) {
 	c := Call{Kind: KindRenew, AckedEnds: l.lastEnd}
 	if len(l.runs) > 0 && now.Sub(l.lastContact) < renewalCutoff {
 		l.extendLeases(now, &c)
 	}
-	if len(l.runs) > 0 && !l.anyInState(unconfirmed) && l.consecutiveFailures == 0 {
+	clockKnown := now.Sub(l.clockReadAt) < maxClockAge
+	if len(l.runs) > 0 && !l.anyInState(unconfirmed) && l.consecutiveFailures == 0 && clockKnown {
 		c.Wait = l.Settings.RenewalWait
 	}
 	l.renewalsInFlight++
