--- a/executor/leased.go
+++ b/executor/leased.go
@@ -28,7 +28,7 @@
 	Service   string          `json:"service"`
 	Address   string          `json:"address"` // host:port
 	StartedAt int64           `json:"born-ms"` // start time, Unix ms
-	Number    int64           `json:"-"`       // increases with each report of one incarnation
+	Number    int64           `json:"number"`  // increases with each report of one incarnation
 	Ready     bool            `json:"ready"`   // accepts tasks; false while draining
 	Capacity  sizer.Resources `json:"capacity"`
 	Labels    []string        `json:"labels,omitempty"`
@@ -78,19 +78,19 @@
 	// server turns out to have run on.
 	RetractLoss func(id uint64)
 
-	notifyMu     sync.Mutex // serializes calls of Offer, SetCapacity, Withdraw and SetUnresponsive; acquired before mu
-	mu           sync.Mutex // guards the fields below, up to unresponsive
-	leaser       leaser.Leaser
-	report       Report
-	reportedAt   time.Time       // when the last report arrived or was restored
-	saved        Report          // last passed to Save
-	restored     bool            // report was saved by an earlier process and not confirmed since
-	offered      bool            // as last reported by Offer or Withdraw
-	capacity     sizer.Resources // as last reported by Offer or SetCapacity
-	unresponsive bool            // as last reported by SetUnresponsive
-	limited      bool            // as last logged
-	ctx          context.Context
-	goroutines   sync.WaitGroup
+	notifyMu      sync.Mutex // serializes calls of Offer, SetCapacity, Withdraw and SetUnresponsive; acquired before mu
+	mu            sync.Mutex // guards the fields below, up to unresponsive
+	leaser        leaser.Leaser
+	report        Report
+	reportedAt    time.Time // when the last report arrived or was restored
+	saved         Report    // last passed to Save
+	restored      bool      // report was saved by an earlier process and not confirmed since
+	offered       bool      // as last reported by Offer or Withdraw
+	offeredReport Report    // as last reported by Offer or SetCapacity
+	unresponsive  bool      // as last reported by SetUnresponsive
+	limited       bool      // as last logged
+	ctx           context.Context
+	goroutines    sync.WaitGroup
 }
 
 // Start starts the renewal of leases, which continues until ctx is canceled.
@@ -121,12 +121,14 @@
 	}
 }
 
-// update runs one decision, sends its calls and reports ends and changes.
+// update runs one decision, sends its calls and reports changes and ends. Changes come
+// first, since the end of a run lets others start.
 func (x *LeasedExecutor) update(decide func(l *leaser.Leaser, now time.Time)) {
-	for _, e := range x.decide(decide) {
+	ends := x.decide(decide)
+	x.notifyChange()
+	for _, e := range ends {
 		x.reportEnd(e)
 	}
-	x.notifyChange()
 }
 
 // decide runs one decision and sends its calls. It returns the ends of runs,
@@ -183,32 +185,31 @@
 }
 
 // nextNotification returns the notification to send if the backend server has
-// become available, unavailable, responsive or unresponsive, or has another capacity,
-// and nil if nothing has changed. The caller holds mu.
+// become available, unavailable, responsive or unresponsive, is another one, or has
+// another capacity, and nil if nothing has changed. The caller holds mu.
 func (x *LeasedExecutor) nextNotification(now time.Time) func() {
-	if unresponsive := x.leaser.Unresponsive(); x.offered && unresponsive != x.unresponsive {
+	report, unresponsive := x.report, x.leaser.Unresponsive()
+	alive := report.Address != "" && now.Sub(x.reportedAt) < maxMissedReports*x.ReportInterval
+	shouldOffer := alive && report.Ready && x.leaser.Reconciled() && !x.leaser.Outdated(report.StartedAt)
+	switch {
+	case x.offered && !shouldOffer:
+		x.offered = false
+		x.Log.WithFields(logFields(report)).WithField("heard-ms", now.Sub(x.reportedAt).Milliseconds()).
+			Info("Backend server no longer accepts tasks.")
+		return func() { x.Withdraw(report) }
+	case shouldOffer && (!x.offered || !report.sameServer(x.offeredReport)):
+		x.offered, x.unresponsive, x.offeredReport = true, false, report
+		x.Log.WithFields(logFields(report)).Info("Backend server accepts tasks.")
+		return func() { x.Offer(report) }
+	case x.offered && unresponsive != x.unresponsive:
 		x.unresponsive = unresponsive
 		return func() { x.SetUnresponsive(unresponsive) }
-	}
-	alive := x.report.Address != "" && now.Sub(x.reportedAt) < maxMissedReports*x.ReportInterval
-	shouldOffer := alive && x.report.Ready && x.leaser.Reconciled() && !x.leaser.Outdated(x.report.StartedAt)
-	report := x.report
-	if shouldOffer && x.offered && report.Capacity != x.capacity {
-		x.capacity = report.Capacity
+	case x.offered && report.Capacity != x.offeredReport.Capacity:
+		x.offeredReport = report
 		x.Log.WithFields(logFields(report)).Info("Backend server has changed its capacity.")
 		return func() { x.SetCapacity(report.Capacity) }
 	}
-	if shouldOffer == x.offered {
-		return nil
-	}
-	x.offered, x.unresponsive, x.capacity = shouldOffer, false, report.Capacity
-	if !shouldOffer {
-		x.Log.WithFields(logFields(report)).WithField("heard-ms", now.Sub(x.reportedAt).Milliseconds()).
-			Info("Backend server no longer accepts tasks.")
-		return func() { x.Withdraw(report) }
-	}
-	x.Log.WithFields(logFields(report)).Info("Backend server accepts tasks.")
-	return func() { x.Offer(report) }
+	return nil
 }
 
 // needsSave reports whether the report has to be saved, and counts it as saved: the
@@ -287,9 +288,9 @@
 	})
 }
 
-// newRequest returns the request to start a run.
+// newRequest returns the request to start a run, on the incarnation that was offered.
 func (x *LeasedExecutor) newRequest(r starter.Run) leaser.Request {
-	q := leaser.Request{ID: r.ID, Task: r.Request.Name, Number: r.Attempt, Spec: r.Request.Body}
+	q := leaser.Request{ID: r.ID, Task: r.Request.Name, Number: r.Attempt, Spec: r.Request.Body, StartedAt: x.offeredReport.StartedAt}
 	if x.OwnerContact != nil {
 		q.Owner, q.ContactAt = r.Requester, x.OwnerContact(r.Requester)
 	}
@@ -347,7 +348,8 @@
 	accepted := false
 	x.update(func(l *leaser.Leaser, now time.Time) {
 		current := x.report
-		if r.StartedAt < current.StartedAt || l.Outdated(r.StartedAt) || r.StartedAt == current.StartedAt && r.ID == current.ID && r.Number <= current.Number {
+		earlier := r.StartedAt < current.StartedAt && !l.Present(r.StartedAt) || l.Outdated(r.StartedAt)
+		if earlier || r.StartedAt == current.StartedAt && r.ID == current.ID && r.Number <= current.Number {
 			return
 		}
 		accepted = true
--- a/leaser/call.go
+++ b/leaser/call.go
@@ -24,6 +24,7 @@
 	Task      string
 	Number    int // run number, from 1
 	Spec      json.RawMessage
+	StartedAt int64     // incarnation of the backend server that is meant; 0: any
 	Owner     string    // process that vouches for the run: it ends some time after the last contact with it; empty: none
 	ContactAt time.Time // last contact with the owner
 }
--- a/leaser/incarnation.go
+++ b/leaser/incarnation.go
@@ -39,6 +39,10 @@
 	return originEarlier
 }
 
+// Present reports whether the known incarnation of the backend server started at
+// startedAt.
+func (l *Leaser) Present(startedAt int64) bool { return startedAt != 0 && startedAt == l.startedAt }
+
 // Outdated reports whether a later incarnation of the backend server is known than the
 // one that started at startedAt.
 func (l *Leaser) Outdated(startedAt int64) bool {
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -159,10 +159,12 @@
 }
 
 // Start starts a run of a task. The run's End carries the ID of the request. If
-// Reconciled is false, the task has a run already, or the run might last too long after
-// the last contact with its owner, the End reports that nothing was started.
+// Reconciled is false, another incarnation is known, the task has a run already, or the
+// run might last too long after the last contact with its owner, the End reports that
+// nothing was started.
 func (l *Leaser) Start(now time.Time, q Request) {
-	if !l.reconciled || l.byTask[q.Task] != nil {
+	anotherMeant := q.StartedAt != 0 && q.StartedAt != l.startedAt
+	if !l.reconciled || anotherMeant || l.byTask[q.Task] != nil {
 		l.ends = append(l.ends, End{ID: q.ID})
 		return
 	}
