--- a/executor/incarnation_test.go
+++ b/executor/incarnation_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mustardlever.dev/mustardlever/leaser"
 	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/sizer"
 	"mustardlever.dev/mustardlever/starter"
@@ -146,3 +147,44 @@
 		b.mu.Unlock()
 	})
 }
+
+// A report that was delayed may arrive after an answer has shown the next incarnation,
+// whose report is still to come: it says nothing about that one, nor about its capacity.
+func TestDelayedReportOfEarlierIncarnationIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &fakeBackend{startedAt: testStartedAt}
+		x, stop := newLeasedExecutor(t, b)
+		defer stop()
+		x.HandleReport(testReport(1))
+		time.Sleep(50 * time.Millisecond)
+		startRun(x, 7)
+		time.Sleep(50 * time.Millisecond)
+		b.mu.Lock()
+		b.startedAt, b.activeRuns = testStartedAt+20, nil
+		b.mu.Unlock()
+		time.Sleep(200 * time.Millisecond)
+		require.Equal(t, map[uint64]int{7: 0}, b.endStatuses())
+		require.Equal(t, []string{"offer", "withdraw"}, b.notified(), "the capacity of the next incarnation is unknown")
+		delayed := testReport(2)
+		require.False(t, x.HandleReport(delayed))
+		delayed.StartedAt = testStartedAt + 10 // an incarnation between the two
+		require.False(t, x.HandleReport(delayed))
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, []string{"offer", "withdraw"}, b.notified())
+		present := testReport(1)
+		present.StartedAt = testStartedAt + 20
+		require.True(t, x.HandleReport(present))
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, []string{"offer", "withdraw", "offer"}, b.notified())
+		startRun(x, 8)
+		time.Sleep(50 * time.Millisecond)
+		require.False(t, x.HandleReport(delayed))
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, map[uint64]int{7: 0}, b.endStatuses())
+		b.mu.Lock()
+		b.activeRuns, b.endedRuns = nil, []leaser.EndedRun{{Serial: 1, Task: "task", Number: 1, Reason: leaser.EndCompleted}}
+		b.mu.Unlock()
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, map[uint64]int{7: 0, 8: 200}, b.endStatuses())
+	})
+}
