--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -9,6 +9,7 @@
 	runNumberIncrement   = 1 << 10                // raises a run number that was too low
 	maxStartAttempts     = 4                      // of one start that was rejected for its token, run number or lease
 	maxClockDrift        = 0.02                   // fraction by which the backend server's clock may run slow
+	maxClockAge          = time.Second            // of a reading of the backend server's clock while there are runs
 	stopRetryInterval    = 100 * time.Millisecond // between two stop calls for one run
 	renewalRetryDelay    = 30 * time.Millisecond  // after more than unresponsiveFailures failed renewals in a row
 	unresponsiveFailures = 2                      // failed renewals in a row after which the backend server counts as unresponsive
@@ -18,7 +19,7 @@
 	defaultLease         = 700 * time.Millisecond
 	defaultMaxLease      = 1000 * time.Millisecond
 	defaultOwnerTimeout  = 1000 * time.Millisecond
-	defaultStartTimeout  = 500 * time.Millisecond
+	defaultStartTimeout  = 1250 * time.Millisecond
 	defaultRenewalWait   = 50 * time.Millisecond
 )
 
@@ -27,7 +28,7 @@
 	Lease        time.Duration // lease duration that starts and renewals ask for; default 700 ms
 	MaxLease     time.Duration // longest lease that the backend server grants; default 1 s
 	OwnerTimeout time.Duration // no lease is extended beyond this time after the last contact with an owner of a run; default 1 s
-	StartTimeout time.Duration // nothing is started for an owner whose last contact is longer ago; default 500 ms
+	StartTimeout time.Duration // nothing is started that might run longer than this after the last contact with its owner; default 1.25 s
 	RenewalWait  time.Duration // how long a renewal may wait for a run to end; default 50 ms, kept short because ends go unnoticed while a renewal is unanswered
 }
 
@@ -158,11 +159,12 @@
 }
 
 // Start starts a run of a task. The run's End carries the ID of the request. If
-// Reconciled is false, the task has a run already, or the last contact with the owner is
-// longer ago than Settings.StartTimeout, the End reports that nothing was started.
+// Reconciled is false, another incarnation is known, the task has a run already, or the
+// run might last too long after the last contact with its owner, the End reports that
+// nothing was started.
 func (l *Leaser) Start(now time.Time, q Request) {
-	stale := q.Owner != "" && now.Sub(q.ContactAt) > l.Settings.StartTimeout
-	if !l.reconciled || l.byTask[q.Task] != nil || stale {
+	anotherMeant := q.StartedAt != 0 && q.StartedAt != l.startedAt
+	if !l.reconciled || anotherMeant || l.byTask[q.Task] != nil {
 		l.ends = append(l.ends, End{ID: q.ID})
 		return
 	}
@@ -176,9 +178,14 @@
 }
 
 // sendStart sends a start call. A start has to name a lease end: while leases must not
-// be extended, the run joins the current lease, and without one it cannot start.
+// be extended, the run joins the current lease. Without one, or if that lasts too long for
+// the run, it cannot start.
 func (l *Leaser) sendStart(now time.Time, r *run) {
 	c := Call{Kind: KindStart, Task: r.task, Number: r.number, Spec: r.spec, id: r.id}
+	if l.mayOutlast(now, r) {
+		l.endRun(now, r, EndStopped, false)
+		return
+	}
 	extended := l.extendLeases(now, &c)
 	if now.Before(l.leaseExpiry) && l.maxUntil > c.LeaseEndMillis {
 		c.LeaseEndMillis, extended = l.maxUntil, true
@@ -275,13 +282,15 @@
 // sendRenewal sends a renewal. It extends the leases, unless leaseDuration forbids that
 // or no renewal was answered for renewalCutoff: unanswered renewals may have been
 // executed, and the leases would never expire. The call waits for a run to end,
-// unless a start is unconfirmed or the previous renewal failed.
+// unless a start is unconfirmed, the previous renewal failed, or the backend server's clock
+// was read too long ago, so that the lease may be short.
 func (l *Leaser) sendRenewal(now time.Time) {
 	c := Call{Kind: KindRenew, AckedEnds: l.lastEnd}
 	if len(l.runs) > 0 && now.Sub(l.lastContact) < renewalCutoff {
 		l.extendLeases(now, &c)
 	}
-	if len(l.runs) > 0 && !l.anyInState(unconfirmed) && l.consecutiveFailures == 0 {
+	clockKnown := now.Sub(l.clockReadAt) < maxClockAge
+	if len(l.runs) > 0 && !l.anyInState(unconfirmed) && l.consecutiveFailures == 0 && clockKnown {
 		c.Wait = l.Settings.RenewalWait
 	}
 	l.renewalsInFlight++
