--- /dev/null
+++ b/executor/foreign_report_test.go
@@ -0,0 +1,118 @@
+package executor
+
+import (
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// foreignReports returns reports of another writer, which no server confirms, by what is
+// odd in them. The fake backend server is i-1 at 10.0.0.1:1.
+func foreignReports() map[string]Report {
+	other := testReport(1)
+	other.ID, other.Service, other.Address, other.StartedAt = "odd", "nobody", "10.0.0.9:99", testStartedAt+20
+	sameAddress := testReport(1)
+	sameAddress.ID, sameAddress.StartedAt = "odd", testStartedAt+20
+	sameID := testReport(1)
+	sameID.Address, sameID.StartedAt = "10.0.0.9:99", testStartedAt+20
+	later := testReport(1)
+	later.StartedAt = testStartedAt + 20
+	latest := testReport(1)
+	latest.StartedAt = math.MaxInt64
+	otherService := testReport(2)
+	otherService.Service = "nobody"
+	number := testReport(math.MaxInt64)
+	return map[string]Report{
+		"another server": other, "another id": sameAddress, "another address": sameID, "a later start time": later,
+		"the latest start time": latest, "another service": otherService, "the highest number": number,
+	}
+}
+
+// A status report is a claim of its sender. One that the backend server does not confirm
+// ends no run, and the server stays in use, by its own reports too.
+func TestReportOfAnotherWriterEndsNoRun(t *testing.T) {
+	for name, foreign := range foreignReports() {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := &fakeBackend{startedAt: testStartedAt, id: "i-1", address: "10.0.0.1:1"}
+				x, stop := newLeasedExecutor(t, b)
+				defer stop()
+				x.HandleReport(testReport(1))
+				time.Sleep(50 * time.Millisecond)
+				startRun(x, 7)
+				time.Sleep(50 * time.Millisecond)
+				x.HandleReport(foreign)
+				for number := range int64(8) {
+					time.Sleep(time.Second)
+					require.Empty(t, b.endStatuses(), "the server still runs the task")
+					x.HandleReport(testReport(number + 2))
+				}
+				require.Equal(t, []string{"offer"}, b.notified())
+			})
+		})
+	}
+}
+
+// A report of another writer comes first after the agent has started, as one that was
+// restored from a row of the store, or as one of the server itself with a number that all
+// later ones are below. The server is in use some reports later at the latest.
+func TestReportOfAnotherWriterDoesNotKeepServerOut(t *testing.T) {
+	for name, foreign := range foreignReports() {
+		for origin, deliver := range map[string]func(x *LeasedExecutor){
+			"reported": func(x *LeasedExecutor) { x.HandleReport(foreign) },
+			"restored": func(x *LeasedExecutor) { x.RestoreReport(foreign) },
+		} {
+			t.Run(name+", "+origin, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					b := &fakeBackend{startedAt: testStartedAt, id: "i-1", address: "10.0.0.1:1"}
+					x, stop := newLeasedExecutor(t, b)
+					defer stop()
+					deliver(x)
+					for number := range int64(6) {
+						time.Sleep(1500 * time.Millisecond)
+						x.HandleReport(testReport(number + 3))
+					}
+					time.Sleep(50 * time.Millisecond)
+					require.NotEmpty(t, b.notified())
+					require.Equal(t, "offer", last(b.notified()), "%v", b.notified())
+					startRun(x, 7)
+					time.Sleep(50 * time.Millisecond)
+					b.mu.Lock()
+					defer b.mu.Unlock()
+					require.Len(t, b.activeRuns, 1)
+				})
+			})
+		}
+	}
+}
+
+// The clock of the VM is set back before the second start of the server. A report of the
+// first incarnation that was delayed until the third is in force ends no run of that one.
+func TestLateReportAfterClockWasSetBackEndsNoRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &fakeBackend{startedAt: testStartedAt, id: "i-1", address: "10.0.0.1:1"}
+		x, stop := newLeasedExecutor(t, b)
+		defer stop()
+		x.HandleReport(testReport(1))
+		time.Sleep(50 * time.Millisecond)
+		for _, startedAt := range []int64{testStartedAt - 500, testStartedAt - 300} {
+			b.restart(startedAt)
+			startRun(x, uint64(startedAt))
+			time.Sleep(500 * time.Millisecond)
+			r := testReport(1)
+			r.StartedAt = startedAt
+			x.HandleReport(r)
+			time.Sleep(50 * time.Millisecond)
+			require.Equal(t, "offer", last(b.notified()), "%v", b.notified())
+		}
+		startRun(x, 7)
+		time.Sleep(50 * time.Millisecond)
+		x.HandleReport(testReport(2))
+		time.Sleep(500 * time.Millisecond)
+		require.NotContains(t, b.endStatuses(), uint64(7))
+		require.Equal(t, "offer", last(b.notified()), "%v", b.notified())
+	})
+}
--- a/executor/leased_test.go
+++ b/executor/leased_test.go
@@ -27,21 +27,33 @@
 type fakeBackend struct {
 	mu            sync.Mutex
 	startedAt     int64
-	unresponsive  bool // calls are not answered
+	id, address   string // empty: answers calls to any
+	unresponsive  bool   // calls are not answered
 	endedRuns     []leaser.EndedRun
 	activeRuns    []leaser.ActiveRun
 	notifications []string
 	statuses      map[uint64]int // status by run id; 0 if FinishStopped was called
 }
 
-func (b *fakeBackend) call(ctx context.Context, _ Report, c leaser.Call) leaser.Answer {
+// restart ends the active runs and starts the next incarnation.
+func (b *fakeBackend) restart(startedAt int64) {
 	b.mu.Lock()
-	unresponsive := b.unresponsive
+	defer b.mu.Unlock()
+	b.startedAt, b.activeRuns, b.endedRuns = startedAt, nil, nil
+}
+
+func (b *fakeBackend) call(ctx context.Context, target Report, c leaser.Call) leaser.Answer {
+	b.mu.Lock()
+	unresponsive := b.unresponsive || b.address != "" && target.Address != b.address
+	wrongID := b.id != "" && target.ID != b.id
 	b.mu.Unlock()
 	if unresponsive {
 		<-ctx.Done()
 		return leaser.Answer{Status: leaser.StatusNoAnswer}
 	}
+	if wrongID {
+		return leaser.Answer{Status: leaser.StatusWrongIncarnation}
+	}
 	if c.Kind == leaser.KindRenew && c.Wait > 0 {
 		time.Sleep(c.Wait / 2)
 	}
@@ -103,7 +115,13 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	x.Start(ctx)
-	return x, func() { cancel(); x.Wait() }
+	return x, func() {
+		cancel()
+		b.mu.Lock()
+		b.activeRuns = nil // otherwise their renewal would never end
+		b.mu.Unlock()
+		x.Wait()
+	}
 }
 
 func last(list []string) string { return list[len(list)-1] }
--- a/leaser/incarnation_test.go
+++ b/leaser/incarnation_test.go
@@ -149,3 +149,22 @@
 	require.Len(t, f.ended, 1)
 	require.True(t, f.Reconciled())
 }
+
+// The wall clock was set back before the second start of the backend server. A late answer
+// of the first incarnation, which is not the one before, ends no run of the third.
+func TestLateAnswerAfterClockWasSetBackEndsNoRun(t *testing.T) {
+	f := startConfirmed(t)
+	late := f.takeCall(KindRenew)
+	for _, startedAt := range []int64{testStartedAt - 50, testStartedAt - 30} {
+		f.sendRenewal(f.now)
+		f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 10, StartedAt: startedAt})
+		f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 11, StartedAt: startedAt})
+		require.True(t, f.Reconciled())
+	}
+	f.answer(f.startRun(3, "c"), Answer{ClockMillis: 12})
+	ended := len(f.ended)
+	f.answer(late, Answer{ClockMillis: 5100, StartedAt: testStartedAt, Active: []ActiveRun{{"a", 1}}})
+	require.Len(t, f.ended, ended)
+	require.True(t, f.Reconciled())
+	require.Equal(t, 1, f.RunCount())
+}
