--- a/leaser/answer.go
+++ b/leaser/answer.go
@@ -23,7 +23,7 @@
 		return
 	}
 	if a.StartedAt != 0 {
-		l.startedAt = a.StartedAt
+		l.setIncarnation(a.StartedAt)
 		l.retractLosses(c)
 	}
 	if a.ClockMillis != 0 {
--- a/leaser/incarnation.go
+++ b/leaser/incarnation.go
@@ -11,32 +11,21 @@
 	originLater          // one that has replaced the known one
 )
 
-// originOf returns the origin of the answer to a call. Answers may overtake each
-// other, so that those of an earlier incarnation may arrive after the first ones of
-// the present one. A call that was made to the known incarnation cannot be answered by
-// an earlier one.
+// originOf returns the origin of the answer to a call. The order of incarnations follows
+// from the order of calls alone: a call that was sent after an answer of the known
+// incarnation cannot be answered by an earlier one, and an answer to a call that was sent
+// before may be late. Start times are wall-clock times and may go back.
 func (l *Leaser) originOf(c Call, a Answer) origin {
-	sameTarget := c.startedAt == l.startedAt
+	sentSince := c.serial > l.knownSince
 	switch {
-	case a.Status == StatusWrongIncarnation && l.startedAt == 0:
-		return originPresent // the call fails, as all do until the next report
-	case a.Status == StatusWrongIncarnation && sameTarget:
-		return originLater
-	case a.Status == StatusWrongIncarnation:
-		return originEarlier
-	case a.StartedAt == 0: // no answer, or one that does not say
-		if sameTarget || c.startedAt == 0 || l.startedAt == 0 {
-			return originPresent
-		}
-		return originEarlier
-	case a.StartedAt == l.replacedAt, l.startedAt == 0 && a.StartedAt < l.replacedAt:
-		return originEarlier
-	case l.startedAt == 0 || a.StartedAt == l.startedAt:
+	case a.StartedAt != 0 && a.StartedAt == l.startedAt:
 		return originPresent
-	case sameTarget || a.StartedAt > l.startedAt:
-		return originLater
+	case !sentSince, a.StartedAt != 0 && l.startedAt == 0 && a.StartedAt == l.replacedAt:
+		return originEarlier
+	case l.startedAt == 0, a.StartedAt == 0 && a.Status != StatusWrongIncarnation:
+		return originPresent // while none is known, every call fails until the next report
 	}
-	return originEarlier
+	return originLater
 }
 
 // Present reports whether the known incarnation of the backend server started at
@@ -66,8 +55,17 @@
 	if l.startedAt != 0 {
 		l.replacedAt = l.startedAt
 	}
-	l.startedAt, l.lastEnd, l.ackedEnds, l.maxUntil = startedAt, 0, 0, 0
+	l.setIncarnation(startedAt)
+	l.lastEnd, l.ackedEnds, l.maxUntil = 0, 0, 0
 	l.presumedLosses = nil // they are certain now
 	l.clockReadAt, l.retryAt, l.consecutiveFailures = time.Time{}, time.Time{}, 0
 	l.Reconcile(now)
 }
+
+// setIncarnation sets the known incarnation. Calls that were sent before do not tell of
+// later ones.
+func (l *Leaser) setIncarnation(startedAt int64) {
+	if startedAt != l.startedAt || startedAt == 0 {
+		l.startedAt, l.knownSince = startedAt, l.serial
+	}
+}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -73,6 +73,7 @@
 
 	token               int64           // newest fencing token
 	startedAt           int64           // start time of the backend server's incarnation; 0: unknown
+	knownSince          uint64          // serial of the newest call when that became known
 	replacedAt          int64           // start time of the incarnation before; 0: none known
 	tokenRaised         bool            // the token has been raised above those of all earlier processes
 	fenceIncrement      int64           // last increment of the token after a rejection; 0 once a renewal has been accepted
