--- a/cmd/mustardleverd/gauges.go
+++ b/cmd/mustardleverd/gauges.go
@@ -76,6 +76,7 @@
 	metrics.Gauge("leases_renewed", gauge(func(v executor.View) float64 { return boolToFloat(v.Renewing) }))
 	metrics.Gauge("backend_server_offered", gauge(func(v executor.View) float64 { return boolToFloat(v.Offered) }))
 	metrics.Gauge("backend_server_silent", gauge(func(v executor.View) float64 { return boolToFloat(v.Unresponsive) }))
+	metrics.Gauge("backend_server_reports_unconfirmed", gauge(func(v executor.View) float64 { return float64(v.Unconfirmed) }))
 	metrics.Gauge("backend_server_report_age_seconds", gauge(func(v executor.View) float64 {
 		if v.ReportAgeMillis < 0 {
 			return -1 // no report yet
--- a/executor/foreign_report_test.go
+++ b/executor/foreign_report_test.go
@@ -116,3 +116,50 @@
 		require.Equal(t, "offer", last(b.notified()), "%v", b.notified())
 	})
 }
+
+// The next server of the VM may be at another address, and the earlier one may run on at
+// its own: its runs are reported as ended only once their leases have expired.
+func TestServerAtAnotherAddressEndsNoRunBeforeItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &fakeBackend{startedAt: testStartedAt, id: "i-1", address: "10.0.0.1:1"}
+		x, stop := newLeasedExecutor(t, b)
+		defer stop()
+		x.HandleReport(testReport(1))
+		time.Sleep(50 * time.Millisecond)
+		startRun(x, 7)
+		time.Sleep(50 * time.Millisecond)
+		b.restart(testStartedAt + 20)
+		b.mu.Lock()
+		b.id, b.address = "i-2", "10.0.0.2:1"
+		b.mu.Unlock()
+		next := testReport(1)
+		next.ID, next.Address, next.StartedAt = "i-2", "10.0.0.2:1", testStartedAt+20
+		x.HandleReport(next)
+		time.Sleep(550 * time.Millisecond)
+		require.Empty(t, b.endStatuses())
+		time.Sleep(time.Second)
+		require.Equal(t, map[uint64]int{7: 0}, b.endStatuses())
+		require.Equal(t, "offer", last(b.notified()), "%v", b.notified())
+	})
+}
+
+// Many reports that no server confirms occupy the agent for a bounded time and number of
+// probes, and the report of its server is confirmed all the same.
+func TestManyForeignReportsDoNotDelayServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &fakeBackend{startedAt: testStartedAt, id: "i-1", address: "10.0.0.1:1"}
+		x, stop := newLeasedExecutor(t, b)
+		defer stop()
+		for i := range 1000 {
+			foreign := testReport(1)
+			foreign.Address, foreign.StartedAt = "10.0.0.9:99", testStartedAt+int64(i)
+			go x.HandleReport(foreign)
+		}
+		synctest.Wait()
+		require.Equal(t, maxUnconfirmed, x.View().Unconfirmed)
+		require.True(t, x.HandleReport(testReport(1)))
+		time.Sleep(10 * time.Second)
+		require.Zero(t, x.View().Unconfirmed)
+		require.Equal(t, "offer", b.notified()[0])
+	})
+}
--- a/executor/leased.go
+++ b/executor/leased.go
@@ -81,14 +81,15 @@
 	notifyMu      sync.Mutex // serializes calls of Offer, SetCapacity, Withdraw and SetUnresponsive; acquired before mu
 	mu            sync.Mutex // guards the fields below, up to unresponsive
 	leaser        leaser.Leaser
-	report        Report
-	reportedAt    time.Time // when the last report arrived or was restored
-	saved         Report    // last passed to Save
-	restored      bool      // report was saved by an earlier process and not confirmed since
-	offered       bool      // as last reported by Offer or Withdraw
-	offeredReport Report    // as last reported by Offer or SetCapacity
-	unresponsive  bool      // as last reported by SetUnresponsive
-	limited       bool      // as last logged
+	report        Report               // in force: the backend server has confirmed its incarnation
+	reportedAt    time.Time            // when that took effect
+	unconfirmed   []*unconfirmedReport // oldest first
+	saved         Report               // last passed to Save, or restored
+	restored      bool                 // report was saved by an earlier process, and none has arrived since
+	offered       bool                 // as last reported by Offer or Withdraw
+	offeredReport Report               // as last reported by Offer or SetCapacity
+	unresponsive  bool                 // as last reported by SetUnresponsive
+	limited       bool                 // as last logged
 	ctx           context.Context
 	goroutines    sync.WaitGroup
 }
@@ -189,8 +190,8 @@
 // another capacity, and nil if nothing has changed. The caller holds mu.
 func (x *LeasedExecutor) nextNotification(now time.Time) func() {
 	report, unresponsive := x.report, x.leaser.Unresponsive()
-	alive := report.Address != "" && now.Sub(x.reportedAt) < maxMissedReports*x.ReportInterval
-	shouldOffer := alive && report.Ready && x.leaser.Reconciled() && !x.leaser.Outdated(report.StartedAt)
+	alive := report.Address != "" && !x.reportsMissed(now)
+	shouldOffer := alive && report.Ready && x.leaser.Reconciled() && x.leaser.Present(report.StartedAt)
 	switch {
 	case x.offered && !shouldOffer:
 		x.offered = false
@@ -230,7 +231,21 @@
 }
 
 func logFields(r Report) logrus.Fields {
-	return logrus.Fields{"backend-server": r.ID, "born-ms": r.StartedAt, "ready": r.Ready, "cpu": r.Capacity.CPU}
+	return logrus.Fields{
+		"backend-server": r.ID, "address": r.Address, "service": r.Service, "born-ms": r.StartedAt, "number": r.Number,
+		"ready": r.Ready, "cpu": r.Capacity.CPU,
+	}
+}
+
+// call makes one call and observes it. It returns the duration too.
+func (x *LeasedExecutor) call(ctx context.Context, target Report, c leaser.Call) (leaser.Answer, time.Duration) {
+	start := time.Now()
+	a := x.Call(ctx, target, c)
+	elapsed := time.Since(start)
+	if x.ObserveCall != nil {
+		x.ObserveCall(c.Kind, a.Status, elapsed)
+	}
+	return a, elapsed
 }
 
 func (x *LeasedExecutor) execute(target Report, c leaser.Call) {
@@ -240,12 +255,7 @@
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, timeout)
 	defer cancel()
-	start := time.Now()
-	a := x.Call(ctx, target, c)
-	elapsed := time.Since(start)
-	if x.ObserveCall != nil {
-		x.ObserveCall(c.Kind, a.Status, elapsed)
-	}
+	a, elapsed := x.call(ctx, target, c)
 	if c.Kind == leaser.KindStart && a.Status == leaser.StatusDone && x.Log.Logger.IsLevelEnabled(logrus.DebugLevel) {
 		x.Log.WithFields(logrus.Fields{"task": c.Task, "run": c.Number, "took-us": elapsed.Microseconds()}).Debug("Backend server has started a task.")
 	}
@@ -258,10 +268,7 @@
 	if a.UnreadableRows > 0 {
 		x.Log.WithFields(logFields(target)).WithField("rows", a.UnreadableRows).Warn("Backend server lists runs that cannot be decoded.")
 	}
-	x.update(func(l *leaser.Leaser, now time.Time) {
-		x.dropContradictedReport(a)
-		l.HandleAnswer(now, c, a)
-	})
+	x.update(func(l *leaser.Leaser, now time.Time) { l.HandleAnswer(now, c, a) })
 }
 
 func (x *LeasedExecutor) reportEnd(e leaser.End) {
@@ -317,51 +324,66 @@
 	})
 }
 
-// RestoreReport sets a report that an earlier process of this agent has saved, so
-// that the backend server is used before its next report. The report is dropped
-// if an answer shows that the backend server has restarted since. RestoreReport
-// has no effect if a report is known already.
+// RestoreReport processes a report that an earlier process of this agent has saved, so
+// that the backend server is used before its next report. Like any other report it has no
+// effect unless the server confirms it.
 func (x *LeasedExecutor) RestoreReport(r Report) {
-	x.update(func(l *leaser.Leaser, now time.Time) {
-		if x.report.Address != "" {
-			return
-		}
-		x.report, x.reportedAt, x.restored = r, now, true
+	x.mu.Lock()
+	if x.saved.Address == "" {
 		x.saved = r
-		l.HandleRestart(now, r.StartedAt)
-	})
-}
-
-// dropContradictedReport drops a restored report if the answer comes from another
-// incarnation of the backend server. The caller holds mu.
-func (x *LeasedExecutor) dropContradictedReport(a leaser.Answer) {
-	if x.restored && (a.Status == leaser.StatusWrongIncarnation || a.StartedAt != 0 && a.StartedAt != x.report.StartedAt) {
-		x.Log.WithFields(logFields(x.report)).Info("Backend server has restarted since its report was saved.")
-		x.report, x.restored = Report{}, false
 	}
+	x.mu.Unlock()
+	x.awaitConfirmation(r, true)
 }
 
-// HandleReport processes a report of the backend server. It returns false if the
-// report is not newer than the current one, or is of an incarnation that has been
-// replaced.
+// HandleReport processes a report of the backend server. A report of the incarnation in
+// force takes effect at once. Any other one takes effect when the server confirms it, for
+// which HandleReport waits until the first probe has been answered. It reports whether r
+// is in force.
 func (x *LeasedExecutor) HandleReport(r Report) bool {
-	accepted := false
+	known := false
 	x.update(func(l *leaser.Leaser, now time.Time) {
-		current := x.report
-		earlier := r.StartedAt < current.StartedAt && !l.Present(r.StartedAt) || l.Outdated(r.StartedAt)
-		if earlier || r.StartedAt == current.StartedAt && r.ID == current.ID && r.Number <= current.Number {
-			return
+		known = x.report.sameServer(r) && l.Present(r.StartedAt) && !x.reportsMissed(now)
+		if known {
+			x.useReport(l, now, r, false)
 		}
-		accepted = true
-		isNew := !r.sameServer(current)
-		x.report, x.reportedAt, x.restored = r, now, false
-		if isNew {
-			x.Log.WithFields(logFields(r)).Info("Backend server is new, restarted or at a new address.")
-			l.HandleRestart(now, r.StartedAt)
-		}
-		l.SetDraining(!r.Ready)
 	})
-	return accepted
+	if !known {
+		select {
+		case <-x.awaitConfirmation(r, false):
+		case <-x.ctx.Done():
+		}
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.report.sameServer(r) && x.report.Number == r.Number
+}
+
+// useReport puts a report of the present incarnation into force, unless it is older than
+// the one in force or has another service. If no report has taken effect for too long, the
+// one in force may be of another writer; one that says that the server drains stays in
+// force all the same. The caller holds mu.
+func (x *LeasedExecutor) useReport(l *leaser.Leaser, now time.Time, r Report, restored bool) {
+	current := x.report
+	log := x.Log.WithFields(logFields(r))
+	switch {
+	case !r.sameServer(current):
+		log.Info("Backend server is new, restarted or at a new address.")
+	case x.reportsMissed(now) && current.Ready:
+	case r.Number <= current.Number:
+		return
+	case r.Service != current.Service || r.Number-current.Number > maxNumberStep:
+		log.Warn("Agent ignores a report: its service or number does not follow the one in force.")
+		return
+	}
+	x.report, x.reportedAt, x.restored = r, now, restored
+	l.SetDraining(!r.Ready)
+}
+
+// reportsMissed reports whether no report has arrived for so long that the backend server
+// is regarded as lost. The caller holds mu.
+func (x *LeasedExecutor) reportsMissed(now time.Time) bool {
+	return now.Sub(x.reportedAt) >= maxMissedReports*x.ReportInterval
 }
 
 // HandleStopped records the graceful shutdown of the backend server with the given
--- a/executor/leased_test.go
+++ b/executor/leased_test.go
@@ -44,10 +44,10 @@
 
 func (b *fakeBackend) call(ctx context.Context, target Report, c leaser.Call) leaser.Answer {
 	b.mu.Lock()
-	unresponsive := b.unresponsive || b.address != "" && target.Address != b.address
-	wrongID := b.id != "" && target.ID != b.id
+	unreachable := b.unresponsive || b.address != "" && target.Address != b.address
+	wrongID, address := b.id != "" && target.ID != b.id, b.address
 	b.mu.Unlock()
-	if unresponsive {
+	if unreachable {
 		<-ctx.Done()
 		return leaser.Answer{Status: leaser.StatusNoAnswer}
 	}
@@ -59,6 +59,9 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.address != address {
+		return leaser.Answer{Status: leaser.StatusNoAnswer} // the server has moved meanwhile
+	}
 	a := leaser.Answer{ClockMillis: time.Now().UnixMilli(), StartedAt: b.startedAt}
 	switch c.Kind {
 	case leaser.KindStart:
--- a/executor/view.go
+++ b/executor/view.go
@@ -10,7 +10,8 @@
 type View struct {
 	Report
 	ReportAgeMillis int64 `json:"report-age-ms"` // ms since the last report arrived or was restored; -1: none yet
-	Restored        bool  `json:"remembered"`    // the report was saved by an earlier process and not confirmed since
+	Restored        bool  `json:"remembered"`    // the report was saved by an earlier process, and none has arrived since
+	Unconfirmed     int   `json:"unconfirmed"`   // reports that wait for an answer of the backend server that they name
 	Offered         bool  `json:"offered"`       // offered to the entries for tasks
 	leaser.View
 }
@@ -20,7 +21,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := time.Now()
-	v := View{Report: x.report, ReportAgeMillis: -1, Restored: x.restored, Offered: x.offered, View: x.leaser.View(now)}
+	v := View{Report: x.report, ReportAgeMillis: -1, Restored: x.restored, Unconfirmed: len(x.unconfirmed), Offered: x.offered, View: x.leaser.View(now)}
 	if !x.reportedAt.IsZero() {
 		v.ReportAgeMillis = now.Sub(x.reportedAt).Milliseconds()
 	}
--- a/leaser/incarnation.go
+++ b/leaser/incarnation.go
@@ -32,19 +32,45 @@
 // startedAt.
 func (l *Leaser) Present(startedAt int64) bool { return startedAt != 0 && startedAt == l.startedAt }
 
-// Outdated reports whether a later incarnation of the backend server is known than the
-// one that started at startedAt.
-func (l *Leaser) Outdated(startedAt int64) bool {
-	return startedAt < l.startedAt || startedAt != 0 && startedAt == l.replacedAt
+// Probe returns a call that asks for the incarnation of the backend server that a status
+// report names, without an effect on leases and runs. Its answer must be passed to
+// HandleProbe instead of HandleAnswer.
+func (l *Leaser) Probe() Call {
+	l.serial++
+	return Call{Kind: KindRenew, Token: l.token, serial: l.serial, startedAt: l.startedAt}
 }
 
-// HandleRestart records that the backend server has restarted: its earlier runs
-// have ended, and it has no fencing token. It has no effect if startedAt is that of
-// the known incarnation or of an earlier one.
-func (l *Leaser) HandleRestart(now time.Time, startedAt int64) {
-	if startedAt != l.startedAt && !l.Outdated(startedAt) {
-		l.resetAfterRestart(now, startedAt)
+// HandleProbe processes the answer to a probe for the incarnation that started at
+// startedAt. It reports whether the answer shows that incarnation as the present one. The
+// earlier incarnation has then ended, with its runs, and no fencing token is known to the
+// present one. If moved is set, the probe was sent to another address than the calls
+// before, where the earlier incarnation may run on: then the answer counts only once the
+// leases there have expired.
+func (l *Leaser) HandleProbe(now time.Time, c Call, a Answer, startedAt int64, moved bool) bool {
+	if a.Status == StatusFenced {
+		l.raiseToken(c)
 	}
+	switch {
+	case a.Status != StatusDone, a.StartedAt != startedAt:
+		return false
+	case l.Present(startedAt):
+		return true
+	case l.originOf(c, a) == originEarlier, moved && l.holdsLease(now):
+		return false
+	}
+	l.resetAfterRestart(now, startedAt)
+	return true
+}
+
+// holdsLease reports whether a run may be active, if the backend server gets no further
+// calls.
+func (l *Leaser) holdsLease(now time.Time) bool {
+	for _, r := range l.runs {
+		if !l.expired(now, r) {
+			return true
+		}
+	}
+	return false
 }
 
 // resetAfterRestart ends the active runs, clears what was known of the earlier
--- a/leaser/incarnation_test.go
+++ b/leaser/incarnation_test.go
@@ -12,7 +12,7 @@
 func TestAnswerOfEarlierIncarnationEndsNoRun(t *testing.T) {
 	f := startConfirmed(t)
 	late := f.takeCall(KindRenew) // executed before the restart, answered after it
-	f.HandleRestart(f.now, testStartedAt+1)
+	f.confirmReport(testStartedAt + 1)
 	f.drain()
 	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 10, StartedAt: testStartedAt + 1})
 	require.True(t, f.Reconciled())
@@ -26,7 +26,7 @@
 // restartWithRun restarts the backend server of a fixture with one run, and starts run 2
 // of task b on the new incarnation.
 func (f *fixture) restartWithRun() {
-	f.HandleRestart(f.now, testStartedAt+1)
+	f.confirmReport(testStartedAt + 1)
 	f.drain()
 	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 10, StartedAt: testStartedAt + 1})
 	require.True(f, f.Reconciled())
@@ -54,11 +54,11 @@
 	require.Len(t, f.ended, 1)
 	require.False(t, f.Reconciled())
 	f.answer(late, Answer{ClockMillis: 5100, StartedAt: testStartedAt})
-	require.True(t, f.Outdated(testStartedAt))
+	require.False(t, f.Present(testStartedAt))
 	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 5101, StartedAt: testStartedAt})
 	require.False(t, f.Reconciled(), "only an answer of another incarnation counts")
-	f.HandleRestart(f.now, testStartedAt)
-	f.HandleRestart(f.now, testStartedAt+1)
+	f.confirmReport(testStartedAt)
+	f.confirmReport(testStartedAt + 1)
 	f.drain()
 	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 10, StartedAt: testStartedAt + 1})
 	require.True(t, f.Reconciled())
@@ -83,9 +83,9 @@
 func TestAnswerOfEarlierReconciliationDoesNotCount(t *testing.T) {
 	f := &fixture{T: t, now: testTime}
 	f.Init(f.now)
-	f.HandleRestart(f.now, testStartedAt)
+	f.confirmReport(testStartedAt)
 	earlier := f.takeCall(KindRenew)
-	f.HandleRestart(f.now, testStartedAt+1)
+	f.confirmReport(testStartedAt + 1)
 	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 10, StartedAt: testStartedAt + 1})
 	f.answer(earlier, Answer{ClockMillis: 11, StartedAt: testStartedAt + 1})
 	require.False(t, f.Reconciled(), "the call with the raised token is unanswered")
@@ -127,7 +127,7 @@
 			calls++
 		}
 	}
-	require.False(t, f.Outdated(testStartedAt+1), "its report is refused")
+	require.True(t, f.confirmReport(testStartedAt+1), "its report is refused")
 	require.Less(t, calls, 20)
 }
 
@@ -168,3 +168,33 @@
 	require.True(t, f.Reconciled())
 	require.Equal(t, 1, f.RunCount())
 }
+
+// A probe that was answered by an incarnation that has been replaced since does not bring
+// it back.
+func TestLateAnswerToProbeDoesNotCount(t *testing.T) {
+	f := startConfirmed(t)
+	probe := f.Probe()
+	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 10, StartedAt: testStartedAt + 20})
+	require.True(t, f.Present(testStartedAt+20))
+	require.False(t, f.HandleProbe(f.now, probe, Answer{ClockMillis: 20, StartedAt: testStartedAt + 10}, testStartedAt+10, false))
+	require.True(t, f.Present(testStartedAt+20))
+}
+
+// Only the answer of the incarnation that a report names confirms it.
+func TestProbeIsConfirmedByNamedIncarnationOnly(t *testing.T) {
+	for name, a := range map[string]Answer{
+		"no answer":           {Status: StatusNoAnswer},
+		"another incarnation": {ClockMillis: 20, StartedAt: testStartedAt},
+		"another id":          {Status: StatusWrongIncarnation, StartedAt: testStartedAt + 10},
+		"refused":             {Status: StatusRefused, StartedAt: testStartedAt + 10},
+		"nameless":            {ClockMillis: 20},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startConfirmed(t)
+			require.False(t, f.HandleProbe(f.now, f.Probe(), a, testStartedAt+10, false))
+			f.drain()
+			require.Empty(t, f.ended)
+			require.True(t, f.Reconciled())
+		})
+	}
+}
--- a/leaser/lease_test.go
+++ b/leaser/lease_test.go
@@ -60,7 +60,7 @@
 	f.answer(f.startRun(1, "a"), Answer{Status: StatusNoAnswer})
 	f.now = f.now.Add(2 * defaultMaxLease)
 	renewal := f.takeCall(KindRenew)
-	f.HandleRestart(f.now, testStartedAt+1)
+	f.confirmReport(testStartedAt + 1)
 	f.drain()
 	listed := []ActiveRun{{"a", 1}}
 	f.answer(renewal, Answer{ClockMillis: 100, StartedAt: testStartedAt + 1, Active: listed})
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -34,7 +34,7 @@
 func newReconciledFixture(t *testing.T) *fixture {
 	f := &fixture{T: t, now: testTime}
 	f.Init(f.now)
-	f.HandleRestart(f.now, testStartedAt)
+	f.confirmReport(testStartedAt)
 	f.drain()
 	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 5000, StartedAt: testStartedAt})
 	require.False(t, f.Reconciled(), "the token is raised first")
@@ -73,6 +73,14 @@
 	f.drain()
 }
 
+// confirmReport has the backend server confirm a report of the incarnation that started
+// at startedAt.
+func (f *fixture) confirmReport(startedAt int64) bool {
+	confirmed := f.HandleProbe(f.now, f.Probe(), Answer{ClockMillis: 1, StartedAt: startedAt}, startedAt, false)
+	f.drain()
+	return confirmed
+}
+
 func (f *fixture) advance(d time.Duration) {
 	f.now = f.now.Add(d)
 	f.Tick(f.now)
@@ -178,7 +186,7 @@
 func TestUnknownRunsAreStoppedFirst(t *testing.T) {
 	f := &fixture{T: t, now: testTime}
 	f.Init(f.now)
-	f.HandleRestart(f.now, testStartedAt)
+	f.confirmReport(testStartedAt)
 	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 9000, StartedAt: testStartedAt, Active: []ActiveRun{{"x", 4}}})
 	require.False(t, f.Reconciled())
 	stop := f.takeCall(KindStop)
@@ -198,7 +206,7 @@
 func TestRejectedTokenIsRaised(t *testing.T) {
 	f := &fixture{T: t, now: testTime}
 	f.Init(f.now)
-	f.HandleRestart(f.now, testStartedAt)
+	f.confirmReport(testStartedAt)
 	c := f.takeCall(KindRenew)
 	f.answer(c, Answer{Status: StatusFenced, ClockMillis: 9000, StartedAt: testStartedAt})
 	require.GreaterOrEqual(t, f.takeCall(KindRenew).Token, c.Token+tokenIncrement)
@@ -211,7 +219,7 @@
 func TestRestartedProcessRaisesTokenAbovePredecessor(t *testing.T) {
 	f := &fixture{T: t, now: testTime}
 	f.Init(f.now)
-	f.HandleRestart(f.now, testStartedAt)
+	f.confirmReport(testStartedAt)
 	first := f.takeCall(KindRenew)
 	f.answer(first, Answer{ClockMillis: 9000, StartedAt: testStartedAt})
 	require.False(t, f.Reconciled())
@@ -242,7 +250,7 @@
 	f := newFixture(t)
 	c := f.startRun(1, "a")
 	f.takeCall(KindRenew)
-	f.HandleRestart(f.now, testStartedAt+1)
+	f.confirmReport(testStartedAt + 1)
 	f.drain()
 	require.Empty(t, f.ended)
 	f.answer(c, Answer{Status: StatusNoAnswer})
--- a/leaser/lists_test.go
+++ b/leaser/lists_test.go
@@ -30,7 +30,7 @@
 	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 5050, StartedAt: testStartedAt, Active: []ActiveRun{{"a", 1}}})
 	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 5100, StartedAt: testStartedAt, UnreadableRows: 1})
 	require.Empty(t, f.ended)
-	f.HandleRestart(f.now, testStartedAt+1)
+	f.confirmReport(testStartedAt + 1)
 	f.takeCall(KindRenew) // of the earlier incarnation
 	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 20, StartedAt: testStartedAt + 1, UnreadableRows: 1})
 	require.False(t, f.Reconciled())
--- a/leaser/lost_test.go
+++ b/leaser/lost_test.go
@@ -27,7 +27,7 @@
 func TestRunIsLostWithItsServer(t *testing.T) {
 	t.Run("restart", func(t *testing.T) {
 		f := startConfirmed(t)
-		f.HandleRestart(f.now, testStartedAt+1)
+		f.confirmReport(testStartedAt + 1)
 		f.drain()
 		require.Len(t, f.ended, 1)
 		require.True(t, f.ended[0].Lost)
@@ -77,7 +77,7 @@
 	})
 	t.Run("not after a report of another incarnation", func(t *testing.T) {
 		f := startSilenced(t)
-		f.HandleRestart(f.now, testStartedAt+1)
+		f.confirmReport(testStartedAt + 1)
 		f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 7000, StartedAt: testStartedAt})
 		f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 10, StartedAt: testStartedAt + 1})
 		require.Empty(t, f.retracted)
@@ -134,7 +134,7 @@
 	t.Run("server leaves as planned", func(t *testing.T) {
 		f := startConfirmed(t)
 		f.SetDraining(true)
-		f.HandleRestart(f.now, testStartedAt+1)
+		f.confirmReport(testStartedAt + 1)
 		f.drain()
 		require.Len(t, f.ended, 1)
 		require.False(t, f.ended[0].Lost)
--- a/leaser/simulation_agent_test.go
+++ b/leaser/simulation_agent_test.go
@@ -18,6 +18,12 @@
 	id        string
 	startedAt int64
 	number    int64
+	restored  bool // saved by an earlier process of the agent
+}
+
+// sameServer reports whether both reports come from one incarnation.
+func (r simulatedReport) sameServer(other simulatedReport) bool {
+	return r.id == other.id && r.startedAt == other.startedAt
 }
 
 // sentCall is a call on its way.
@@ -28,6 +34,7 @@
 	target       string // id in the report for which it was decided
 	decidedAt    time.Duration
 	answered     bool
+	probed       simulatedReport // which the call is to confirm; zero: none
 }
 
 // agentRun is a run that an agent was told to start.
@@ -156,28 +163,50 @@
 		}
 		c.answered = true
 		g.s.logf("agent: call %d (%v) is answered: %v clock %d born %d active %v ended %v", c.serialNumber, c.Kind, a.Status, a.ClockMillis, a.StartedAt, a.Active, a.Ended)
-		g.update(func(l *Leaser, now time.Time) {
-			if g.restored && (a.Status == StatusWrongIncarnation || a.StartedAt != 0 && a.StartedAt != g.report.startedAt) {
-				g.report, g.restored = simulatedReport{}, false
+		if c.probed.id != "" {
+			g.handleProbe(c, a)
+			if a.Status == StatusFenced {
+				g.probe(c.probed)
 			}
-			l.HandleAnswer(now, c.Call, a)
-		})
+			return
+		}
+		g.update(func(l *Leaser, now time.Time) { l.HandleAnswer(now, c.Call, a) })
 	})
 }
 
 // handleReport is like executor.LeasedExecutor.HandleReport.
 func (g *simulatedAgent) handleReport(r simulatedReport) {
+	if !g.leaser.Present(r.startedAt) || !r.sameServer(g.report) {
+		g.probe(r)
+		return
+	}
+	if r.number > g.report.number {
+		g.update(func(l *Leaser, _ time.Time) {
+			g.report, g.restored = r, false
+			l.SetDraining(false)
+		})
+	}
+}
+
+// probe asks the backend server to confirm a report.
+func (g *simulatedAgent) probe(r simulatedReport) {
+	s := g.s
+	s.calls++
+	c := &sentCall{Call: g.leaser.Probe(), serialNumber: s.calls, process: g.process, target: r.id, decidedAt: s.now, probed: r}
+	s.logf("agent: probes for report %d of %s %d by call %d", r.number, r.id, r.startedAt, c.serialNumber)
+	s.send(c)
+}
+
+// handleProbe puts a confirmed report into force, unless a newer one of the same
+// incarnation is.
+func (g *simulatedAgent) handleProbe(c *sentCall, a Answer) {
 	g.update(func(l *Leaser, now time.Time) {
-		current := g.report
-		if r.startedAt < current.startedAt || l.Outdated(r.startedAt) || r.startedAt == current.startedAt && r.id == current.id && r.number <= current.number {
+		r := c.probed
+		if !l.HandleProbe(now, c.Call, a, r.startedAt, false) || r.sameServer(g.report) && r.number <= g.report.number {
 			return
 		}
-		isNew := current.id == "" || r.id != current.id || r.startedAt != current.startedAt
-		g.report, g.restored = r, false
-		if isNew {
-			g.s.logf("agent: report %d of %s %d", r.number, r.id, r.startedAt)
-			l.HandleRestart(now, r.startedAt)
-		}
+		g.s.logf("agent: report %d of %s %d is confirmed", r.number, r.id, r.startedAt)
+		g.report, g.restored = r, r.restored
 		l.SetDraining(false)
 	})
 }
@@ -188,10 +217,8 @@
 		return
 	}
 	g.s.logf("agent: restores the report of %s %d", r.id, r.startedAt)
-	g.update(func(l *Leaser, now time.Time) {
-		g.report, g.restored = r, true
-		l.HandleRestart(now, r.startedAt)
-	})
+	r.restored = true
+	g.probe(r)
 }
 
 // run starts a run of a task.
--- a/leaser/simulation_server_test.go
+++ b/leaser/simulation_server_test.go
@@ -10,6 +10,7 @@
 	simulatedStopDuration   = 50 * time.Millisecond // longest time from a stop call to the end of the run
 	simulatedSlowestClock   = 9800                  // rate of a backend server's clock, in 1/10,000 of real time
 	simulatedRealClock      = 10_000
+	simulatedClockStep      = 3000 // ms by which the VM's clock may be off
 	simulatedReportInterval = 300 * time.Millisecond
 	simulatedLongestWait    = 1020 * time.Millisecond * simulatedRealClock / simulatedSlowestClock // from the decision of a call to the end of the lease that it sets
 )
@@ -49,12 +50,12 @@
 // simulatedServer is the backend server of the simulation, with the liberties that the
 // platform takes.
 type simulatedServer struct {
-	s             *simulation
-	present       *incarnation // nil while the server is down
-	lastStartedAt int64
-	lastID        string
-	incarnations  int
-	highestToken  int64 // executed by any incarnation
+	s            *simulation
+	present      *incarnation   // nil while the server is down
+	startTimes   map[int64]bool // of all incarnations
+	lastID       string
+	incarnations int
+	highestToken int64 // executed by any incarnation
 }
 
 // boot starts the next incarnation, under a new id if newID is true.
@@ -64,14 +65,29 @@
 	if newID || v.lastID == "" {
 		v.lastID = string(rune('a' + v.incarnations - 1))
 	}
-	v.lastStartedAt = max(v.lastStartedAt+1, simulatedEpochMillis+s.now.Milliseconds())
-	i := &incarnation{id: v.lastID, startedAt: v.lastStartedAt, bornAt: s.now, newest: make(map[string]int)}
+	startedAt := v.startTime()
+	i := &incarnation{id: v.lastID, startedAt: startedAt, bornAt: s.now, newest: make(map[string]int)}
 	i.rate = simulatedSlowestClock + s.rand.Int64N(simulatedRealClock-simulatedSlowestClock+1)
 	v.present = i
 	s.logf("server: boots as %s, born %d, clock rate %d", i.id, i.startedAt, i.rate)
 	s.after(s.between(time.Millisecond, 15*time.Millisecond), func() { v.report(i) })
 }
 
+// startTime returns the start time of the next incarnation by the clock of the VM, which
+// may have been set back or ahead. No two incarnations have the same one.
+func (v *simulatedServer) startTime() int64 {
+	s := v.s
+	at := simulatedEpochMillis + s.now.Milliseconds()
+	if s.faults.clockSteps {
+		at += s.clockRand.Int64N(2*simulatedClockStep) - simulatedClockStep
+	}
+	for v.startTimes[at] {
+		at++
+	}
+	v.startTimes[at] = true
+	return at
+}
+
 // crash ends the present incarnation with all of its runs.
 func (v *simulatedServer) crash() {
 	v.s.logf("server: crashes")
--- a/leaser/simulation_test.go
+++ b/leaser/simulation_test.go
@@ -39,6 +39,7 @@
 	lateCall, lostCall, resetCall, lostAnswer, slowAnswer, refusal, noCapacity, lateReport, lostReport float64
 
 	hectic                  bool // restarts and starts follow each other within the timeouts of calls
+	clockSteps              bool // start times of the backend server are by a clock that is set back and ahead
 	clockInWrongIncarnation bool // answers with status 421 have a clock
 	lateStartJoinsLease     bool // a start whose lease end is past joins the lease that holds
 }
@@ -71,7 +72,9 @@
 }
 
 type simulation struct {
-	rand    *rand.Rand
+	rand      *rand.Rand
+	clockRand *rand.Rand // for the VM's clock
+
 	now     time.Duration
 	events  simulatedEvents
 	order   int
@@ -92,8 +95,8 @@
 }
 
 func newSimulation(seed uint64, verbose bool) *simulation {
-	s := &simulation{rand: rand.New(rand.NewPCG(seed, 0)), verbose: verbose}
-	s.server = &simulatedServer{s: s}
+	s := &simulation{rand: rand.New(rand.NewPCG(seed, 0)), clockRand: rand.New(rand.NewPCG(seed, 1)), verbose: verbose}
+	s.server = &simulatedServer{s: s, startTimes: make(map[int64]bool)}
 	s.agent = &simulatedAgent{s: s, tries: make(map[string]int)}
 	if s.chance(0.1) {
 		s.begin = s.between(0, simulatedLongestIdle)
@@ -110,6 +113,7 @@
 		crashes, silences = 40, 10
 	}
 	f.clockInWrongIncarnation, f.lateStartJoinsLease = s.chance(0.5), s.chance(0.5)
+	f.clockSteps = s.clockRand.IntN(2) == 0
 	for range s.rand.IntN(silences) {
 		from := s.between(s.begin, s.end)
 		s.silence = append(s.silence, simulatedSilence{from, min(from+s.between(50*time.Millisecond, 1500*time.Millisecond), s.end), s.rand.IntN(3)})
--- a/leaser/token_test.go
+++ b/leaser/token_test.go
@@ -12,7 +12,7 @@
 func reconcileWith(t *testing.T, now time.Time, seen int64) int64 {
 	f := &fixture{T: t, now: now}
 	f.Init(f.now)
-	f.HandleRestart(f.now, testStartedAt)
+	f.confirmReport(testStartedAt)
 	for range 60 {
 		c := f.takeCall(KindRenew)
 		if c.Token < seen {
