--- a/leaser/incarnation_test.go
+++ b/leaser/incarnation_test.go
@@ -198,3 +198,15 @@
 		})
 	}
 }
+
+// While no incarnation is known, a call shows one. A probe that was sent before, and was
+// answered by an earlier one, does not count.
+func TestProbeBeforeIncarnationIsKnownDoesNotCount(t *testing.T) {
+	f := startConfirmed(t)
+	f.answer(f.takeCall(KindRenew), Answer{Status: StatusWrongIncarnation})
+	probe := f.Probe()
+	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 10, StartedAt: testStartedAt + 20})
+	require.True(t, f.Present(testStartedAt+20))
+	require.False(t, f.HandleProbe(f.now, probe, Answer{ClockMillis: 20, StartedAt: testStartedAt + 10}, testStartedAt+10, false))
+	require.True(t, f.Present(testStartedAt+20))
+}
--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -8,8 +8,9 @@
  * reconciliation "look".
  *
  * Answers and status reports may arrive after the backend server has restarted, and
- * after the agent knows the next incarnation. Only lists of runs and reports name their
- * incarnation; the answer to a start does not. A call that was made to an earlier
+ * after the agent knows the next incarnation; a report may also come from another writer,
+ * and takes effect only if the answer to a probe names the same incarnation. Only lists of
+ * runs, probes and reports name their incarnation; the answer to a start does not. A call that was made to an earlier
  * incarnation is executed by the present one, or answered with status 421 ("wrong").
  *
  * Property: the task never runs here and on another backend server at the same
@@ -64,12 +65,18 @@
 #else
 #define EARLIER_WRONG skip
 #endif
-#ifdef NO_OUTDATED
-#define EARLIER_REPORT reset(reportLife)
+#ifdef NO_PROBE_ORDER
+#define PROBE_COUNTS true
 #else
-#define EARLIER_REPORT skip
+#define PROBE_COUNTS (probeValid && (knownLife != UNKNOWN || probeLife != replaced))
 #endif
-#define UNKNOWN 9 /* incarnation after status 421; higher than all others */
+#ifdef NO_KNOWN_SINCE
+#define KNOWN_SINCE skip
+#else
+#define KNOWN_SINCE probeValid = false
+#endif
+#define FOREIGN 8 /* incarnation in reports of other writers, which is never present */
+#define UNKNOWN 9 /* incarnation after status 421 */
 
 /* The backend server. */
 bool running;
@@ -108,7 +115,10 @@
 byte holdFence;
 byte holdLife;
 
-byte reportLife; /* used within report only */
+/* A probe that the backend server has answered; the answer is in transit. */
+bool probing;
+byte probeLife;
+bool probeValid; /* no other incarnation has become known since the probe was sent */
 
 /* The entry. */
 bool bound; /* the task was sent to this agent, which has not reported its end */
@@ -166,7 +176,7 @@
 	:: knownLife != UNKNOWN -> replaced = knownLife
 	:: else
 	fi;
-	knownLife = newLife; clean = false;
+	knownLife = newLife; clean = false; KNOWN_SINCE;
 	if
 	:: ENDS_WITH_LIFE -> started = false; bound = false
 	:: started && !ENDS_WITH_LIFE -> started = false; starting = true; REBORN_DOUBT
@@ -242,21 +252,29 @@
 	fi
 }
 
-/* A status report of the present incarnation, or a delayed one of an earlier incarnation,
- * arrives. */
+/* A status report of an incarnation that is not known arrives: of the present one, a
+ * delayed one, or one of another writer. It has no effect but a probe, which the present
+ * incarnation answers. If the report names another one, the answer contradicts it. */
 inline report() {
+#ifdef NO_CONFIRMATION
 	if
-	:: reportLife = life
-	:: life > 0 -> reportLife = life - 1
-	:: life > 1 -> reportLife = 0
-	fi;
+	:: knownLife != life -> reset(life)
+	:: life > 0 && knownLife != life - 1 -> reset(life - 1)
+	:: knownLife != FOREIGN -> reset(FOREIGN)
+	fi
+#else
+	probing = true; probeLife = life; probeValid = true
+#endif
+}
+
+/* The answer to a probe arrives late, after the answers to other calls. */
+inline probeAnswer() {
+	probing = false;
 	if
-	:: reportLife == knownLife
-	:: reportLife != knownLife && knownLife == UNKNOWN && reportLife != replaced -> reset(reportLife)
-	:: reportLife != knownLife && knownLife != UNKNOWN && reportLife > knownLife -> reset(reportLife)
-	:: else -> EARLIER_REPORT
+	:: probeLife != knownLife && PROBE_COUNTS -> reset(probeLife)
+	:: else
 	fi;
-	reportLife = 0
+	probeLife = 0; probeValid = false
 }
 
 /* A reconciliation call. A run that this process has started continues, others are
@@ -266,7 +284,10 @@
 	if
 	:: life != knownLife && knownLife != UNKNOWN -> reset(life)
 	:: else ->
-		knownLife = life;
+		if
+		:: knownLife != life -> knownLife = life; KNOWN_SINCE
+		:: else
+		fi;
 		if
 		:: afence < xfence -> afence = xfence + 1
 		:: else ->
@@ -308,11 +329,12 @@
 	/* The backend server answers a renewal, and the answer arrives later. */
 	:: atomic { clean && !pending -> send() }
 	:: atomic { pending -> lateAnswer() }
-	:: atomic { knownLife != life || life > 0 -> report() }
+	:: atomic { !probing && (knownLife != life || life > 0) -> report() }
+	:: atomic { probing -> probeAnswer() }
 	/* The agent's process is replaced. The new one has no state, and its clock may have
 	 * been set back. */
 	:: atomic { restarts < RESTARTS && crashes == 0 ->
-		restarts++; starting = false; started = false; pending = false; answered = false; afence = 1; raises = 0; leapt = false;
+		restarts++; starting = false; started = false; pending = false; probing = false; answered = false; afence = 1; raises = 0; leapt = false;
 #ifdef NO_LOOK
 		clean = true; bound = false; knownLife = life
 #else
