--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -20,11 +20,14 @@
 )
 
 const (
-	callTimeout       = 700 * time.Millisecond // for the store calls of one round
+	listTimeout       = 5 * time.Second        // for reading the registrations, in several calls if there are many
+	callTimeout       = 700 * time.Millisecond // for the store's writes of one round
 	minRetryDelay     = 200 * time.Millisecond // delay after the first failure; doubles with each further one
 	maxRetryDelay     = 2 * time.Second
 	renewalInterval   = 10 * time.Minute // at this interval a few hundred processes cause less than one write per second
 	staleAfter        = 35 * time.Minute // three missed renewals and some time for a store outage
+	maxAhead          = time.Minute      // by which a renewal may lie ahead of the store's clock
+	maxRemovals       = 10               // stale registrations removed after one renewal
 	discoveryInterval = 2 * time.Second  // between two reads of the store while no entry is connected
 )
 
@@ -36,6 +39,12 @@
 	RenewedMillis int64  `json:"renewed-ms"`
 }
 
+// isCurrent reports whether the registration was renewed within staleAfter before now.
+// A time of renewal after now is no valid one.
+func (r Registration) isCurrent(now int64) bool {
+	return r.RenewedMillis > now-staleAfter.Milliseconds() && r.RenewedMillis <= now+maxAhead.Milliseconds()
+}
+
 // Registrar renews the registration of its process, removes stale registrations
 // and passes the addresses of entries to the process. List, Write and Remove call
 // the store, AddEntries and Disconnected the process. List also returns the time of
@@ -77,15 +86,13 @@
 // process. If the renewal is due, it writes the registration of this process and
 // removes stale ones.
 func (r *Registrar) listAndRenew(ctx context.Context, renewalDue bool) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	registrations, now, err := r.List(ctx)
+	registrations, now, err := r.list(ctx)
 	if err != nil {
 		return err
 	}
 	var addresses []string
 	for _, e := range registrations {
-		if now-e.RenewedMillis < staleAfter.Milliseconds() {
+		if e.isCurrent(now) {
 			addresses = append(addresses, e.Address)
 		}
 	}
@@ -93,6 +100,8 @@
 	if !renewalDue {
 		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	self := *r.Self
 	self.RenewedMillis = now
 	if err := r.Write(ctx, self); err != nil {
@@ -102,15 +111,27 @@
 	return nil
 }
 
-// removeStale removes the registrations of other processes that were not renewed
-// for staleAfter.
+func (r *Registrar) list(ctx context.Context) (registrations []Registration, now int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	return r.List(ctx)
+}
+
+// removeStale removes registrations of other processes that are not current, at most
+// maxRemovals.
 func (r *Registrar) removeStale(ctx context.Context, registrations []Registration, now int64) {
+	removed := 0
 	for _, e := range registrations {
-		if now-e.RenewedMillis < staleAfter.Milliseconds() || e.Name == r.Self.Name {
+		if e.isCurrent(now) || e.Name == r.Self.Name {
 			continue
 		}
+		if removed == maxRemovals {
+			return
+		}
 		if err := r.Remove(ctx, e); err != nil {
 			r.Log.WithError(err).WithField("line", e.Name).Info("Removing a stale registration failed; it will be retried after the next renewal.")
+			return
 		}
+		removed++
 	}
 }
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -5,13 +5,16 @@
 	"errors"
 	"io"
 	"maps"
+	"math"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 )
 
@@ -122,3 +125,59 @@
 		})
 	})
 }
+
+// The age of a registration with a renewal time out of range overflows.
+func TestRegistrationRenewedAtImpossibleTimeIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		time.Sleep(time.Hour)
+		s := newFakeStore()
+		s.createdAt = s.createdAt.Add(-time.Hour)
+		now := time.Hour.Milliseconds()
+		for name, renewed := range map[string]int64{
+			"lowest": math.MinInt64, "negative": -1, "overflow": math.MinInt64 + now + 1, "highest": math.MaxInt64, "tomorrow": 25 * now, "valid": now - 1000,
+		} {
+			s.registrations[name] = Registration{Name: name, Address: name, RenewedMillis: renewed}
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go newRegistrar(s, nil).Run(ctx)
+		time.Sleep(time.Second)
+		s.inspect(func() { require.Equal(t, map[string]bool{"valid": true}, s.learned) })
+		go newRegistrar(s, &Registration{Name: "here", Address: "10.0.0.2:1"}).Run(ctx)
+		time.Sleep(time.Second)
+		s.inspect(func() {
+			require.ElementsMatch(t, []string{"valid", "here"}, slices.Collect(maps.Keys(s.registrations)), "the others would be read for ever")
+		})
+	})
+}
+
+// Rows left by another writer must neither use up the store's rate limit nor fill the
+// log when they cannot be removed.
+func TestRemovalOfManyRegistrationsIsBounded(t *testing.T) {
+	for _, failing := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newFakeStore()
+			for i := range 10000 {
+				name := "gone-" + strconv.Itoa(i)
+				s.registrations[name] = Registration{Name: name, Address: "10.0.0.1:1", RenewedMillis: -time.Hour.Milliseconds()}
+			}
+			r := newRegistrar(s, &Registration{Name: "here", Address: "10.0.0.2:1"})
+			log, hook := test.NewNullLogger()
+			r.Log = logrus.NewEntry(log)
+			if failing {
+				r.Remove = func(context.Context, Registration) error {
+					return s.execute(func() { s.down = true })
+				}
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go r.Run(ctx)
+			time.Sleep(5 * time.Minute)
+			s.inspect(func() {
+				require.Contains(t, s.registrations, "here")
+				require.LessOrEqual(t, s.calls, 30)
+				require.LessOrEqual(t, len(hook.AllEntries()), 1)
+			})
+		})
+	}
+}
