--- a/selector/selector.go
+++ b/selector/selector.go
@@ -9,6 +9,8 @@
 
 const (
 	substituteDelay = 500 * time.Millisecond // time without a connection after which an entry is unreachable and another one substitutes for it
+	trialDelay      = 300 * time.Millisecond // time without a connection after which another substitute is tried
+	retryDelay      = 5 * time.Second        // time after which a failed substitute is tried again, while any entry is connected
 	longUnreachable = 30 * time.Second       // time without a connection after which an entry is dialed rarely
 	surplusDelay    = 2 * time.Second        // time for which all preferred entries are connected before surplus ones are released
 )
@@ -104,29 +106,48 @@
 	return addresses
 }
 
-// chooseSubstitutes chooses count entries that are not preferred: those with a
-// connection first, then those never tried, then those whose last failure is the
-// longest ago.
+// chooseSubstitutes chooses count entries that are not preferred and have a connection.
+// If there are fewer, it also chooses count entries to connect to, those never tried
+// first, then those whose last failure is the longest ago.
 func (s *Selector) chooseSubstitutes(now time.Time, count int) {
 	others := slices.Clone(s.ranked[s.limit():])
 	for _, c := range others {
-		if c.chosen && c.unreachable(now) {
+		if c.chosen && c.failedTrial(now) {
 			c.failedAt, c.chosen, c.disconnectedAt = now, false, time.Time{}
 		}
 	}
 	slices.SortStableFunc(others, func(a, b *candidate) int {
 		return cmp.Or(cmp.Compare(a.substituteOrder(), b.substituteOrder()), a.failedAt.Compare(b.failedAt))
 	})
+	connected := slices.IndexFunc(others, func(c *candidate) bool { return !c.connected })
+	if connected < 0 {
+		connected = len(others)
+	}
+	anyConnected := slices.ContainsFunc(s.ranked, func(c *candidate) bool { return c.connected })
 	for i, c := range others {
 		switch {
-		case i < count:
+		case i < min(connected, count):
+			c.choose(now)
+		case c.connected:
+		case connected < count && i < connected+count && (!anyConnected || c.mayRetry(now)):
 			c.choose(now)
-		case !c.connected:
+		default:
 			c.chosen, c.disconnectedAt = false, time.Time{}
 		}
 	}
 }
 
+// failedTrial reports whether the substitute has been without a connection for
+// trialDelay.
+func (c *candidate) failedTrial(now time.Time) bool {
+	return !c.disconnectedAt.IsZero() && now.Sub(c.disconnectedAt) >= trialDelay
+}
+
+// mayRetry reports whether the last failure is retryDelay ago.
+func (c *candidate) mayRetry(now time.Time) bool {
+	return c.failedAt.IsZero() || now.Sub(c.failedAt) >= retryDelay
+}
+
 // substituteOrder returns the order in which substitutes are taken: connected ones
 // first, and among equals those chosen before.
 func (c *candidate) substituteOrder() int {
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -187,3 +187,46 @@
 	require.Len(t, g.connections[0], 35)
 	require.False(t, g.processes[0].Add(entryAddress(3)))
 }
+
+// TestDeadAddressesDelayConnectionsLittle gives every process 4 entries and 30
+// addresses where none answers, such as those of stale registrations.
+func TestDeadAddressesDelayConnectionsLittle(t *testing.T) {
+	const entries, processes, dead = 4, 300, 30
+	g := newGroup(entries, processes, 6)
+	for i := range dead {
+		address := fmt.Sprintf("10.99.0.%d:7720", i)
+		g.unreachable[address] = true
+		for _, s := range g.processes {
+			s.Add(address)
+		}
+	}
+	connectedBy := func(n int) int {
+		count := 0
+		for _, c := range g.connections {
+			if len(c) >= n {
+				count++
+			}
+		}
+		return count
+	}
+	g.run(1500 * time.Millisecond)
+	require.Equal(t, processes, connectedBy(1))
+	g.run(2 * time.Second)
+	require.Equal(t, processes, connectedBy(entries))
+
+	// While entries are connected, all other addresses are tried at intervals.
+	trials := 0
+	dialing := make(map[string]bool)
+	for range 100 {
+		g.run(100 * time.Millisecond)
+		s := g.processes[0]
+		for _, c := range s.ranked[s.limit():] {
+			if c.chosen && !c.connected && !dialing[c.address] {
+				trials++
+			}
+			dialing[c.address] = c.chosen && !c.connected
+		}
+	}
+	require.LessOrEqual(t, trials, 3*dead, "each is tried every 5 s")
+	require.GreaterOrEqual(t, trials, dead-6, "entries that come back are found")
+}
