--- a/server/sync.go
+++ b/server/sync.go
@@ -20,6 +20,7 @@
 	RequestID string
 	Deadline  time.Duration                            // how long the caller waits; 0: unspecified
 	Decode    func(id string) (coordinator.Job, error) // decodes the job; id is the path without the prefix of the route
+	HasLeft   func() bool                              // reports whether the caller has closed its connection; nil: only the context shows it
 }
 
 // Outcome classifies the result of a synchronous job.
@@ -88,6 +89,12 @@
 	job.Restart = coordinator.RestartPolicy{MaxAttempts: route.MaxAttempts, FirstAttempt: firstAttemptNumber(startedAt)}
 	job.Due, job.Priority = route.Due(job.LongestEstimate()), route.Priority
 	job.DeadlineMillis = request.Deadline.Milliseconds()
+	if ctx.Err() != nil || request.HasLeft != nil && request.HasLeft() {
+		// The context ends only when a goroutine has read the end of the connection. By then
+		// tasks could have been started, and the caller may have submitted the job elsewhere.
+		reply := SyncReply{Outcome: OutcomeNotRun, Cause: "the caller had left before the job was submitted", Reason: protocol.ReasonCancelled}
+		return e.finishSync(request, route, startedAt, reply, nil)
+	}
 	e.Log.WithFields(logrus.Fields{
 		"request-id": request.RequestID, "job": job.Name, "route": route.Name, "service": route.Service, "tasks": len(job.Tasks),
 		"due-ms": job.Due.Milliseconds(), "deadline-ms": job.DeadlineMillis, "configuration": e.Routes.Version(),
