--- a/cmd/mustardleverd/hosted_entry.go
+++ b/cmd/mustardleverd/hosted_entry.go
@@ -13,7 +13,7 @@
 	"mustardlever.dev/mustardlever/coordinator"
 	"mustardlever.dev/mustardlever/counter"
 	"mustardlever.dev/mustardlever/dispatcher"
-	"mustardlever.dev/mustardlever/hangupdetector"
+	"mustardlever.dev/mustardlever/conninspector"
 	"mustardlever.dev/mustardlever/operator"
 	"mustardlever.dev/mustardlever/pausedetector"
 	"mustardlever.dev/mustardlever/platform"
@@ -105,7 +105,7 @@
 
 func newCallerServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler: h, ConnContext: hangupdetector.WithConn,
+		Handler: h, ConnContext: conninspector.WithConn,
 		ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 }
--- a/hangupdetector/detector_test.go
+++ b/conninspector/inspector_test.go
@@ -1,4 +1,4 @@
-package hangupdetector
+package conninspector
 
 import (
 	"context"
@@ -55,6 +55,22 @@
 	}
 }
 
+// Guards against taking a request that waited in the socket for a new one.
+func TestSinceDataCountsUnreadData(t *testing.T) {
+	const wait = 150 * time.Millisecond
+	client, server := connect(t)
+	ctx := WithConn(context.Background(), server)
+	_, err := io.WriteString(client, "x")
+	require.NoError(t, err)
+	time.Sleep(wait)
+	_, err = server.Read(make([]byte, 1))
+	require.NoError(t, err)
+	require.InDelta(t, wait.Milliseconds(), SinceData(ctx).Milliseconds(), 50)
+	_, err = io.WriteString(client, "x")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return SinceData(ctx) < wait/2 }, time.Second, time.Millisecond)
+}
+
 // Guards against rejecting requests whose connection is unknown, closed by this process,
 // or no socket.
 func TestUnknownConnectionHasNotHungUp(t *testing.T) {
@@ -65,6 +81,8 @@
 	pipe, other := net.Pipe()
 	other.Close()
 	require.False(t, HungUp(WithConn(context.Background(), pipe)))
+	require.Zero(t, SinceData(WithConn(context.Background(), pipe)))
+	require.Zero(t, SinceData(context.Background()))
 }
 
 func BenchmarkHungUp(b *testing.B) {
@@ -77,3 +95,12 @@
 		}
 	}
 }
+
+func BenchmarkSinceData(b *testing.B) {
+	_, server := connect(b)
+	ctx := WithConn(context.Background(), server)
+	b.ReportAllocs()
+	for b.Loop() {
+		SinceData(ctx)
+	}
+}
