--- a/cmd/mustardleverd/hosted_entry.go
+++ b/cmd/mustardleverd/hosted_entry.go
@@ -10,10 +10,10 @@
 	"go.uber.org/fx"
 
 	"mustardlever.dev/mustardlever/configurer"
+	"mustardlever.dev/mustardlever/conninspector"
 	"mustardlever.dev/mustardlever/coordinator"
 	"mustardlever.dev/mustardlever/counter"
 	"mustardlever.dev/mustardlever/dispatcher"
-	"mustardlever.dev/mustardlever/conninspector"
 	"mustardlever.dev/mustardlever/operator"
 	"mustardlever.dev/mustardlever/pausedetector"
 	"mustardlever.dev/mustardlever/platform"
--- a/cmd/mustardleverd/hosted_entry_test.go
+++ b/cmd/mustardleverd/hosted_entry_test.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"runtime"
 	"strings"
 	"sync/atomic"
@@ -39,22 +41,31 @@
 			s.submitted.Add(1)
 		}
 	}
-	s.entry.Routes.Adopt(router.NewTable(1, []router.Route{{Host: "desk.example", Prefix: "/checks/", Service: "s"}}))
-	var err error
+	s.entry.Routes.Adopt(router.NewTable(1, []router.Route{{Host: "desk.example", Prefix: "/checks/", Service: "s", MaxAttempts: 1}}))
+	links, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s.entry.Start(links)
+	t.Cleanup(s.entry.Stop)
 	s.listener, err = net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { s.listener.Close() })
 	return s
 }
 
-// send opens a connection and sends the given number of jobs on it at once.
+// send opens a connection and sends the given number of jobs on it at once, with ids from
+// first.
 func (s *callerSite) send(first, jobs int) *net.TCPConn {
+	return s.sendWithDeadline(first, jobs, 8*time.Second)
+}
+
+func (s *callerSite) sendWithDeadline(first, jobs int, deadline time.Duration) *net.TCPConn {
 	c, err := net.Dial("tcp", s.listener.Addr().String())
 	require.NoError(s.t, err)
 	const body = `{"spec":"x","bestEffort":true,"steps":[{"count":1,"cpu":1}]}`
 	var b strings.Builder
 	for i := range jobs {
-		fmt.Fprintf(&b, "POST /checks/%016x HTTP/1.1\r\nHost: desk.example\r\nDeadline-Ms: 8000\r\nContent-Length: %d\r\n\r\n%s", first+i, len(body), body)
+		fmt.Fprintf(&b, "POST /checks/%016x HTTP/1.1\r\nHost: desk.example\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
+			first+i, deadline.Milliseconds(), len(body), body)
 	}
 	_, err = io.WriteString(c, b.String())
 	require.NoError(s.t, err)
@@ -110,3 +121,31 @@
 	s.serve()
 	require.Eventually(t, func() bool { return s.submitted.Load() == 10 }, 5*time.Second, 5*time.Millisecond)
 }
+
+// Guards against a request that is read late, as by an entry that was paused, and gets
+// its whole time from then on. Its caller submits the job to another entry 1.3 s after
+// its own time; the end of the connection may be lost.
+func TestDeadlineCountsFromArrivalOfRequest(t *testing.T) {
+	const wait, tolerance = 400 * time.Millisecond, 150 * time.Millisecond
+	for _, tt := range []struct {
+		deadline  time.Duration
+		submitted int64
+	}{{wait / 2, 0}, {2 * wait, 1}} {
+		t.Run(tt.deadline.String(), func(t *testing.T) {
+			s := newCallerSite(t)
+			sentAt := time.Now()
+			c := s.sendWithDeadline(1, 1, tt.deadline)
+			defer c.Close()
+			time.Sleep(wait)
+			s.serve()
+			c.SetReadDeadline(sentAt.Add(5 * time.Second))
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			require.NoError(t, err)
+			response.Body.Close()
+			require.Less(t, time.Since(sentAt), max(wait, tt.deadline)+tolerance)
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode, "nothing was started")
+			require.NotEmpty(t, response.Header.Get("Retry-After"))
+			require.Equal(t, tt.submitted, s.submitted.Load())
+		})
+	}
+}
--- a/server/sync.go
+++ b/server/sync.go
@@ -21,6 +21,7 @@
 	Deadline  time.Duration                            // how long the caller waits; 0: unspecified
 	Decode    func(id string) (coordinator.Job, error) // decodes the job; id is the path without the prefix of the route
 	HasLeft   func() bool                              // reports whether the caller has closed its connection; nil: only the context shows it
+	Age       func() time.Duration                     // time since the request arrived, also while it was not read; nil: time since SubmitSync was called
 }
 
 // Outcome classifies the result of a synchronous job.
@@ -88,13 +89,11 @@
 	}
 	job.Restart = coordinator.RestartPolicy{MaxAttempts: route.MaxAttempts, FirstAttempt: firstAttemptNumber(startedAt)}
 	job.Due, job.Priority = route.Due(job.LongestEstimate()), route.Priority
-	job.DeadlineMillis = request.Deadline.Milliseconds()
-	if ctx.Err() != nil || request.HasLeft != nil && request.HasLeft() {
-		// The context ends only when a goroutine has read the end of the connection. By then
-		// tasks could have been started, and the caller may have submitted the job elsewhere.
-		reply := SyncReply{Outcome: OutcomeNotRun, Cause: "the caller had left before the job was submitted", Reason: protocol.ReasonCancelled}
+	remaining := request.remaining(startedAt)
+	if reply, gone := request.callerGone(ctx, remaining); gone {
 		return e.finishSync(request, route, startedAt, reply, nil)
 	}
+	job.DeadlineMillis = max(remaining.Milliseconds(), 0)
 	e.Log.WithFields(logrus.Fields{
 		"request-id": request.RequestID, "job": job.Name, "route": route.Name, "service": route.Service, "tasks": len(job.Tasks),
 		"due-ms": job.Due.Milliseconds(), "deadline-ms": job.DeadlineMillis, "configuration": e.Routes.Version(),
@@ -103,6 +102,30 @@
 	return e.finishSync(request, route, startedAt, syncReply(answer, err), answer)
 }
 
+// remaining returns the time left until the deadline, in whole milliseconds. The request
+// may have waited unread while this process was paused or slow.
+func (r SyncJob) remaining(startedAt time.Time) time.Duration {
+	age := time.Since(startedAt)
+	if r.Age != nil {
+		age = max(age, r.Age())
+	}
+	return (r.Deadline - age).Truncate(time.Millisecond)
+}
+
+// callerGone reports whether the caller no longer waits, and returns the reply to it. Call
+// it just before the job is submitted. ctx ends only when a goroutine has read the end of
+// the connection; by then tasks could have been started, and the caller may have submitted
+// the job to another entry.
+func (r SyncJob) callerGone(ctx context.Context, remaining time.Duration) (SyncReply, bool) {
+	switch {
+	case ctx.Err() != nil || r.HasLeft != nil && r.HasLeft():
+		return SyncReply{Outcome: OutcomeNotRun, Cause: "the caller had left before the job was submitted", Reason: protocol.ReasonCancelled}, true
+	case r.Deadline > 0 && remaining <= 0:
+		return SyncReply{Outcome: OutcomeNotRun, Cause: "the deadline had passed before the job was submitted", RetryAfter: retryAfter, Reason: protocol.ReasonDeadline}, true
+	}
+	return SyncReply{}, false
+}
+
 // firstAttemptNumber returns the attempt number for the first start of a task: the
 // wall-clock time in tenths of a second, so that the numbers increase across all
 // entries and their restarts. If the wall clock is set back, an agent may refuse a
