--- a/cmd/mustardleverd/hosted_entry.go
+++ b/cmd/mustardleverd/hosted_entry.go
@@ -10,6 +10,7 @@
 	"go.uber.org/fx"
 
 	"mustardlever.dev/mustardlever/configurer"
+	"mustardlever.dev/mustardlever/conninspector"
 	"mustardlever.dev/mustardlever/coordinator"
 	"mustardlever.dev/mustardlever/counter"
 	"mustardlever.dev/mustardlever/dispatcher"
@@ -104,7 +105,8 @@
 
 func newCallerServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: h, ConnContext: conninspector.WithConn,
+		ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 }
 
