--- a/cmd/mustardsoak/main.go
+++ b/cmd/mustardsoak/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -45,6 +46,8 @@
 			&cli.BoolFlag{Name: "recovery", Usage: "measure the recovery time after the loss of processes instead"},
 			&cli.BoolFlag{Name: "liberties", Usage: "backend servers also take the platform's liberties: late calls, answers and reports, and restarts under the same id"},
 			&cli.BoolFlag{Name: "forgotten-fence", Usage: "with --liberties: a restarted backend server executes starts that were fenced off before, which no protocol can prevent"},
+			&cli.BoolFlag{Name: "foreign-reports", Usage: "agents also get misleading status reports: those of other writers, and late ones of a backend server whose clock was set back"},
+			&cli.StringSliceFlag{Name: "only", Usage: "with --foreign-reports: `KIND` of misleading status reports, instead of all kinds; repeatable"},
 			&cli.BoolFlag{Name: "quiet", Usage: "print only the summary of each seed"},
 		},
 		Action: run,
@@ -90,12 +93,34 @@
 		Entries: c.Int("entries"), Agents: c.Int("agents"), Callers: c.Int("callers"), Logf: printLine,
 		Liberties: c.Bool("liberties"), ForgottenFence: c.Bool("forgotten-fence"),
 	}
+	if s.ReportFaults, err = reportFaults(c); err != nil {
+		return soaker.Settings{}, err
+	}
 	if c.Bool("quiet") {
 		s.Logf = func(string, ...any) {}
 	}
 	return s, nil
 }
 
+// reportFaults returns the kinds of misleading status reports that the flags select.
+func reportFaults(c *cli.Command) ([]soaker.Kind, error) {
+	all := soaker.ReportFaultKinds()
+	switch {
+	case !c.Bool("foreign-reports"):
+		return nil, nil
+	case !c.IsSet("only"):
+		return all, nil
+	}
+	var kinds []soaker.Kind
+	for _, name := range c.StringSlice("only") {
+		if !slices.Contains(all, soaker.Kind(name)) {
+			return nil, fmt.Errorf("unknown kind %q of status reports, must be one of %v", name, all)
+		}
+		kinds = append(kinds, soaker.Kind(name))
+	}
+	return kinds, nil
+}
+
 func printLine(format string, a ...any) { fmt.Printf(format+"\n", a...) }
 
 // measureRecovery prints how long service takes to recover from each kind of loss.
--- a/internal/soaker/inject.go
+++ b/internal/soaker/inject.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"slices"
 	"syscall"
 	"time"
 
@@ -43,6 +44,10 @@
 	case LateCalls, HoldAnswers, LateReports, RestartSameID, RestartSameIDCut, RestartNewID, RestartNewIDCut, RestartSlowly:
 		k.injectLiberties(f, agent)
 	default:
+		if slices.Contains(ReportFaultKinds(), f.Kind) {
+			injectReports(f, agent)
+			return
+		}
 		k.injectNetwork(f, entry, agent)
 	}
 }
--- a/internal/soaker/liberties.go
+++ b/internal/soaker/liberties.go
@@ -48,10 +48,14 @@
 }
 
 // addLiberties adds faults of the kinds in libertyWeights to the rounds of a schedule.
-// Half of them affect the agent of the fault before. It uses its own stream of random
-// numbers, so that the other faults of a seed stay the same.
 func addLiberties(rounds []Round, seed uint64, agents int) []Round {
-	rng := rand.New(rand.NewPCG(seed, libertyStream))
+	return addFaults(rounds, rand.New(rand.NewPCG(seed, libertyStream)), libertyWeights, agents)
+}
+
+// addFaults adds faults of further kinds to the rounds of a schedule. Half of them affect
+// the agent of the fault before. rng is a stream of random numbers of its own, so that the
+// other faults of a seed stay the same.
+func addFaults(rounds []Round, rng *rand.Rand, weights []kindWeight, agents int) []Round {
 	for i := range rounds {
 		r := &rounds[i]
 		last := r.Faults[len(r.Faults)-1]
@@ -59,7 +63,7 @@
 		others := r.Faults
 		for at := randomDuration(rng, 0, maxGap); at < end; at += randomDuration(rng, minGap, maxLibertyGap) {
 			f := Fault{
-				At: at, Duration: min(randomDuration(rng, minDuration, maxDuration), end-at), Kind: randomKind(rng, libertyWeights),
+				At: at, Duration: min(randomDuration(rng, minDuration, maxDuration), end-at), Kind: randomKind(rng, weights),
 				Agent: rng.IntN(agents), Delay: randomDuration(rng, 0, maxDelay),
 			}
 			if before := slices.IndexFunc(others, func(o Fault) bool { return o.At > at }); before > 0 && rng.IntN(2) == 0 {
--- a/internal/soaker/liberties_test.go
+++ b/internal/soaker/liberties_test.go
@@ -1,30 +1,42 @@
 package soaker
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against liberties that change the other faults of a seed, that a seed does not
+// Guards against added faults that change the other faults of a seed, that a seed does not
 // determine, or that are not in the order of their times.
-func TestAddLiberties(t *testing.T) {
+func TestAddFaults(t *testing.T) {
 	const seed, entries, agents = 7, 3, 5
-	want := NewSchedule(seed, entries, agents, time.Minute)
-	rounds := addLiberties(NewSchedule(seed, entries, agents, time.Minute), seed, agents)
-	require.Equal(t, rounds, addLiberties(NewSchedule(seed, entries, agents, time.Minute), seed, agents))
-	require.Len(t, rounds, len(want))
-	isLiberty := make(map[Kind]bool)
+	schedule := func() []Round { return NewSchedule(seed, entries, agents, time.Minute) }
+	withLiberties := func() []Round { return addLiberties(schedule(), seed, agents) }
+	withReports := func() []Round { return addReportFaults(schedule(), seed, agents, ReportFaultKinds()) }
+	withBoth := func() []Round { return addReportFaults(withLiberties(), seed, agents, ReportFaultKinds()) }
+	var liberties []Kind
 	for _, w := range libertyWeights {
-		isLiberty[w.kind] = true
+		liberties = append(liberties, w.kind)
 	}
+	requireAdded(t, schedule, withLiberties, liberties)
+	requireAdded(t, schedule, withReports, ReportFaultKinds())
+	requireAdded(t, withLiberties, withBoth, ReportFaultKinds())
+}
+
+// requireAdded requires that extended returns the faults of base and faults of the added
+// kinds.
+func requireAdded(t *testing.T, base, extended func() []Round, added []Kind) {
+	want, rounds := base(), extended()
+	require.Equal(t, rounds, extended())
+	require.Len(t, rounds, len(want))
 	for i, r := range rounds {
 		var others []Fault
 		lastAt := time.Duration(0)
 		for _, f := range r.Faults {
 			require.GreaterOrEqual(t, f.At, lastAt)
-			if lastAt = f.At; !isLiberty[f.Kind] {
+			if lastAt = f.At; !slices.Contains(added, f.Kind) {
 				others = append(others, f)
 			}
 		}
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -24,6 +24,8 @@
 
 	Liberties      bool // backend servers take the platform's liberties: the faults of a second schedule are added
 	ForgottenFence bool // and so the one that no protocol can make harmless; see standin.Liberties
+
+	ReportFaults []Kind // faults of these kinds, from ReportFaultKinds, are added by a third schedule; empty: none
 }
 
 // Report is the result of a run.
@@ -105,6 +107,9 @@
 	if s.Liberties {
 		rounds = addLiberties(rounds, s.Seed, s.Agents)
 	}
+	if len(s.ReportFaults) > 0 {
+		rounds = addReportFaults(rounds, s.Seed, s.Agents, s.ReportFaults)
+	}
 	for _, r := range rounds {
 		k.runRound(r)
 	}
