--- a/tests/platform_test.go
+++ b/tests/platform_test.go
@@ -289,6 +289,56 @@
 	})
 }
 
+// Guards against tasks that run twice at the same time, and against jobs that are lost,
+// when another writer sends status reports to the agents (issue 33). The load lasts until
+// a backend server whose own reports are rejected would count as lost.
+func TestPlatformForeignReports(t *testing.T) {
+	f := newPlatformFleet(t, 2, 2)
+	f.requireCompletedDuring(70, 100*time.Millisecond, 300*time.Millisecond, func() {
+		for _, kind := range standin.ForeignKinds() {
+			for _, x := range f.executors {
+				x.SendForeign(kind)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
+
+// Guards against a run that is reported as ended, and started elsewhere, because of what
+// another writer reports (issue 33).
+func TestPlatformForeignReportEndsNoRun(t *testing.T) {
+	f := newPlatformFleet(t, 1, 2)
+	var wg sync.WaitGroup
+	var answer string
+	wg.Go(func() {
+		_, answer = postJob(f.entries[0], jobID(1), standin.Job(1, standin.Work{DurationMillis: 2500, Millicores: taskMillicores}))
+	})
+	require.Eventually(t, func() bool { return f.checker.Starts(jobID(1)) == 1 }, 5*time.Second, 5*time.Millisecond)
+	for _, kind := range standin.ForeignKinds() {
+		for _, x := range f.executors {
+			if x.Name == f.checker.ExecutorOf(jobID(1)) {
+				x.SendForeign(kind)
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	wg.Wait()
+	require.JSONEq(t, `{"state":"completed"}`, answer)
+	require.Equal(t, 1, f.checker.Starts(jobID(1)))
+}
+
+// Guards against tasks that run twice at the same time, and against jobs that are lost,
+// when the clock of an executor is set back between two restarts and late reports of the
+// incarnation before arrive after both (issue 33).
+func TestPlatformExecutorClockSetBack(t *testing.T) {
+	f := newPlatformFleet(t, 2, 2)
+	f.requireCompletedDuring(40, 60*time.Millisecond, 300*time.Millisecond, func() {
+		f.executors[0].Restart(standin.Restart{ClockStep: -time.Minute, LateReports: 2 * time.Second})
+		time.Sleep(300 * time.Millisecond)
+		f.executors[0].Restart(standin.Restart{})
+	})
+}
+
 // Guards against an entry that misses a change of the configuration, and against one
 // that has no configuration after it restarts while the store is down. It must get
 // the configuration from its peer.
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -24,6 +24,11 @@
 	1002, 1013, // a run that the next incarnation of a backend server with the same id had started was reported as ended
 }
 
+// reportSeeds are run in CI in the same way, with misleading status reports.
+var reportSeeds = []uint64{
+	3002, // a report of another writer, or a late one of an earlier incarnation, ended runs that went on
+}
+
 // Guards against violated guarantees and against a soak in which no job completes.
 // The seeds determine the faults of processes, links and the store.
 func TestSoak(t *testing.T) {
@@ -42,6 +47,17 @@
 	}
 }
 
+// Guards against guarantees that hold only while every status report comes from the
+// backend server and its clock is never set back (issue 33).
+func TestSoakWithForeignReports(t *testing.T) {
+	t.Parallel()
+	for _, seed := range reportSeeds {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			soak(t, soaker.Settings{Seed: seed, Agents: 5, Callers: 14, ReportFaults: soaker.ReportFaultKinds()})
+		})
+	}
+}
+
 // soak runs one round of a seed.
 func soak(t *testing.T, s soaker.Settings) {
 	s.Duration, s.Entries, s.DaemonPath, s.Dir, s.Logf = time.Second, 3, daemonPath, t.TempDir(), t.Logf
