--- a/tests/platform_test.go
+++ b/tests/platform_test.go
@@ -327,16 +327,22 @@
 	require.Equal(t, 1, f.checker.Starts(jobID(1)))
 }
 
-// Guards against tasks that run twice at the same time, and against jobs that are lost,
-// when the clock of an executor is set back between two restarts and late reports of the
-// incarnation before arrive after both (issue 33).
+// Guards against a run that is reported as ended, and started elsewhere, because of late
+// reports of an earlier incarnation, when the clock of the executor was set back before
+// the next one and it has restarted again since (issue 33).
 func TestPlatformExecutorClockSetBack(t *testing.T) {
-	f := newPlatformFleet(t, 2, 2)
-	f.requireCompletedDuring(40, 60*time.Millisecond, 300*time.Millisecond, func() {
-		f.executors[0].Restart(standin.Restart{ClockStep: -time.Minute, LateReports: 2 * time.Second})
-		time.Sleep(300 * time.Millisecond)
-		f.executors[0].Restart(standin.Restart{})
-	})
+	f := newPlatformFleet(t, 1, 3)
+	load := f.startLoad(100, standin.Work{DurationMillis: 50, Millicores: 100}, 20*time.Millisecond) // lets the agent call each incarnation
+	time.Sleep(200 * time.Millisecond)
+	f.executors[0].Restart(standin.Restart{ClockStep: -time.Minute, LateReports: 3 * time.Second})
+	time.Sleep(300 * time.Millisecond)
+	f.executors[0].Restart(standin.Restart{})
+	time.Sleep(300 * time.Millisecond)
+	const tasks = 9 // at least one on each executor, beside the load
+	_, answer := postJob(f.entries[0], jobID(901), standin.Job(tasks, standin.Work{DurationMillis: 2500, Millicores: taskMillicores}))
+	require.Equal(t, 100, load())
+	require.JSONEq(t, `{"state":"completed"}`, answer)
+	require.Equal(t, tasks, f.checker.Starts(jobID(901)))
 }
 
 // Guards against an entry that misses a change of the configuration, and against one
