--- a/tests/platform_test.go
+++ b/tests/platform_test.go
@@ -289,6 +289,62 @@
 	})
 }
 
+// Guards against tasks that run twice at the same time, and against jobs that are lost,
+// when another writer sends status reports to the agents (issue 33). The load lasts until
+// a backend server whose own reports are rejected would count as lost.
+func TestPlatformForeignReports(t *testing.T) {
+	f := newPlatformFleet(t, 2, 2)
+	f.requireCompletedDuring(70, 100*time.Millisecond, 300*time.Millisecond, func() {
+		for _, kind := range standin.ForeignKinds() {
+			for _, x := range f.executors {
+				x.SendForeign(kind)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
+
+// Guards against a run that is reported as ended, and started elsewhere, because of what
+// another writer reports (issue 33).
+func TestPlatformForeignReportEndsNoRun(t *testing.T) {
+	f := newPlatformFleet(t, 1, 2)
+	var wg sync.WaitGroup
+	var answer string
+	wg.Go(func() {
+		_, answer = postJob(f.entries[0], jobID(1), standin.Job(1, standin.Work{DurationMillis: 2500, Millicores: taskMillicores}))
+	})
+	require.Eventually(t, func() bool { return f.checker.Starts(jobID(1)) == 1 }, 5*time.Second, 5*time.Millisecond)
+	for _, kind := range standin.ForeignKinds() {
+		for _, x := range f.executors {
+			if x.Name == f.checker.ExecutorOf(jobID(1)) {
+				x.SendForeign(kind)
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	wg.Wait()
+	require.JSONEq(t, `{"state":"completed"}`, answer)
+	require.Equal(t, 1, f.checker.Starts(jobID(1)))
+}
+
+// Guards against a run that is reported as ended, and started elsewhere, because of late
+// reports of an earlier incarnation, when the clock of the executor was set back before
+// the next one and it has restarted again since (issue 33).
+func TestPlatformExecutorClockSetBack(t *testing.T) {
+	f := newPlatformFleet(t, 1, 3)
+	load := f.startLoad(100, standin.Work{DurationMillis: 50, Millicores: 100}, 20*time.Millisecond) // lets the agent call each incarnation
+	time.Sleep(200 * time.Millisecond)
+	f.executors[0].Restart(standin.Restart{ClockStep: -time.Minute, LateReports: 3 * time.Second})
+	time.Sleep(300 * time.Millisecond)
+	f.executors[0].Restart(standin.Restart{})
+	time.Sleep(300 * time.Millisecond)
+	const tasks = 9 // at least one on each executor, beside the load
+	_, answer := postJob(f.entries[0], jobID(901), standin.Job(tasks, standin.Work{DurationMillis: 2500, Millicores: taskMillicores}))
+	require.Equal(t, 100, load())
+	require.JSONEq(t, `{"state":"completed"}`, answer)
+	require.Equal(t, tasks, f.checker.Starts(jobID(901)))
+}
+
 // Guards against an entry that misses a change of the configuration, and against one
 // that has no configuration after it restarts while the store is down. It must get
 // the configuration from its peer.
