--- a/internal/soaker/check.go
+++ b/internal/soaker/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"mustardlever.dev/mustardlever/operator"
@@ -14,20 +15,22 @@
 	configurationPollInterval = 200 * time.Millisecond
 	maxSteadyLatency          = 3 * time.Second // of a job submitted in a steady phase, in addition to the duration of one of its tasks
 	maxSteadyRetryRatio       = 0.02            // fraction of those jobs, plus one job, that may need several attempts
-	lossLimit                 = 3               // losses of backend servers under one task after which its job may be given up; only liberties make that many usual
+	lossLimit                 = 3               // losses of backend servers under one task after which its job may be given up; only liberties and RestartSetBack make that many usual
 )
 
 // checkAnswer checks the final answer to a job, if there is one: a job is reported
 // as completed only if all its tasks are done, and as failed only if its tasks fail or,
-// with liberties, the backend servers were lost under one of them lossLimit times.
+// with liberties or RestartSetBack, the backend servers were lost under one of them
+// lossLimit times.
 func (k *soak) checkAnswer(j *job) {
 	if !j.served() {
 		return
 	}
+	mayGiveUp := k.Liberties || slices.Contains(k.ReportFaults, RestartSetBack)
 	switch {
 	case j.answer.Completed() && j.fails:
 		k.recordViolation("job %s fails but was reported as completed", j.id)
-	case j.answer.Failed() && !j.fails && k.Liberties && k.checker.Losses(j.id) >= lossLimit:
+	case j.answer.Failed() && !j.fails && mayGiveUp && k.checker.Losses(j.id) >= lossLimit:
 		k.mu.Lock()
 		k.report.GivenUp++
 		k.mu.Unlock()
--- a/internal/soaker/check_test.go
+++ b/internal/soaker/check_test.go
@@ -35,6 +35,12 @@
 		"wrongly completed": {func(k *soak) { j := failedJob(); j.answer = completed; k.checkAnswer(j) }, "fails but was reported as completed"},
 		"wrongly failed":    {func(k *soak) { j := failedJob(); j.fails = false; k.checkAnswer(j) }, "was reported as failed"},
 		"wrongly given up":  {func(k *soak) { k.Liberties = true; j := failedJob(); j.fails = false; k.checkAnswer(j) }, "was reported as failed"},
+		"wrongly given up, clock set back": {func(k *soak) {
+			k.ReportFaults = []Kind{RestartSetBack}
+			j := failedJob()
+			j.fails = false
+			k.checkAnswer(j)
+		}, "was reported as failed"},
 		"incomplete": {func(k *soak) {
 			j := failedJob()
 			j.answer, j.fails, j.tasks = completed, false, 2
