--- a/executor/confirmation.go
+++ b/executor/confirmation.go
@@ -13,6 +13,7 @@
 	maxUnconfirmed   = 8                      // reports of different incarnations that wait for confirmation
 	minProbeInterval = 50 * time.Millisecond  // after the first probe without an answer; doubles with each further one
 	maxProbeInterval = 400 * time.Millisecond // between two probes for one report
+	fencedInterval   = 20 * time.Millisecond  // after a probe whose fencing token was too low
 	maxNumberStep    = 1 << 20                // between the numbers of two reports in succession
 )
 
@@ -24,6 +25,28 @@
 	restored   bool   // report was saved by an earlier process
 	receivedAt time.Time
 	probed     chan struct{} // closed after the first probe
+	rejected   leaser.Call   // last probe, if its fencing token was too low
+}
+
+// reportSeries is a series of reports with rising numbers that arrive about as often as
+// reports are sent. Delayed reports arrive at once or do not go on.
+type reportSeries struct {
+	number int64
+	at     time.Time
+	length int
+}
+
+// add adds the report with the given number. It reports whether the series is as long as
+// the number of reports that may be missed.
+func (s *reportSeries) add(number int64, now time.Time, interval time.Duration) bool {
+	switch {
+	case s.length > 0 && number <= s.number:
+		return false
+	case s.length == 0 || now.Sub(s.at) >= interval/2:
+		s.length, s.at = s.length+1, now
+	}
+	s.number = number
+	return s.length >= maxMissedReports
 }
 
 // awaitConfirmation probes for a report, together with others of the same incarnation.
@@ -36,9 +59,11 @@
 		if !u.report.sameServer(r) {
 			continue
 		}
+		draining := !r.Ready || !u.report.Ready
 		if r.Number > u.report.Number {
 			u.report, u.restored = r, restored
 		}
+		u.report.Ready = !draining
 		u.receivedAt = now
 		return u.probed
 	}
@@ -63,7 +88,9 @@
 		switch {
 		case settled:
 			return
-		case status != leaser.StatusFenced: // then the next probe has a higher token
+		case status == leaser.StatusFenced:
+			pausedetector.Sleep(x.ctx, fencedInterval)
+		default:
 			pausedetector.Sleep(x.ctx, interval)
 			interval = min(2*interval, maxProbeInterval)
 		}
@@ -76,7 +103,7 @@
 	x.mu.Lock()
 	target := u.report
 	waiting := x.waits(u)
-	c := x.leaser.Probe()
+	c := x.leaser.Probe(u.rejected)
 	x.mu.Unlock()
 	if !waiting {
 		return 0, true
@@ -90,6 +117,10 @@
 		contradicted := a.Status == leaser.StatusWrongIncarnation || a.Status == leaser.StatusInvalid ||
 			a.Status == leaser.StatusDone && a.StartedAt != target.StartedAt
 		expired := now.Sub(u.receivedAt) >= maxMissedReports*x.ReportInterval
+		u.rejected = leaser.Call{}
+		if a.Status == leaser.StatusFenced {
+			u.rejected = c
+		}
 		settled = confirmed || contradicted || expired || !x.waits(u)
 		if settled {
 			x.removeUnconfirmed(u)
--- a/executor/leased.go
+++ b/executor/leased.go
@@ -83,6 +83,8 @@
 	leaser        leaser.Leaser
 	report        Report               // in force: the backend server has confirmed its incarnation
 	reportedAt    time.Time            // when that took effect
+	reports       int                  // that have been in force, of this incarnation
+	deviating     reportSeries         // of reports that do not follow the one in force
 	unconfirmed   []*unconfirmedReport // oldest first
 	saved         Report               // last passed to Save, or restored
 	restored      bool                 // report was saved by an earlier process, and none has arrived since
@@ -190,7 +192,7 @@
 // another capacity, and nil if nothing has changed. The caller holds mu.
 func (x *LeasedExecutor) nextNotification(now time.Time) func() {
 	report, unresponsive := x.report, x.leaser.Unresponsive()
-	alive := report.Address != "" && !x.reportsMissed(now)
+	alive := report.Address != "" && now.Sub(x.reportedAt) < maxMissedReports*x.ReportInterval
 	shouldOffer := alive && report.Ready && x.leaser.Reconciled() && x.leaser.Present(report.StartedAt)
 	switch {
 	case x.offered && !shouldOffer:
@@ -343,8 +345,7 @@
 func (x *LeasedExecutor) HandleReport(r Report) bool {
 	known := false
 	x.update(func(l *leaser.Leaser, now time.Time) {
-		known = x.report.sameServer(r) && l.Present(r.StartedAt) && !x.reportsMissed(now)
-		if known {
+		if known = x.report.sameServer(r) && l.Present(r.StartedAt); known {
 			x.useReport(l, now, r, false)
 		}
 	})
@@ -360,32 +361,33 @@
 }
 
 // useReport puts a report of the present incarnation into force, unless it is older than
-// the one in force or has another service. If no report has taken effect for too long, the
-// one in force may be of another writer; one that says that the server drains stays in
-// force all the same. The caller holds mu.
+// the one in force, or has another service and the one in force is not the first. That
+// the server drains takes effect in any case. The caller holds mu.
 func (x *LeasedExecutor) useReport(l *leaser.Leaser, now time.Time, r Report, restored bool) {
 	current := x.report
 	log := x.Log.WithFields(logFields(r))
+	sameService := r.Service == current.Service || x.reports == 1
+	follows := r.Number > current.Number && r.Number-current.Number <= maxNumberStep && sameService
 	switch {
 	case !r.sameServer(current):
 		log.Info("Backend server is new, restarted or at a new address.")
-	case x.reportsMissed(now) && current.Ready:
-	case r.Number <= current.Number:
+		x.reports = 0
+	case follows:
+	case !r.Ready:
+		x.report.Ready, x.deviating = false, reportSeries{}
+		l.SetDraining(true)
 		return
-	case r.Service != current.Service || r.Number-current.Number > maxNumberStep:
-		log.Warn("Agent ignores a report: its service or number does not follow the one in force.")
+	case !x.deviating.add(r.Number, now, x.ReportInterval):
+		log.Debug("Agent ignores a report: its service or number does not follow the one in force.")
 		return
+	default:
+		log.WithField("current", logFields(current)).Warn("Agent drops the report in force: the backend server goes on with other ones.")
 	}
+	x.reports, x.deviating = x.reports+1, reportSeries{}
 	x.report, x.reportedAt, x.restored = r, now, restored
 	l.SetDraining(!r.Ready)
 }
 
-// reportsMissed reports whether no report has arrived for so long that the backend server
-// is regarded as lost. The caller holds mu.
-func (x *LeasedExecutor) reportsMissed(now time.Time) bool {
-	return now.Sub(x.reportedAt) >= maxMissedReports*x.ReportInterval
-}
-
 // HandleStopped records the graceful shutdown of the backend server with the given
 // id.
 func (x *LeasedExecutor) HandleStopped(id string) {
--- a/leaser/call.go
+++ b/leaser/call.go
@@ -45,6 +45,7 @@
 	id        uint64 // of the run; 0 for one that this process did not start, and for a renewal
 	serial    uint64 // calls are numbered from 1
 	startedAt int64  // incarnation that the call was made to; 0: unknown
+	increment int64  // of a probe: by which its token is above the one of the rejected probe before
 }
 
 // Status is the outcome of a call.
--- a/leaser/incarnation.go
+++ b/leaser/incarnation.go
@@ -34,10 +34,16 @@
 
 // Probe returns a call that asks for the incarnation of the backend server that a status
 // report names, without an effect on leases and runs. Its answer must be passed to
-// HandleProbe instead of HandleAnswer.
-func (l *Leaser) Probe() Call {
+// HandleProbe instead of HandleAnswer. rejected is the probe before for this report if
+// its token was too low, else the zero value.
+func (l *Leaser) Probe(rejected Call) Call {
 	l.serial++
-	return Call{Kind: KindRenew, Token: l.token, serial: l.serial, startedAt: l.startedAt}
+	c := Call{Kind: KindRenew, Token: l.token, serial: l.serial, startedAt: l.startedAt}
+	if rejected.serial != 0 {
+		c.increment = nextIncrement(rejected.increment)
+		c.Token = max(c.Token, rejected.Token) + c.increment
+	}
+	return c
 }
 
 // HandleProbe processes the answer to a probe for the incarnation that started at
@@ -47,17 +53,15 @@
 // before, where the earlier incarnation may run on: then the answer counts only once the
 // leases there have expired.
 func (l *Leaser) HandleProbe(now time.Time, c Call, a Answer, startedAt int64, moved bool) bool {
-	if a.Status == StatusFenced {
-		l.raiseToken(c)
-	}
 	switch {
 	case a.Status != StatusDone, a.StartedAt != startedAt:
 		return false
 	case l.Present(startedAt):
 		return true
-	case l.originOf(c, a) == originEarlier, moved && l.holdsLease(now):
+	case c.serial <= l.knownSince, moved && l.holdsLease(now):
 		return false
 	}
+	l.token = max(l.token, c.Token)
 	l.resetAfterRestart(now, startedAt)
 	return true
 }
--- a/leaser/incarnation_test.go
+++ b/leaser/incarnation_test.go
@@ -50,6 +50,7 @@
 	f := startConfirmed(t)
 	late := f.takeCall(KindRenew)
 	f.sendRenewal(f.now)
+	probe := f.Probe(Call{})
 	f.answer(f.takeCall(KindRenew), Answer{Status: StatusWrongIncarnation})
 	require.Len(t, f.ended, 1)
 	require.False(t, f.Reconciled())
@@ -57,8 +58,9 @@
 	require.False(t, f.Present(testStartedAt))
 	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 5101, StartedAt: testStartedAt})
 	require.False(t, f.Reconciled(), "only an answer of another incarnation counts")
-	f.confirmReport(testStartedAt)
-	f.confirmReport(testStartedAt + 1)
+	require.False(t, f.HandleProbe(f.now, probe, Answer{ClockMillis: 5102, StartedAt: testStartedAt}, testStartedAt, false))
+	require.False(t, f.HandleProbe(f.now, f.Probe(Call{}), Answer{Status: StatusWrongIncarnation}, testStartedAt, false))
+	require.True(t, f.confirmReport(testStartedAt+1))
 	f.drain()
 	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 10, StartedAt: testStartedAt + 1})
 	require.True(t, f.Reconciled())
@@ -173,7 +175,7 @@
 // it back.
 func TestLateAnswerToProbeDoesNotCount(t *testing.T) {
 	f := startConfirmed(t)
-	probe := f.Probe()
+	probe := f.Probe(Call{})
 	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 10, StartedAt: testStartedAt + 20})
 	require.True(t, f.Present(testStartedAt+20))
 	require.False(t, f.HandleProbe(f.now, probe, Answer{ClockMillis: 20, StartedAt: testStartedAt + 10}, testStartedAt+10, false))
@@ -191,7 +193,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := startConfirmed(t)
-			require.False(t, f.HandleProbe(f.now, f.Probe(), a, testStartedAt+10, false))
+			require.False(t, f.HandleProbe(f.now, f.Probe(Call{}), a, testStartedAt+10, false))
 			f.drain()
 			require.Empty(t, f.ended)
 			require.True(t, f.Reconciled())
@@ -204,7 +206,7 @@
 func TestProbeBeforeIncarnationIsKnownDoesNotCount(t *testing.T) {
 	f := startConfirmed(t)
 	f.answer(f.takeCall(KindRenew), Answer{Status: StatusWrongIncarnation})
-	probe := f.Probe()
+	probe := f.Probe(Call{})
 	f.answer(f.takeCall(KindRenew), Answer{ClockMillis: 10, StartedAt: testStartedAt + 20})
 	require.True(t, f.Present(testStartedAt+20))
 	require.False(t, f.HandleProbe(f.now, probe, Answer{ClockMillis: 20, StartedAt: testStartedAt + 10}, testStartedAt+10, false))
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -76,7 +76,7 @@
 // confirmReport has the backend server confirm a report of the incarnation that started
 // at startedAt.
 func (f *fixture) confirmReport(startedAt int64) bool {
-	confirmed := f.HandleProbe(f.now, f.Probe(), Answer{ClockMillis: 1, StartedAt: startedAt}, startedAt, false)
+	confirmed := f.HandleProbe(f.now, f.Probe(Call{}), Answer{ClockMillis: 1, StartedAt: startedAt}, startedAt, false)
 	f.drain()
 	return confirmed
 }
--- a/leaser/simulation_agent_test.go
+++ b/leaser/simulation_agent_test.go
@@ -166,7 +166,7 @@
 		if c.probed.id != "" {
 			g.handleProbe(c, a)
 			if a.Status == StatusFenced {
-				g.probe(c.probed)
+				g.probe(c.probed, c.Call)
 			}
 			return
 		}
@@ -177,7 +177,7 @@
 // handleReport is like executor.LeasedExecutor.HandleReport.
 func (g *simulatedAgent) handleReport(r simulatedReport) {
 	if !g.leaser.Present(r.startedAt) || !r.sameServer(g.report) {
-		g.probe(r)
+		g.probe(r, Call{})
 		return
 	}
 	if r.number > g.report.number {
@@ -189,10 +189,10 @@
 }
 
 // probe asks the backend server to confirm a report.
-func (g *simulatedAgent) probe(r simulatedReport) {
+func (g *simulatedAgent) probe(r simulatedReport, rejected Call) {
 	s := g.s
 	s.calls++
-	c := &sentCall{Call: g.leaser.Probe(), serialNumber: s.calls, process: g.process, target: r.id, decidedAt: s.now, probed: r}
+	c := &sentCall{Call: g.leaser.Probe(rejected), serialNumber: s.calls, process: g.process, target: r.id, decidedAt: s.now, probed: r}
 	s.logf("agent: probes for report %d of %s %d by call %d", r.number, r.id, r.startedAt, c.serialNumber)
 	s.send(c)
 }
@@ -218,7 +218,7 @@
 	}
 	g.s.logf("agent: restores the report of %s %d", r.id, r.startedAt)
 	r.restored = true
-	g.probe(r)
+	g.probe(r, Call{})
 }
 
 // run starts a run of a task.
--- a/leaser/simulation_test.go
+++ b/leaser/simulation_test.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	simulatedEpochMillis = 1_000_000_000
+	simulatedEpochMillis = 1_780_000_000_000
 	simulatedFaults      = 4 * time.Second  // duration of the faults and starts
 	simulatedLongestIdle = 25 * time.Second // before them
 	simulatedSettling    = 3 * time.Second  // after the faults; then all runs have ended that are due
--- a/leaser/token.go
+++ b/leaser/token.go
@@ -22,6 +22,12 @@
 	if c.Token != l.token {
 		return
 	}
-	l.fenceIncrement = min(max(2*l.fenceIncrement, tokenIncrement), maxTokenIncrement)
+	l.fenceIncrement = nextIncrement(l.fenceIncrement)
 	l.token += l.fenceIncrement
 }
+
+// nextIncrement returns the increment of the token after a call was rejected with the
+// given one.
+func nextIncrement(increment int64) int64 {
+	return min(max(2*increment, tokenIncrement), maxTokenIncrement)
+}
--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -68,7 +68,7 @@
 #ifdef NO_PROBE_ORDER
 #define PROBE_COUNTS true
 #else
-#define PROBE_COUNTS (probeValid && (knownLife != UNKNOWN || probeLife != replaced))
+#define PROBE_COUNTS probeValid
 #endif
 #ifdef NO_KNOWN_SINCE
 #define KNOWN_SINCE skip
