--- a/cmd/mustardleverd/hosted_entry_test.go
+++ b/cmd/mustardleverd/hosted_entry_test.go
@@ -149,3 +149,18 @@
 		})
 	}
 }
+
+// Guards against a job that goes on after its caller has left: with more data behind the
+// request, net/http does not notice the end of the connection.
+func TestJobIsCancelledWhenCallerLeavesBehindSecondRequest(t *testing.T) {
+	s := newCallerSite(t)
+	s.serve()
+	c := s.send(1, 1)
+	unstarted := func() int { return s.entry.LookupPath("desk.example", "/checks/").UnstartedSyncJobs }
+	require.Eventually(t, func() bool { return unstarted() == 1 }, 5*time.Second, 5*time.Millisecond)
+	_, err := io.WriteString(c, "POST /checks/0000000000000002 HTTP/1.1\r\n")
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	require.NoError(t, c.Close())
+	require.Eventually(t, func() bool { return unstarted() == 0 }, time.Second, 5*time.Millisecond)
+}
--- a/server/sync.go
+++ b/server/sync.go
@@ -98,6 +98,11 @@
 		"request-id": request.RequestID, "job": job.Name, "route": route.Name, "service": route.Service, "tasks": len(job.Tasks),
 		"due-ms": job.Due.Milliseconds(), "deadline-ms": job.DeadlineMillis, "configuration": e.Routes.Version(),
 	}).Info("Entry takes a job.")
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if request.HasLeft != nil {
+		go request.watchCaller(ctx, cancel)
+	}
 	answer, err := e.RunSync(ctx, route.Service, job)
 	return e.finishSync(request, route, startedAt, syncReply(answer, err), answer)
 }
@@ -126,6 +131,29 @@
 	return SyncReply{}, false
 }
 
+// callerCheckInterval is the time between two checks whether a caller has left. Most jobs
+// end before the first one. A caller submits its job to another entry 1.3 s after it left,
+// and stops without effect may take 1 s of that.
+const callerCheckInterval = 250 * time.Millisecond
+
+// watchCaller calls cancel when the caller has left, until ctx ends. The context of an HTTP
+// request does not end if there are unread data before the end of the connection.
+func (r SyncJob) watchCaller(ctx context.Context, cancel func()) {
+	ticker := time.NewTicker(callerCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if r.HasLeft() {
+			cancel()
+			return
+		}
+	}
+}
+
 // firstAttemptNumber returns the attempt number for the first start of a task: the
 // wall-clock time in tenths of a second, so that the numbers increase across all
 // entries and their restarts. If the wall clock is set back, an agent may refuse a
