--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -6,23 +6,46 @@
 )
 
 // leaseDuration returns how long a lease that begins now may last, 0 or less if leases
-// must not be extended (rule 4): a stop has been without effect for stopTimeout, or the
-// last contact with an owner of a run is too long ago.
+// must not be extended (rule 4): beyond stopLease after a stop, or beyond a fixed time
+// after the last contact with an owner of a run.
 func (l *Leaser) leaseDuration(now time.Time) time.Duration {
 	d := l.Settings.Lease
 	for _, r := range l.runs {
-		if r.stopping && now.Sub(r.stopRequestedAt) >= stopTimeout {
+		if r.stopIneffective(now) {
 			return 0
 		}
-		if r.owner != "" {
-			d = min(d, r.contactAt.Add(l.Settings.OwnerTimeout).Sub(now))
+		if r.stopping {
+			d = min(d, r.stopRequestedAt.Add(stopLease).Sub(now))
 		}
+		d = min(d, l.ownerLimit(now, r))
 	}
 	return d
 }
 
-// Limited reports whether leases are kept shorter than Settings.Lease.
-func (l *Leaser) Limited(now time.Time) bool { return l.leaseDuration(now) < l.Settings.Lease }
+// stopIneffective reports whether a stop has been without effect for stopTimeout.
+func (r *run) stopIneffective(now time.Time) bool {
+	return r.stopping && now.Sub(r.stopRequestedAt) >= stopTimeout
+}
+
+// ownerLimit returns how long a lease that begins now may last because of the last
+// contact with the owner of a run.
+func (l *Leaser) ownerLimit(now time.Time, r *run) time.Duration {
+	if r.owner == "" {
+		return l.Settings.Lease
+	}
+	return r.contactAt.Add(l.Settings.OwnerTimeout).Sub(now)
+}
+
+// Limited reports whether leases are kept short because an owner is silent or a stop has
+// no effect.
+func (l *Leaser) Limited(now time.Time) bool {
+	for _, r := range l.runs {
+		if r.stopIneffective(now) || l.ownerLimit(now, r) < l.Settings.Lease {
+			return true
+		}
+	}
+	return false
+}
 
 // Owners returns the owners of runs that are not being stopped, sorted.
 func (l *Leaser) Owners() []string {
--- a/leaser/lease_test.go
+++ b/leaser/lease_test.go
@@ -198,3 +198,21 @@
 		require.Less(t, first.Wait.Milliseconds(), left, "the lease expires while the renewal waits")
 	}
 }
+
+// A stop arrives and has no effect. The entry may have learned 0.6 s late that the caller
+// has left, which returns 1.3 s after that: the lease must not last longer than one that
+// began at the stop.
+func TestLeaseAfterStopWithoutEffectIsNotExtended(t *testing.T) {
+	f := startConfirmed(t)
+	clock := func() int64 { return 6000 + f.now.Sub(testTime).Milliseconds() }
+	f.Stop(f.now, 1)
+	longest := clock() + defaultLease.Milliseconds()
+	for range 30 {
+		f.advance(20 * time.Millisecond)
+		if f.countCalls(KindRenew) > 0 {
+			c := f.takeCall(KindRenew)
+			require.LessOrEqual(t, c.LeaseEndMillis, longest)
+			f.answer(c, Answer{ClockMillis: clock(), StartedAt: testStartedAt, Active: []ActiveRun{{"a", 1}}})
+		}
+	}
+}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -15,6 +15,7 @@
 	unresponsiveFailures = 2                      // failed renewals in a row after which the backend server counts as unresponsive
 	renewalCutoff        = 200 * time.Millisecond // after the last answered renewal; then the leases are left to expire
 	stopTimeout          = 250 * time.Millisecond // for a stop to take effect, with time for two retries; then the leases are left to expire
+	stopLease            = 650 * time.Millisecond // no lease is extended beyond this time after a stop was requested: an entry may learn 0.6 s late that the caller has left, which returns after 1.3 s
 	fullListLength       = 500                    // ended runs in one answer; a list of this length may be incomplete
 	defaultLease         = 700 * time.Millisecond
 	defaultMaxLease      = 1000 * time.Millisecond
