--- a/coordinator/progress.go
+++ b/coordinator/progress.go
@@ -13,10 +13,12 @@
 	c.queue.Add(&j.queueItem, waiting, waiting+j.count(sent))
 }
 
-// dispatch starts waiting tasks while agents have free capacity.
+// dispatch starts waiting tasks while agents have free capacity. Jobs whose deadline has
+// passed are not started: the next Tick ends them.
 func (c *Coordinator) dispatch(now time.Time) {
+	eligible := func(j *job, agent string) bool { return now.Before(j.deadline) && c.eligible(j, agent) }
 	for {
-		j, name, ok := c.queue.Next(now, c.eligible)
+		j, name, ok := c.queue.Next(now, eligible)
 		if !ok {
 			break
 		}
