--- a/cmd/mustardleverd/hosted_test.go
+++ b/cmd/mustardleverd/hosted_test.go
@@ -210,7 +210,9 @@
 	if s.connected {
 		s.lastContact, s.stoppedAt = end, s.answeredAt+s.upTo(20*time.Millisecond)
 	}
-	s.decide(func(now time.Time) { s.leaser.HandleRestart(now, 1) })
+	s.decide(func(now time.Time) {
+		s.leaser.HandleProbe(now, s.leaser.Probe(leaser.Call{}), leaser.Answer{StartedAt: 1}, 1, false)
+	})
 	var tick, expire, startPresent, startLost func()
 	tick = func() {
 		s.decide(s.leaser.Tick)
