--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -96,7 +96,9 @@
 	jobs               map[jobKey]*job // all jobs held, including ended ones
 	active             map[*job]bool   // jobs that have not ended
 	byName             map[string]*job // jobs that have not ended, by the names that their callers set
-	ended              []*job          // ended jobs, oldest first
+	stopped            map[jobKey]*stoppedJob
+	stoppedNames       map[string]int // number of jobs in stopped, by name
+	ended              []*job         // ended jobs, oldest first
 	agents             map[string]*agent
 	lostAgents         map[string]uint64 // lost agents: the first ticket for which each is not used
 	backups            map[string]*backupState
@@ -132,6 +134,7 @@
 	c.jobs = make(map[jobKey]*job)
 	c.active = make(map[*job]bool)
 	c.byName = make(map[string]*job)
+	c.stopped, c.stoppedNames = make(map[jobKey]*stoppedJob), make(map[string]int)
 	c.agents = make(map[string]*agent)
 	c.lostAgents = make(map[string]uint64)
 	c.backups = make(map[string]*backupState)
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"mustardlever.dev/mustardlever/dispatcher"
@@ -19,6 +20,7 @@
 	Priority       int           // 0 is the highest
 	RequiredLabel  string        // label that an agent must have; empty: any agent
 	PreferredLabel string        // label of agents close to the job's data; empty: none
+	CallerLeft     func() bool   // reports whether the caller has left, which ends the job soon; nil: not known
 }
 
 // LongestEstimate returns the longest run time estimate among the tasks.
@@ -126,12 +128,13 @@
 	submittedAt time.Time
 	deadline    time.Time
 
-	name          string    // name set by the caller
-	restartable   bool      // synchronous job: its tasks are session-bound and may be restarted
-	maxAttempts   int       // number of failures of one task after which the job fails
-	starts        int       // number of starts sent
-	firstSentAt   time.Time // when the first start was sent
-	avoidedAgents []string  // agents on which a task of this job failed or was a straggler
+	name          string        // name set by the caller
+	callersLeft   []func() bool // Job.CallerLeft of each caller
+	restartable   bool          // synchronous job: its tasks are session-bound and may be restarted
+	maxAttempts   int           // number of failures of one task after which the job fails
+	starts        int           // number of starts sent
+	firstSentAt   time.Time     // when the first start was sent
+	avoidedAgents []string      // agents on which a task of this job failed or was a straggler
 
 	awaitingSeal   bool            // taken over, and the seal is not complete
 	stopReason     protocol.Reason // why no further task is started; empty: tasks are started
@@ -142,6 +145,19 @@
 	endedAt        time.Time       // when the job ended or was handed over
 }
 
+// abandoned reports whether all callers of the job have left.
+func (j *job) abandoned() bool {
+	return len(j.callersLeft) > 0 && !slices.ContainsFunc(j.callersLeft, func(left func() bool) bool { return !left() })
+}
+
+// addCaller adds a caller that waits for the job.
+func (j *job) addCaller(left func() bool) {
+	if left == nil {
+		left = func() bool { return false }
+	}
+	j.callersLeft = append(j.callersLeft, left)
+}
+
 // count returns the number of tasks in state s.
 func (j *job) count(s taskState) int {
 	n := 0
--- a/coordinator/progress.go
+++ b/coordinator/progress.go
@@ -13,10 +13,16 @@
 	c.queue.Add(&j.queueItem, waiting, waiting+j.count(sent))
 }
 
-// dispatch starts waiting tasks while agents have free capacity. Jobs whose deadline has
-// passed are not started: the next Tick ends them.
+// dispatch starts waiting tasks while agents have free capacity.
 func (c *Coordinator) dispatch(now time.Time) {
-	eligible := func(j *job, agent string) bool { return now.Before(j.deadline) && c.eligible(j, agent) }
+	var checked *job
+	startable := false
+	eligible := func(j *job, agent string) bool {
+		if j != checked {
+			checked, startable = j, c.startable(now, j)
+		}
+		return startable && c.eligible(j, agent)
+	}
 	for {
 		j, name, ok := c.queue.Next(now, eligible)
 		if !ok {
@@ -26,6 +32,13 @@
 	}
 }
 
+// startable reports whether tasks of a job may be started now: its deadline has not passed,
+// a caller waits for it, and no earlier job of the same name has tasks that may be running.
+// A job whose deadline has passed or whose callers have left ends soon.
+func (c *Coordinator) startable(now time.Time, j *job) bool {
+	return now.Before(j.deadline) && !c.isStopping(j) && !j.abandoned()
+}
+
 // eligible reports whether an agent may be used for a job. The owner uses an agent
 // for a ticket only after the ticket's backup has acknowledged the agent (rule 3).
 // An agent on which a task of the job failed or was a straggler is not used while
@@ -77,7 +90,9 @@
 	if m.Ticket.Owner == "" {
 		m.Ticket.Owner = c.Self
 	}
-	j := c.jobs[jobKey{m.Ticket.Owner, m.Ticket.Sequence}]
+	key := jobKey{m.Ticket.Owner, m.Ticket.Sequence}
+	c.endStop(key, from, m.Task, m.Attempt)
+	j := c.jobs[key]
 	if j != nil && j.answer == nil && !j.handedOver && j.expects(from, m) {
 		c.removeStart(from, j, m.Task)
 		c.applyOutcome(now, j, m, from)
--- /dev/null
+++ b/coordinator/stopping.go
@@ -0,0 +1,72 @@
+package coordinator
+
+import "time"
+
+// stoppedJob is a synchronous job that was answered while starts of it were outstanding.
+// Its caller may submit it again: none of its tasks is started until those starts have
+// certainly ended.
+type stoppedJob struct {
+	name   string
+	starts map[int]stoppedStart // by task
+}
+
+// stoppedStart is a start whose end has not been reported.
+type stoppedStart struct {
+	agent   string
+	attempt int
+	endsAt  time.Time // by then the task has ended, even if the stop has no effect
+}
+
+// awaitStops records the outstanding starts of a job that ends now.
+func (c *Coordinator) awaitStops(now time.Time, j *job) {
+	s := &stoppedJob{name: j.name, starts: make(map[int]stoppedStart)}
+	for i := range j.tasks {
+		switch t := &j.tasks[i]; t.state {
+		case sent:
+			s.starts[i] = stoppedStart{t.agent, t.attempt, now.Add(c.Settings.LeaseExpiryWait)}
+		case leaseExpiring:
+			s.starts[i] = stoppedStart{t.agent, t.attempt, t.leaseExpiry}
+		}
+	}
+	if j.name == "" || len(s.starts) == 0 {
+		return
+	}
+	c.stopped[j.key] = s
+	c.stoppedNames[j.name]++
+}
+
+// isStopping reports whether a task of an earlier job with the same name may be running.
+func (c *Coordinator) isStopping(j *job) bool { return j.name != "" && c.stoppedNames[j.name] > 0 }
+
+// endStop records that an agent has reported the end of a stopped start.
+func (c *Coordinator) endStop(key jobKey, agent string, task, attempt int) {
+	s := c.stopped[key]
+	if s == nil {
+		return
+	}
+	if t, ok := s.starts[task]; ok && t.agent == agent && t.attempt == attempt {
+		c.removeStop(key, s, task)
+	}
+}
+
+// expireStops removes the stopped starts whose leases have expired.
+func (c *Coordinator) expireStops(now time.Time) {
+	for key, s := range c.stopped {
+		for i, t := range s.starts {
+			if !now.Before(t.endsAt) {
+				c.removeStop(key, s, i)
+			}
+		}
+	}
+}
+
+func (c *Coordinator) removeStop(key jobKey, s *stoppedJob, task int) {
+	delete(s.starts, task)
+	if len(s.starts) > 0 {
+		return
+	}
+	delete(c.stopped, key)
+	if c.stoppedNames[s.name]--; c.stoppedNames[s.name] == 0 {
+		delete(c.stoppedNames, s.name)
+	}
+}
--- a/coordinator/sync.go
+++ b/coordinator/sync.go
@@ -28,11 +28,13 @@
 		return 0, nil, &Error{Op: "run", Kind: KindOverload, Detail: "the queue or the job table is full"}
 	}
 	if j := c.byName[spec.Name]; j != nil {
+		j.addCaller(spec.CallerLeft)
 		return j.key.sequence, nil, nil // the caller joins the unfinished job
 	}
 	number := c.nextSequence
 	c.nextSequence++
 	j := c.newJob(now, jobKey{c.Self, number}, spec)
+	j.addCaller(spec.CallerLeft)
 	switch {
 	case c.queue.TooLarge(j.queueItem.Need):
 		c.stop(now, j, protocol.ReasonNoFit)
--- a/coordinator/tick.go
+++ b/coordinator/tick.go
@@ -27,6 +27,7 @@
 	if len(c.leaseExpiring) > 0 {
 		c.requeueEnded(now, func(t *task) bool { return !now.Before(t.leaseExpiry) })
 	}
+	c.expireStops(now)
 	c.queue.Tick(now)
 	c.expireTickets(now)
 	c.removeEnded(now)
--- a/server/sync.go
+++ b/server/sync.go
@@ -93,7 +93,7 @@
 	if reply, gone := request.callerGone(ctx, remaining); gone {
 		return e.finishSync(request, route, startedAt, reply, nil)
 	}
-	job.DeadlineMillis = max(remaining.Milliseconds(), 0)
+	job.DeadlineMillis, job.CallerLeft = max(remaining.Milliseconds(), 0), request.HasLeft
 	e.Log.WithFields(logrus.Fields{
 		"request-id": request.RequestID, "job": job.Name, "route": route.Name, "service": route.Service, "tasks": len(job.Tasks),
 		"due-ms": job.Due.Milliseconds(), "deadline-ms": job.DeadlineMillis, "configuration": e.Routes.Version(),
