--- a/messenger/accept.go
+++ b/messenger/accept.go
@@ -113,13 +113,13 @@
 	if err := json.Unmarshal(params, &peerHello); err != nil {
 		return &Error{Op: "begin", Kind: KindHandshake, Err: err}
 	}
-	s := h.ensureSession(peerHello.Identity)
-	if s != nil && !s.hasLocalEpoch(peerHello.PeerEpoch) {
+	s := h.findSession(peerHello.Identity.Incarnation)
+	if s == nil || !s.hasLocalEpoch(peerHello.PeerEpoch) {
 		c.close() // the peer dials again and learns the new epoch from the hello
 		return &Error{Op: "begin", Kind: KindHandshake, Detail: "the epoch is that of a closed session"}
 	}
-	if s == nil || !h.attach(c, s, peerHello, peerHello.Identity.Name < h.Self.Name) {
-		return &Error{Op: "begin", Kind: KindHandshake, Detail: "the peer's identity or session state is invalid, or a preferred connection exists"}
+	if !h.attach(c, s, peerHello, peerHello.Identity.Name < h.Self.Name) {
+		return &Error{Op: "begin", Kind: KindHandshake, Detail: "the session state of the peer is invalid, or a preferred connection exists"}
 	}
 	h.goroutines.Go(func() { h.writeLoop(s, c) })
 	return nil
--- a/messenger/hub.go
+++ b/messenger/hub.go
@@ -229,38 +229,40 @@
 	return nil
 }
 
-// ensureSession returns the session with the peer, and creates it if needed. On
-// creation it closes the sessions with other incarnations of the same process. It
+// ensureSession returns the session with the peer, and creates it if needed. It
 // returns nil if the peer has this process's name or no incarnation.
 func (h *Hub) ensureSession(peer protocol.Identity) *session {
 	if peer.Name == h.Self.Name || peer.Incarnation == "" {
 		return nil
 	}
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	s := h.sessions[peer.Incarnation]
-	var replaced []*session
 	if s == nil {
 		epoch, known := h.nextEpochs[peer.Incarnation]
 		if !known {
 			epoch = uint64(rand.Uint32()) + 1
 		}
 		s = newSession(peer, epoch, time.Now())
-		for _, other := range h.sessions {
-			if other.peer.Name == peer.Name {
-				replaced = append(replaced, other)
-			}
-		}
 		h.sessions[peer.Incarnation] = s
 	}
-	h.mu.Unlock()
-	for _, other := range replaced {
-		h.closeSession(other)
-	}
 	return s
 }
 
+// closeReplaced closes the sessions with other incarnations of the process of s, also
+// those that are not open, so that a begin that answers an earlier hello is refused.
+// The caller holds h.lifecycleMu.
+func (h *Hub) closeReplaced(s *session) {
+	for _, other := range h.allSessions() {
+		if other != s && other.peer.Name == s.peer.Name {
+			h.closeSessionLocked(other)
+		}
+	}
+}
+
 // attach makes c the connection of the session, and opens the session if it is
-// not open. It returns false in these cases:
+// not open. Opening it closes the sessions with other incarnations of the process.
+// attach returns false in these cases:
 //   - The session was closed.
 //   - The session has a live preferred connection, and c is not preferred.
 //   - The peer sent the hello before it closed an earlier session. Hellos on two
@@ -296,6 +298,9 @@
 	s.conn, s.preferred = c, preferred
 	s.lastContact = time.Now()
 	s.mu.Unlock()
+	if opened {
+		h.closeReplaced(s)
+	}
 	if opened && h.SessionOpened != nil {
 		h.SessionOpened(peerHello.Identity)
 	}
--- a/messenger/timeouts.go
+++ b/messenger/timeouts.go
@@ -57,6 +57,11 @@
 func (h *Hub) closeSession(s *session) {
 	h.lifecycleMu.Lock()
 	defer h.lifecycleMu.Unlock()
+	h.closeSessionLocked(s)
+}
+
+// closeSessionLocked is closeSession for a caller that holds h.lifecycleMu.
+func (h *Hub) closeSessionLocked(s *session) {
 	s.deliveryMu.Lock()
 	defer s.deliveryMu.Unlock()
 	h.mu.Lock()
