--- a/messenger/conn.go
+++ b/messenger/conn.go
@@ -18,14 +18,14 @@
 	sessionReady chan struct{} // closed by setSession
 	closed       chan struct{} // closed by close
 	writeMu      sync.Mutex    // held while a batch is built and written
-	lastWrite    time.Time     // when the last batch was written; guarded by writeMu
+	lastWrite    time.Time     // when the last batch was written, zero before the first; guarded by writeMu
 	sessionOnce  sync.Once
 	closeOnce    sync.Once
 }
 
 // newConn starts JSON-RPC on netConn.
 func (h *Hub) newConn(netConn net.Conn) *conn {
-	c := &conn{lastWrite: time.Now(), stream: newStream(netConn, &h.Traffic), sessionReady: make(chan struct{}), closed: make(chan struct{})}
+	c := &conn{stream: newStream(netConn, &h.Traffic), sessionReady: make(chan struct{}), closed: make(chan struct{})}
 	c.rpc = jsonrpc2.NewConn(c.stream, jsonrpc2.WithCodec(codec{}))
 	c.rpc.Go(h.ctx, func(_ context.Context, r *jsonrpc2.Request) (any, error) { return h.handleRequest(c, r) })
 	return c
--- a/messenger/contact_test.go
+++ b/messenger/contact_test.go
@@ -50,3 +50,17 @@
 		require.False(t, h.ConfirmedContact(peer).After(time.Now()))
 	}
 }
+
+// After a reconnection the contact of an idle session is confirmed before a heartbeat is
+// due, so that leases are renewed and starts accepted.
+func TestContactIsConfirmedAtOnceAfterReconnection(t *testing.T) {
+	p := newPair(t, Settings{Entries: Timing{time.Minute, time.Minute, time.Minute}, MaxRedialDelay: 50 * time.Millisecond})
+	contact := func() time.Time { return p.b.ConfirmedContact(p.a.Self.Incarnation) }
+	require.Eventually(t, func() bool { return !contact().IsZero() }, 5*time.Second, time.Millisecond, "first connection")
+	for range 3 {
+		p.closeConn()
+		closedAt := time.Now()
+		require.Eventually(t, func() bool { return contact().After(closedAt) }, 5*time.Second, time.Millisecond)
+		t.Logf("confirmed %v after the connection was closed", time.Since(closedAt).Round(time.Millisecond))
+	}
+}
--- a/messenger/dial.go
+++ b/messenger/dial.go
@@ -173,7 +173,6 @@
 	ctx, cancel := context.WithTimeout(h.ctx, helloTimeout)
 	defer cancel()
 	var peerHello hello
-	helloSentAt := time.Now()
 	if _, err := c.rpc.Call(ctx, methodHello, hello{Identity: h.Self}, &peerHello); err != nil {
 		return false
 	}
@@ -187,9 +186,6 @@
 	if s == nil || !h.attach(c, s, peerHello, h.Self.Name < peerHello.Identity.Name) {
 		return false
 	}
-	s.mu.Lock()
-	s.confirmContact(helloSentAt)
-	s.mu.Unlock()
 	if err := c.rpc.Notify(ctx, methodBegin, h.newHello(s)); err != nil {
 		h.connEnded(s, c)
 		return false
@@ -204,7 +200,10 @@
 func (h *Hub) newHello(s *session) hello {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return hello{Identity: h.Self, Epoch: s.localEpoch, PeerEpoch: s.peerEpoch, Received: s.lastReceived, Entries: h.knownEntries()}
+	return hello{
+		Identity: h.Self, Epoch: s.localEpoch, PeerEpoch: s.peerEpoch, Received: s.lastReceived,
+		Sent: h.stamp(), Entries: h.knownEntries(),
+	}
 }
 
 func (h *Hub) knownEntries() []string {
--- a/messenger/hub.go
+++ b/messenger/hub.go
@@ -26,13 +26,15 @@
 // hello is the sender's state of a session, exchanged when a connection opens.
 // Epoch is the sender's epoch, PeerEpoch the receiver's epoch as last seen by the
 // sender, Received the number of the last message that the sender received in the
-// session of these two epochs, and Entries the addresses of the entries that the
-// sender knows.
+// session of these two epochs, Sent the stamp of the hello, and Entries the addresses
+// of the entries that the sender knows. A hello confirms no contact, since messages of
+// its sender may be queued; the first batch does, which echoes Sent.
 type hello struct {
 	Identity  protocol.Identity `json:"identity"`
 	Epoch     uint64            `json:"epoch"`
 	PeerEpoch uint64            `json:"peer-epoch"`
 	Received  uint64            `json:"received"`
+	Sent      int64             `json:"sent,omitempty"`
 	Entries   []string          `json:"entries,omitempty"`
 }
 
@@ -294,6 +296,7 @@
 		s.lastSent = peerHello.Received
 	}
 	s.peerEpoch = peerHello.Epoch
+	s.peerStamp = max(s.peerStamp, peerHello.Sent)
 	s.lastAcked = 0
 	s.conn, s.preferred = c, preferred
 	s.lastContact = time.Now()
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -34,7 +34,7 @@
 	conn        *conn     // nil while disconnected
 	preferred   bool      // conn was dialed by the process whose name sorts first
 	confirmedAt time.Time // latest time at which the peer is known to have been running, see recordContact
-	peerStamp   int64     // newest stamp in a batch of the peer
+	peerStamp   int64     // newest stamp in a batch or hello of the peer
 	lastContact time.Time // when the peer last attached a connection or sent a batch; initially the creation time
 
 	unacked      []protocol.Message // messages that the peer has not acknowledged
--- a/messenger/write.go
+++ b/messenger/write.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// writeLoop writes the batches of the session on c until c ends: messages at once
-// when woken, an acknowledgement without messages after AckDelay, and an empty
-// batch as a heartbeat after Heartbeat.
+// writeLoop writes the batches of the session on c until c ends: the first one at once,
+// since it confirms contact, messages when woken, an acknowledgement without messages
+// after AckDelay, and an empty batch as a heartbeat after Heartbeat.
 func (h *Hub) writeLoop(s *session, c *conn) {
 	timer := time.NewTimer(h.Settings.AckDelay)
 	defer timer.Stop()
