--- a/messenger/contact_test.go
+++ b/messenger/contact_test.go
@@ -64,3 +64,41 @@
 		t.Logf("confirmed %v after the connection was closed", time.Since(closedAt).Round(time.Millisecond))
 	}
 }
+
+// A batch confirms no contact that is later than the messages which it leaves unsent: one
+// of them may be a stop.
+func TestBatchConfirmsNoContactSinceUnsentMessages(t *testing.T) {
+	h, peer := startHub(t, protocol.RoleAgent)
+	s := h.ensureSession(peer)
+	begin := hello{Identity: peer, Epoch: 7, PeerEpoch: s.localEpoch, Sent: 5}
+	require.True(t, attachTo(t, h, begin))
+	// echo returns what the next batch echoes after the peer's stamp was read and n
+	// messages were queued, in this order.
+	echo := func(stamp int64, n int) int64 {
+		s.mu.Lock()
+		s.peerStamp = max(s.peerStamp, stamp)
+		s.mu.Unlock()
+		for range n {
+			require.True(t, h.Queue(peer.Incarnation, protocol.Message{Stop: &protocol.Stop{}}))
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.nextBatch(2).Echo
+	}
+	require.EqualValues(t, 5, echo(0, 2), "all sent")
+	require.EqualValues(t, 6, echo(6, 0))
+	require.LessOrEqual(t, echo(7, 5), int64(7))
+	require.LessOrEqual(t, echo(8, 0), int64(7), "a message that was queued before 8 was read is unsent")
+	require.EqualValues(t, 9, echo(9, 0), "all sent")
+
+	require.LessOrEqual(t, echo(10, 5), int64(10))
+	for stamp := int64(11); stamp < 100; stamp++ {
+		e := echo(stamp, 2)
+		require.Less(t, e, stamp, "a message of the round before is unsent")
+		require.GreaterOrEqual(t, e, stamp-4, "a backlog delays contact only by its own length")
+	}
+
+	begin.Sent = 100
+	require.True(t, attachTo(t, h, begin))
+	require.Zero(t, echo(0, 0), "what was written on the earlier connection may be lost")
+}
--- a/messenger/hub.go
+++ b/messenger/hub.go
@@ -297,6 +297,8 @@
 	}
 	s.peerEpoch = peerHello.Epoch
 	s.peerStamp = max(s.peerStamp, peerHello.Sent)
+	s.echo = 0 // what was written on an earlier connection may be lost
+	s.markEcho()
 	s.lastAcked = 0
 	s.conn, s.preferred = c, preferred
 	s.lastContact = time.Now()
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -15,7 +15,7 @@
 	Ack      uint64             `json:"ack"`
 	Clock    int64              `json:"clock,omitempty"`
 	Sent     int64              `json:"sent,omitempty"` // stamp of this batch, see Hub.stamp
-	Echo     int64              `json:"echo,omitempty"` // newest stamp that the sender has received from its peer
+	Echo     int64              `json:"echo,omitempty"` // a stamp that the sender has received from its peer, see session.nextEcho
 	Messages []protocol.Message `json:"messages,omitempty"`
 }
 
@@ -35,6 +35,9 @@
 	preferred   bool      // conn was dialed by the process whose name sorts first
 	confirmedAt time.Time // latest time at which the peer is known to have been running, see recordContact
 	peerStamp   int64     // newest stamp in a batch or hello of the peer
+	echo        int64     // stamp echoed last on conn
+	stampToEcho int64     // stamp to echo once message echoAfter was sent
+	echoAfter   uint64
 	lastContact time.Time // when the peer last attached a connection or sent a batch; initially the creation time
 
 	unacked      []protocol.Message // messages that the peer has not acknowledged
@@ -157,9 +160,31 @@
 		s.lastSent = start + uint64(len(messages)) - 1
 	}
 	s.lastAcked = s.lastReceived
+	b.Echo = s.nextEcho()
 	return b
 }
 
+// nextEcho returns the stamp to echo in a batch: the newest one, or while messages are
+// unsent, one that was read before the oldest of these was queued. An unsent message may
+// be a stop, so the batch must not confirm that this process vouches for a task later
+// than that. The caller holds s.mu.
+func (s *session) nextEcho() int64 {
+	if max(s.lastSent, s.firstUnacked-1) >= s.echoAfter {
+		s.echo = s.stampToEcho
+		s.markEcho()
+	}
+	if !s.hasUnsent() {
+		s.echo = s.peerStamp
+	}
+	return s.echo
+}
+
+// markEcho determines that the newest stamp is echoed once all messages that are queued
+// now have been sent. The caller holds s.mu.
+func (s *session) markEcho() {
+	s.stampToEcho, s.echoAfter = s.peerStamp, s.firstUnacked+uint64(len(s.unacked))-1
+}
+
 // hasUnsent reports whether there are messages that have not been written on the
 // current connection. The caller holds s.mu.
 func (s *session) hasUnsent() bool {
--- a/messenger/write.go
+++ b/messenger/write.go
@@ -42,7 +42,7 @@
 	var b batch
 	if due {
 		b = s.nextBatch(h.Settings.MaxBatch)
-		b.Sent, b.Echo = h.stamp(), s.peerStamp
+		b.Sent = h.stamp()
 	}
 	s.mu.Unlock()
 	if !due {
