--- a/messenger/conn.go
+++ b/messenger/conn.go
@@ -16,6 +16,7 @@
 	stream       *stream
 	session      *session      // valid once sessionReady is closed; nil if none was opened
 	sessionReady chan struct{} // closed by setSession
+	helloSentAt  time.Time     // zero if accepted
 	closed       chan struct{} // closed by close
 	writeMu      sync.Mutex    // held while a batch is built and written
 	lastWrite    time.Time     // when the last batch was written, zero before the first; guarded by writeMu
--- a/messenger/dial.go
+++ b/messenger/dial.go
@@ -173,6 +173,7 @@
 	ctx, cancel := context.WithTimeout(h.ctx, helloTimeout)
 	defer cancel()
 	var peerHello hello
+	c.helloSentAt = time.Now()
 	if _, err := c.rpc.Call(ctx, methodHello, hello{Identity: h.Self}, &peerHello); err != nil {
 		return false
 	}
--- a/messenger/hub.go
+++ b/messenger/hub.go
@@ -262,6 +262,23 @@
 	}
 }
 
+// wasReplacedSince reports whether a session with another incarnation of the process
+// of s has been opened since t.
+func (h *Hub) wasReplacedSince(t time.Time, s *session) bool {
+	for _, other := range h.allSessions() {
+		if other == s || other.peer.Name != s.peer.Name {
+			continue
+		}
+		other.mu.Lock()
+		replaced := other.open && other.openedAt.After(t)
+		other.mu.Unlock()
+		if replaced {
+			return true
+		}
+	}
+	return false
+}
+
 // attach makes c the connection of the session, and opens the session if it is
 // not open. Opening it closes the sessions with other incarnations of the process.
 // attach returns false in these cases:
@@ -271,10 +288,13 @@
 //     connections may arrive in any order.
 //   - The peer claims to have received messages that were never queued in this
 //     session.
+//   - The peer was dialed, and a session with another incarnation of the process
+//     has been opened since the hello was sent. The answer may be that of the
+//     earlier one; the next attempt to dial will show.
 func (h *Hub) attach(c *conn, s *session, peerHello hello, preferred bool) bool {
 	h.lifecycleMu.Lock()
 	defer h.lifecycleMu.Unlock()
-	if s.hasNewerPeerEpoch(peerHello.Epoch) {
+	if s.hasNewerPeerEpoch(peerHello.Epoch) || !c.helloSentAt.IsZero() && h.wasReplacedSince(c.helloSentAt, s) {
 		return false
 	}
 	h.resetIfPeerClosed(s, peerHello.Epoch)
@@ -289,7 +309,9 @@
 	}
 	opened := !s.open
 	s.detach()
-	s.open = true
+	if opened {
+		s.open, s.openedAt = true, time.Now()
+	}
 	s.lastSent = 0
 	if peerHello.PeerEpoch == s.localEpoch {
 		s.acknowledge(peerHello.Received)
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -30,6 +30,7 @@
 	peerEpoch  uint64            // epoch of the peer, as last seen
 	open       bool              // hellos were exchanged for this pair of epochs
 
+	openedAt    time.Time // when open became true
 	closed      bool      // removed from the Hub; a new session may replace it
 	conn        *conn     // nil while disconnected
 	preferred   bool      // conn was dialed by the process whose name sorts first
