--- a/messenger/dial.go
+++ b/messenger/dial.go
@@ -184,16 +184,27 @@
 		return true
 	}
 	s := h.ensureSession(peerHello.Identity)
-	if s == nil || !h.attach(c, s, peerHello, h.Self.Name < peerHello.Identity.Name) {
+	if s == nil || !h.begin(ctx, c, s, peerHello) {
+		return false
+	}
+	h.goroutines.Go(func() { h.writeLoop(s, c) })
+	<-c.rpc.Done()
+	h.connEnded(s, c)
+	return true
+}
+
+// begin attaches c to the session and tells the peer. It returns false if the session
+// does not accept c or the peer could not be told.
+func (h *Hub) begin(ctx context.Context, c *conn, s *session, peerHello hello) bool {
+	c.writeMu.Lock() // the peer handles no batch before the begin
+	defer c.writeMu.Unlock()
+	if !h.attach(c, s, peerHello, h.Self.Name < peerHello.Identity.Name) {
 		return false
 	}
 	if err := c.rpc.Notify(ctx, methodBegin, h.newHello(s)); err != nil {
 		h.connEnded(s, c)
 		return false
 	}
-	h.goroutines.Go(func() { h.writeLoop(s, c) })
-	<-c.rpc.Done()
-	h.connEnded(s, c)
 	return true
 }
 
