--- a/messenger/dial.go
+++ b/messenger/dial.go
@@ -173,7 +173,7 @@
 	ctx, cancel := context.WithTimeout(h.ctx, helloTimeout)
 	defer cancel()
 	var peerHello hello
-	helloSentAt := time.Now()
+	c.helloSentAt = time.Now()
 	if _, err := c.rpc.Call(ctx, methodHello, hello{Identity: h.Self}, &peerHello); err != nil {
 		return false
 	}
@@ -184,19 +184,27 @@
 		return true
 	}
 	s := h.ensureSession(peerHello.Identity)
-	if s == nil || !h.attach(c, s, peerHello, h.Self.Name < peerHello.Identity.Name) {
+	if s == nil || !h.begin(ctx, c, s, peerHello) {
+		return false
+	}
+	h.goroutines.Go(func() { h.writeLoop(s, c) })
+	<-c.rpc.Done()
+	h.connEnded(s, c)
+	return true
+}
+
+// begin attaches c to the session and tells the peer. It returns false if the session
+// does not accept c or the peer could not be told.
+func (h *Hub) begin(ctx context.Context, c *conn, s *session, peerHello hello) bool {
+	c.writeMu.Lock() // the peer handles no batch before the begin
+	defer c.writeMu.Unlock()
+	if !h.attach(c, s, peerHello, h.Self.Name < peerHello.Identity.Name) {
 		return false
 	}
-	s.mu.Lock()
-	s.confirmContact(helloSentAt)
-	s.mu.Unlock()
 	if err := c.rpc.Notify(ctx, methodBegin, h.newHello(s)); err != nil {
 		h.connEnded(s, c)
 		return false
 	}
-	h.goroutines.Go(func() { h.writeLoop(s, c) })
-	<-c.rpc.Done()
-	h.connEnded(s, c)
 	return true
 }
 
@@ -204,7 +212,10 @@
 func (h *Hub) newHello(s *session) hello {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return hello{Identity: h.Self, Epoch: s.localEpoch, PeerEpoch: s.peerEpoch, Received: s.lastReceived, Entries: h.knownEntries()}
+	return hello{
+		Identity: h.Self, Epoch: s.localEpoch, PeerEpoch: s.peerEpoch, Received: s.lastReceived,
+		Sent: h.stamp(), Entries: h.knownEntries(),
+	}
 }
 
 func (h *Hub) knownEntries() []string {
--- a/messenger/hub.go
+++ b/messenger/hub.go
@@ -26,13 +26,15 @@
 // hello is the sender's state of a session, exchanged when a connection opens.
 // Epoch is the sender's epoch, PeerEpoch the receiver's epoch as last seen by the
 // sender, Received the number of the last message that the sender received in the
-// session of these two epochs, and Entries the addresses of the entries that the
-// sender knows.
+// session of these two epochs, Sent the stamp of the hello, and Entries the addresses
+// of the entries that the sender knows. A hello confirms no contact, since messages of
+// its sender may be queued; the first batch does, which echoes Sent.
 type hello struct {
 	Identity  protocol.Identity `json:"identity"`
 	Epoch     uint64            `json:"epoch"`
 	PeerEpoch uint64            `json:"peer-epoch"`
 	Received  uint64            `json:"received"`
+	Sent      int64             `json:"sent,omitempty"`
 	Entries   []string          `json:"entries,omitempty"`
 }
 
@@ -229,48 +231,70 @@
 	return nil
 }
 
-// ensureSession returns the session with the peer, and creates it if needed. On
-// creation it closes the sessions with other incarnations of the same process. It
+// ensureSession returns the session with the peer, and creates it if needed. It
 // returns nil if the peer has this process's name or no incarnation.
 func (h *Hub) ensureSession(peer protocol.Identity) *session {
 	if peer.Name == h.Self.Name || peer.Incarnation == "" {
 		return nil
 	}
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	s := h.sessions[peer.Incarnation]
-	var replaced []*session
 	if s == nil {
 		epoch, known := h.nextEpochs[peer.Incarnation]
 		if !known {
 			epoch = uint64(rand.Uint32()) + 1
 		}
 		s = newSession(peer, epoch, time.Now())
-		for _, other := range h.sessions {
-			if other.peer.Name == peer.Name {
-				replaced = append(replaced, other)
-			}
-		}
 		h.sessions[peer.Incarnation] = s
 	}
-	h.mu.Unlock()
-	for _, other := range replaced {
-		h.closeSession(other)
-	}
 	return s
 }
 
+// closeReplaced closes the sessions with other incarnations of the process of s, also
+// those that are not open, so that a begin that answers an earlier hello is refused.
+// The caller holds h.lifecycleMu.
+func (h *Hub) closeReplaced(s *session) {
+	for _, other := range h.allSessions() {
+		if other != s && other.peer.Name == s.peer.Name {
+			h.closeSessionLocked(other)
+		}
+	}
+}
+
+// wasReplacedSince reports whether a session with another incarnation of the process
+// of s has been opened since t.
+func (h *Hub) wasReplacedSince(t time.Time, s *session) bool {
+	for _, other := range h.allSessions() {
+		if other == s || other.peer.Name != s.peer.Name {
+			continue
+		}
+		other.mu.Lock()
+		replaced := other.open && other.openedAt.After(t)
+		other.mu.Unlock()
+		if replaced {
+			return true
+		}
+	}
+	return false
+}
+
 // attach makes c the connection of the session, and opens the session if it is
-// not open. It returns false in these cases:
+// not open. Opening it closes the sessions with other incarnations of the process.
+// attach returns false in these cases:
 //   - The session was closed.
 //   - The session has a live preferred connection, and c is not preferred.
 //   - The peer sent the hello before it closed an earlier session. Hellos on two
 //     connections may arrive in any order.
 //   - The peer claims to have received messages that were never queued in this
 //     session.
+//   - The peer was dialed, and a session with another incarnation of the process
+//     has been opened since the hello was sent. The answer may be that of the
+//     earlier one; the next attempt to dial will show.
 func (h *Hub) attach(c *conn, s *session, peerHello hello, preferred bool) bool {
 	h.lifecycleMu.Lock()
 	defer h.lifecycleMu.Unlock()
-	if s.hasNewerPeerEpoch(peerHello.Epoch) {
+	if s.hasNewerPeerEpoch(peerHello.Epoch) || !c.helloSentAt.IsZero() && h.wasReplacedSince(c.helloSentAt, s) {
 		return false
 	}
 	h.resetIfPeerClosed(s, peerHello.Epoch)
@@ -285,17 +309,25 @@
 	}
 	opened := !s.open
 	s.detach()
-	s.open = true
+	if opened {
+		s.open, s.openedAt = true, time.Now()
+	}
 	s.lastSent = 0
 	if peerHello.PeerEpoch == s.localEpoch {
 		s.acknowledge(peerHello.Received)
 		s.lastSent = peerHello.Received
 	}
 	s.peerEpoch = peerHello.Epoch
+	s.peerStamp = max(s.peerStamp, peerHello.Sent)
+	s.echo = 0 // what was written on an earlier connection may be lost
+	s.markEcho()
 	s.lastAcked = 0
 	s.conn, s.preferred = c, preferred
 	s.lastContact = time.Now()
 	s.mu.Unlock()
+	if opened {
+		h.closeReplaced(s)
+	}
 	if opened && h.SessionOpened != nil {
 		h.SessionOpened(peerHello.Identity)
 	}
