--- a/cmd/mustardleverd/hosted_agent.go
+++ b/cmd/mustardleverd/hosted_agent.go
@@ -77,6 +77,7 @@
 		Settings: leaser.Settings{
 			Lease: min(hostedLease, maxLease), MaxLease: maxLease, OwnerTimeout: hostedOwnerTimeout, StartTimeout: hostedStartTimeout,
 		},
+		Service:        service,
 		ReportInterval: time.Duration(p.Platform.ReportIntervalMillis) * time.Millisecond,
 		Log:            log, Call: backends.Call,
 		OwnerContact:    a.LastContact,
--- a/executor/leased.go
+++ b/executor/leased.go
@@ -22,29 +22,11 @@
 	statusFailed     = 500                   // status of a task that failed
 )
 
-// Report is a status report of a backend server.
-type Report struct {
-	ID        string          `json:"id"` // usually identifies one incarnation
-	Service   string          `json:"service"`
-	Address   string          `json:"address"` // host:port
-	StartedAt int64           `json:"born-ms"` // start time, Unix ms
-	Number    int64           `json:"number"`  // increases with each report of one incarnation
-	Ready     bool            `json:"ready"`   // accepts tasks; false while draining
-	Capacity  sizer.Resources `json:"capacity"`
-	Labels    []string        `json:"labels,omitempty"`
-	Zone      string          `json:"zone,omitempty"`
-}
-
-// sameServer reports whether both reports come from one incarnation of a backend
-// server at one address. A report without an address comes from none.
-func (r Report) sameServer(other Report) bool {
-	return r.Address != "" && r.Address == other.Address && r.ID == other.ID && r.StartedAt == other.StartedAt
-}
-
 // LeasedExecutor runs the tasks of one backend server under leases. Set the fields,
 // then call Start.
 type LeasedExecutor struct {
 	Settings       leaser.Settings
+	Service        string        // reports of other services are ignored
 	ReportInterval time.Duration // between reports of the backend server
 	Log            *logrus.Entry
 
@@ -83,7 +65,6 @@
 	leaser        leaser.Leaser
 	report        Report               // in force: the backend server has confirmed its incarnation
 	reportedAt    time.Time            // when that took effect
-	reports       int                  // that have been in force, of this incarnation
 	deviating     reportSeries         // of reports that do not follow the one in force
 	unconfirmed   []*unconfirmedReport // oldest first
 	saved         Report               // last passed to Save, or restored
@@ -325,76 +306,3 @@
 		}
 	})
 }
-
-// RestoreReport processes a report that an earlier process of this agent has saved, so
-// that the backend server is used before its next report. Like any other report it has no
-// effect unless the server confirms it.
-func (x *LeasedExecutor) RestoreReport(r Report) {
-	x.mu.Lock()
-	if x.saved.Address == "" {
-		x.saved = r
-	}
-	x.mu.Unlock()
-	x.awaitConfirmation(r, true)
-}
-
-// HandleReport processes a report of the backend server. A report of the incarnation in
-// force takes effect at once. Any other one takes effect when the server confirms it, for
-// which HandleReport waits until the first probe has been answered. It reports whether r
-// is in force.
-func (x *LeasedExecutor) HandleReport(r Report) bool {
-	known := false
-	x.update(func(l *leaser.Leaser, now time.Time) {
-		if known = x.report.sameServer(r) && l.Present(r.StartedAt); known {
-			x.useReport(l, now, r, false)
-		}
-	})
-	if !known {
-		select {
-		case <-x.awaitConfirmation(r, false):
-		case <-x.ctx.Done():
-		}
-	}
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.report.sameServer(r) && x.report.Number == r.Number
-}
-
-// useReport puts a report of the present incarnation into force, unless it is older than
-// the one in force, or has another service and the one in force is not the first. That
-// the server drains takes effect in any case. The caller holds mu.
-func (x *LeasedExecutor) useReport(l *leaser.Leaser, now time.Time, r Report, restored bool) {
-	current := x.report
-	log := x.Log.WithFields(logFields(r))
-	sameService := r.Service == current.Service || x.reports == 1
-	follows := r.Number > current.Number && r.Number-current.Number <= maxNumberStep && sameService
-	switch {
-	case !r.sameServer(current):
-		log.Info("Backend server is new, restarted or at a new address.")
-		x.reports = 0
-	case follows:
-	case !r.Ready:
-		x.report.Ready, x.deviating = false, reportSeries{}
-		l.SetDraining(true)
-		return
-	case !x.deviating.add(r.Number, now, x.ReportInterval):
-		log.Debug("Agent ignores a report: its service or number does not follow the one in force.")
-		return
-	default:
-		log.WithField("current", logFields(current)).Warn("Agent drops the report in force: the backend server goes on with other ones.")
-	}
-	x.reports, x.deviating = x.reports+1, reportSeries{}
-	x.report, x.reportedAt, x.restored = r, now, restored
-	l.SetDraining(!r.Ready)
-}
-
-// HandleStopped records the graceful shutdown of the backend server with the given
-// id.
-func (x *LeasedExecutor) HandleStopped(id string) {
-	x.update(func(l *leaser.Leaser, _ time.Time) {
-		if x.report.ID == id {
-			x.report.Ready = false
-			l.SetDraining(true)
-		}
-	})
-}
