--- a/messenger/accept.go
+++ b/messenger/accept.go
@@ -28,8 +28,8 @@
 	}
 }
 
-// serveConn serves one accepted connection until it ends. It closes a connection
-// that has not opened a session within helloTimeout.
+// serveConn serves one accepted connection until it ends, and starts the writer of its
+// session. It closes a connection that has not opened a session within helloTimeout.
 func (h *Hub) serveConn(netConn net.Conn) {
 	c := h.newConn(netConn)
 	defer c.close()
@@ -42,6 +42,7 @@
 	case <-h.ctx.Done():
 		return
 	}
+	h.goroutines.Go(func() { h.writeLoop(c.session, c) })
 	select {
 	case <-c.rpc.Done():
 	case <-h.ctx.Done():
@@ -121,7 +122,6 @@
 	if !h.attach(c, s, peerHello, peerHello.Identity.Name < h.Self.Name) {
 		return &Error{Op: "begin", Kind: KindHandshake, Detail: "the session state of the peer is invalid, or a preferred connection exists"}
 	}
-	h.goroutines.Go(func() { h.writeLoop(s, c) })
 	return nil
 }
 
