--- /dev/null
+++ b/coordinator/review2_test.go
@@ -0,0 +1,67 @@
+package coordinator
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mustardlever.dev/mustardlever/protocol"
+	"mustardlever.dev/mustardlever/sizer"
+)
+
+// The callers of many jobs leave and come back before the stops of the first tasks have
+// taken effect. Jobs of other callers must not wait for these stops: there is capacity.
+func TestHeldJobsDoNotKeepOthersFromStarting(t *testing.T) {
+	for _, held := range []int{31, 32, 100} {
+		t.Run(strconv.Itoa(held), func(t *testing.T) {
+			load := protocol.Load{Free: sizer.Slots(1000), Received: 1 << 32}
+			c := newTestCoordinator()
+			c.Receive(testStart, testAgent, protocol.Message{Announce: &protocol.Announce{Capacity: sizer.Slots(1000), Load: load}})
+			jobNamed := func(name string) Job {
+				job := syncJob(name)
+				job.Due, job.DeadlineMillis = 0, 10_000
+				return job
+			}
+			for i := range held {
+				c.CancelSync(testStart, mustRunSync(t, c, jobNamed("held-"+strconv.Itoa(i))))
+			}
+			require.Len(t, drainStarts(c), 2*held)
+			for i := range held {
+				mustRunSync(t, c, jobNamed("held-"+strconv.Itoa(i)))
+			}
+			require.Empty(t, drainStarts(c))
+			now := testStart.Add(100 * time.Millisecond)
+			_, _, err := c.RunSync(now, jobNamed("other"))
+			require.NoError(t, err)
+			c.Tick(now)
+			require.Len(t, drainStarts(c), 2, "a job that waits for nothing")
+		})
+	}
+}
+
+// A caller leaves and submits its job again at the same entry, which gives the second copy
+// up while the stops of the first have not taken effect. A refusal that says "not run" lets
+// the caller go to another entry at once, while a task of the first copy runs.
+func TestJobGivenUpWhileEarlierOneStopsMayHaveRun(t *testing.T) {
+	c := newTestCoordinator()
+	job := syncJob("a")
+	job.Due, job.DeadlineMillis = 0, 10_000
+	first := mustRunSync(t, c, job)
+	require.Len(t, drainStarts(c), 2)
+	c.CancelSync(testStart, first)
+	job.DeadlineMillis = 200
+	second := mustRunSync(t, c, job)
+	require.Empty(t, drainStarts(c))
+	c.TakeDecisions()
+	c.Tick(testStart.Add(300 * time.Millisecond))
+	_, ends, _ := c.TakeDecisions()
+	for _, end := range ends {
+		if end.Sequence == second {
+			require.True(t, end.Answer.MayHaveRun(), "the stops of the first copy have not taken effect")
+			return
+		}
+	}
+	t.Fatal("the second copy has not ended")
+}
--- /dev/null
+++ b/executor/review2_test.go
@@ -0,0 +1,31 @@
+package executor
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Reports that a partition has delayed arrive after the server's report that it drains, one
+// per interval, as they were sent. They must not make the agent offer the server again.
+func TestLateReportsDoNotOfferDrainingServerAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &fakeBackend{startedAt: testStartedAt, id: "i-1", address: "10.0.0.1:1"}
+		x, stop := newLeasedExecutor(t, b)
+		defer stop()
+		x.HandleReport(testReport(1))
+		time.Sleep(50 * time.Millisecond)
+		draining := testReport(5)
+		draining.Ready = false
+		x.HandleReport(draining)
+		require.Equal(t, []string{"offer", "withdraw"}, b.notified())
+		for _, late := range []int64{2, 3, 4} {
+			time.Sleep(x.ReportInterval)
+			x.HandleReport(testReport(late))
+		}
+		time.Sleep(50 * time.Millisecond)
+		require.Equal(t, []string{"offer", "withdraw"}, b.notified())
+	})
+}
