--- a/coordinator/review2_test.go
+++ b/coordinator/review2_test.go
@@ -65,3 +65,19 @@
 	}
 	t.Fatal("the second copy has not ended")
 }
+
+// A caller comes back to the entry that runs its job while the queue is full. It must join
+// the job; a refusal says that no task was or will be started.
+func TestResubmittedJobJoinsThoughQueueIsFull(t *testing.T) {
+	c := newTestCoordinator()
+	c.Settings.MaxQueuedTasks = 2
+	running := mustRunSync(t, c, syncJob("a"))
+	require.Len(t, drainStarts(c), 2)
+	c.Receive(testStart, testAgent, protocol.Message{Load: &fullLoad})
+	mustRunSync(t, c, syncJob("b"))
+	require.True(t, c.overloaded())
+	sequence, answer, err := c.RunSync(testStart, syncJob("a"))
+	require.NoError(t, err, "both tasks of the job are running")
+	require.Nil(t, answer)
+	require.Equal(t, running, sequence)
+}
