--- a/executor/review2_test.go
+++ b/executor/review2_test.go
@@ -29,3 +29,25 @@
 		require.Equal(t, []string{"offer", "withdraw"}, b.notified())
 	})
 }
+
+// The deregistration of an earlier incarnation arrives after the next one, with the same id,
+// has been confirmed. It says nothing of the present one, which answers.
+func TestLateDeregistrationOfEarlierIncarnationDoesNotWithdrawServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &fakeBackend{startedAt: testStartedAt, id: "i-1", address: "10.0.0.1:1"}
+		x, stop := newLeasedExecutor(t, b)
+		defer stop()
+		x.HandleReport(testReport(1))
+		time.Sleep(50 * time.Millisecond)
+		b.restart(testStartedAt + 1000)
+		next := testReport(1)
+		next.StartedAt = testStartedAt + 1000
+		require.True(t, x.HandleReport(next))
+		time.Sleep(50 * time.Millisecond)
+		require.Equal(t, "offer", last(b.notified()))
+		before := b.notified()
+		x.HandleStopped("i-1")
+		time.Sleep(x.ReportInterval / 2)
+		require.Equal(t, before, b.notified())
+	})
+}
