--- a/cmd/mustardleverd/caller_left_test.go
+++ b/cmd/mustardleverd/caller_left_test.go
@@ -33,7 +33,7 @@
 	time.Sleep(50 * time.Millisecond)
 	var submitted, handled atomic.Int64
 	s := newCallerServer(&platform.ClientHandler{Submit: func(ctx context.Context, job server.SyncJob) server.SyncReply {
-		if ctx.Err() == nil && !job.HasLeft() { // as server.Entry.SubmitSync checks
+		if ctx.Err() == nil && !job.CallerLeft() { // as server.Entry.SubmitSync checks
 			submitted.Add(1)
 		}
 		return server.SyncReply{Outcome: server.OutcomeNotRun}
--- a/coordinator/ending.go
+++ b/coordinator/ending.go
@@ -42,7 +42,7 @@
 	for agent, indexes := range tasks {
 		c.send(agent, protocol.Message{Stop: &protocol.Stop{Ticket: j.ticket(c.Self), Tasks: indexes}})
 	}
-	c.awaitStops(now, j)
+	c.recordStops(now, j)
 	c.removeStarts(j)
 	j.replaceState(sent, unknown)
 	j.replaceState(leaseExpiring, unknown)
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -145,17 +145,11 @@
 	endedAt        time.Time       // when the job ended or was handed over
 }
 
-// abandoned reports whether all callers of the job have left.
+// abandoned reports whether all callers of the job have left. A job without callers, as
+// one with a ticket, is not abandoned.
 func (j *job) abandoned() bool {
-	return len(j.callersLeft) > 0 && !slices.ContainsFunc(j.callersLeft, func(left func() bool) bool { return !left() })
-}
-
-// addCaller adds a caller that waits for the job.
-func (j *job) addCaller(left func() bool) {
-	if left == nil {
-		left = func() bool { return false }
-	}
-	j.callersLeft = append(j.callersLeft, left)
+	waits := func(callerLeft func() bool) bool { return callerLeft == nil || !callerLeft() }
+	return len(j.callersLeft) > 0 && !slices.ContainsFunc(j.callersLeft, waits)
 }
 
 // count returns the number of tasks in state s.
--- a/coordinator/progress.go
+++ b/coordinator/progress.go
@@ -19,7 +19,7 @@
 	startable := false
 	eligible := func(j *job, agent string) bool {
 		if j != checked {
-			checked, startable = j, c.startable(now, j)
+			checked, startable = j, j.startable(now)
 		}
 		return startable && c.eligible(j, agent)
 	}
@@ -32,12 +32,9 @@
 	}
 }
 
-// startable reports whether tasks of a job may be started now: its deadline has not passed,
-// a caller waits for it, and no earlier job of the same name has tasks that may be running.
-// A job whose deadline has passed or whose callers have left ends soon.
-func (c *Coordinator) startable(now time.Time, j *job) bool {
-	return now.Before(j.deadline) && !c.isStopping(j) && !j.abandoned()
-}
+// startable reports whether tasks of the job may be started now: its deadline has not
+// passed, and a caller waits for it. Otherwise it ends soon.
+func (j *job) startable(now time.Time) bool { return now.Before(j.deadline) && !j.abandoned() }
 
 // eligible reports whether an agent may be used for a job. The owner uses an agent
 // for a ticket only after the ticket's backup has acknowledged the agent (rule 3).
--- a/coordinator/stopping.go
+++ b/coordinator/stopping.go
@@ -3,8 +3,8 @@
 import "time"
 
 // stoppedJob is a synchronous job that was answered while starts of it were outstanding.
-// Its caller may submit it again: none of its tasks is started until those starts have
-// certainly ended.
+// Its caller may submit it again: a job of the same name is held back until those starts
+// have certainly ended.
 type stoppedJob struct {
 	name   string
 	starts map[int]stoppedStart // by task
@@ -17,8 +17,8 @@
 	endsAt  time.Time // by then the task has ended, even if the stop has no effect
 }
 
-// awaitStops records the outstanding starts of a job that ends now.
-func (c *Coordinator) awaitStops(now time.Time, j *job) {
+// recordStops records the outstanding starts of a job that ends now.
+func (c *Coordinator) recordStops(now time.Time, j *job) {
 	s := &stoppedJob{name: j.name, starts: make(map[int]stoppedStart)}
 	for i := range j.tasks {
 		switch t := &j.tasks[i]; t.state {
@@ -35,8 +35,13 @@
 	c.stoppedNames[j.name]++
 }
 
-// isStopping reports whether a task of an earlier job with the same name may be running.
-func (c *Coordinator) isStopping(j *job) bool { return j.name != "" && c.stoppedNames[j.name] > 0 }
+// holdBack keeps a job out of the queue until the starts of earlier jobs with its name
+// have ended. To its caller they count as its own.
+func (c *Coordinator) holdBack(j *job) {
+	for i := range j.tasks {
+		j.tasks[i].mayHaveRun = true
+	}
+}
 
 // endStop records that an agent has reported the end of a stopped start.
 func (c *Coordinator) endStop(key jobKey, agent string, task, attempt int) {
@@ -66,7 +71,11 @@
 		return
 	}
 	delete(c.stopped, key)
-	if c.stoppedNames[s.name]--; c.stoppedNames[s.name] == 0 {
-		delete(c.stoppedNames, s.name)
+	if c.stoppedNames[s.name]--; c.stoppedNames[s.name] > 0 {
+		return
+	}
+	delete(c.stoppedNames, s.name)
+	if j := c.byName[s.name]; j != nil {
+		c.enqueue(j)
 	}
 }
--- a/coordinator/sync.go
+++ b/coordinator/sync.go
@@ -21,25 +21,27 @@
 // answer if it is available at once. If RunSync returns an error, no task was or
 // will be started.
 func (c *Coordinator) RunSync(now time.Time, spec Job) (uint64, *Answer, error) {
+	if j := c.byName[spec.Name]; j != nil {
+		j.callersLeft = append(j.callersLeft, spec.CallerLeft)
+		return j.key.sequence, nil, nil // the caller joins the unfinished job
+	}
 	switch {
 	case c.draining:
 		return 0, nil, &Error{Op: "run", Kind: KindDraining, Detail: "the entry is draining"}
 	case c.overloaded():
 		return 0, nil, &Error{Op: "run", Kind: KindOverload, Detail: "the queue or the job table is full"}
 	}
-	if j := c.byName[spec.Name]; j != nil {
-		j.addCaller(spec.CallerLeft)
-		return j.key.sequence, nil, nil // the caller joins the unfinished job
-	}
 	number := c.nextSequence
 	c.nextSequence++
 	j := c.newJob(now, jobKey{c.Self, number}, spec)
-	j.addCaller(spec.CallerLeft)
+	j.callersLeft = append(j.callersLeft, spec.CallerLeft)
 	switch {
 	case c.queue.TooLarge(j.queueItem.Need):
 		c.stop(now, j, protocol.ReasonNoFit)
 	case c.hasExhaustedTask(j):
 		c.stop(now, j, protocol.ReasonServersLost)
+	case c.stoppedNames[j.name] > 0:
+		c.holdBack(j)
 	default:
 		c.enqueue(j)
 		c.dispatch(now)
--- a/server/caller.go
+++ b/server/caller.go
@@ -9,7 +9,7 @@
 
 // callerCheckInterval is the time between two checks whether a caller has left. Most jobs
 // end before the first one. A caller submits its job to another entry 1.3 s after it left,
-// and stops without effect may take 1 s of that.
+// and tasks whose stops have no effect may run for 0.73 s of that.
 const callerCheckInterval = 250 * time.Millisecond
 
 // remaining returns the time left until the deadline, in whole milliseconds. The request
@@ -28,7 +28,7 @@
 // the job to another entry.
 func (r SyncJob) callerGone(ctx context.Context, remaining time.Duration) (SyncReply, bool) {
 	switch {
-	case ctx.Err() != nil || r.HasLeft != nil && r.HasLeft():
+	case ctx.Err() != nil || r.CallerLeft != nil && r.CallerLeft():
 		return SyncReply{Outcome: OutcomeNotRun, Cause: "the caller had left before the job was submitted", Reason: protocol.ReasonCancelled}, true
 	case r.Deadline > 0 && remaining <= 0:
 		return SyncReply{Outcome: OutcomeNotRun, Cause: "the deadline had passed before the job was submitted", RetryAfter: retryAfter, Reason: protocol.ReasonDeadline}, true
@@ -47,7 +47,7 @@
 			return
 		case <-ticker.C:
 		}
-		if r.HasLeft() {
+		if r.CallerLeft() {
 			cancel()
 			return
 		}
--- a/server/sync.go
+++ b/server/sync.go
@@ -20,7 +20,7 @@
 	RequestID string
 	Deadline  time.Duration                            // how long the caller waits; 0: unspecified
 	Decode    func(id string) (coordinator.Job, error) // decodes the job; id is the path without the prefix of the route
-	HasLeft   func() bool                              // reports whether the caller has closed its connection; nil: only the context shows it
+	CallerLeft   func() bool                              // reports whether the caller has closed its connection; nil: only the context shows it
 	Age       func() time.Duration                     // time since the request arrived, also while it was not read; nil: time since SubmitSync was called
 }
 
@@ -93,14 +93,15 @@
 	if reply, gone := request.callerGone(ctx, remaining); gone {
 		return e.finishSync(request, route, startedAt, reply, nil)
 	}
-	job.DeadlineMillis, job.CallerLeft = max(remaining.Milliseconds(), 0), request.HasLeft
+	job.DeadlineMillis = max(remaining.Milliseconds(), 0)
 	e.Log.WithFields(logrus.Fields{
 		"request-id": request.RequestID, "job": job.Name, "route": route.Name, "service": route.Service, "tasks": len(job.Tasks),
 		"due-ms": job.Due.Milliseconds(), "deadline-ms": job.DeadlineMillis, "configuration": e.Routes.Version(),
 	}).Info("Entry takes a job.")
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if request.HasLeft != nil {
+	if request.CallerLeft != nil {
+		job.CallerLeft = request.CallerLeft
 		go request.watchCaller(ctx, cancel)
 	}
 	answer, err := e.RunSync(ctx, route.Service, job)
@@ -192,6 +193,9 @@
 	case s == nil: // its agents have not connected yet
 		s = e.shards.getOrAdd(service, e.newShard(service, e.Settings.Coordinator))
 	}
+	if hasLeft := job.CallerLeft; hasLeft != nil {
+		job.CallerLeft = func() bool { return ctx.Err() != nil || hasLeft() }
+	}
 	answers := make(chan *coordinator.Answer, 1)
 	var sequence uint64
 	var answer *coordinator.Answer
