--- a/executor/confirmation.go
+++ b/executor/confirmation.go
@@ -15,6 +15,7 @@
 	maxProbeInterval = 400 * time.Millisecond // between two probes for one report
 	fencedInterval   = 20 * time.Millisecond  // after a probe whose fencing token was too low
 	maxNumberStep    = 1 << 20                // between the numbers of two reports in succession
+	drainingSeries   = 8                      // reports of a server that it is ready, after one that it drains
 )
 
 // unconfirmedReport is a report of an incarnation that is not known to be present. A
@@ -29,24 +30,23 @@
 }
 
 // reportSeries is a series of reports with rising numbers that arrive about as often as
-// reports are sent. Delayed reports arrive at once or do not go on.
+// reports are sent, as those of a server do whose number in force is of another writer.
 type reportSeries struct {
 	number int64
 	at     time.Time
 	length int
 }
 
-// add adds the report with the given number. It reports whether the series is as long as
-// the number of reports that may be missed.
-func (s *reportSeries) add(number int64, now time.Time, interval time.Duration) bool {
+// add adds the report with the given number and returns the length of the series.
+func (s *reportSeries) add(number int64, now time.Time, interval time.Duration) int {
 	switch {
 	case s.length > 0 && number <= s.number:
-		return false
+		return s.length
 	case s.length == 0 || now.Sub(s.at) >= interval/2:
 		s.length, s.at = s.length+1, now
 	}
 	s.number = number
-	return s.length >= maxMissedReports
+	return s.length
 }
 
 // awaitConfirmation probes for a report, together with others of the same incarnation.
--- a/executor/report.go
+++ b/executor/report.go
@@ -80,6 +80,10 @@
 func (x *LeasedExecutor) useReport(l *leaser.Leaser, now time.Time, r Report, restored bool) {
 	current := x.report
 	log := x.Log.WithFields(logFields(r))
+	needed := maxMissedReports // reports in a series that replace the one in force
+	if !current.Ready {
+		needed = drainingSeries
+	}
 	follows := r.Number > current.Number && r.Number-current.Number <= maxNumberStep
 	switch {
 	case !r.sameServer(current):
@@ -89,7 +93,7 @@
 		x.report.Ready, x.deviating = false, reportSeries{}
 		l.SetDraining(true)
 		return
-	case !x.deviating.add(r.Number, now, x.ReportInterval):
+	case x.deviating.add(r.Number, now, x.ReportInterval) < needed:
 		log.Debug("Agent ignores a report: its number does not follow the one in force.")
 		return
 	default:
@@ -100,13 +104,13 @@
 	l.SetDraining(!r.Ready)
 }
 
-// HandleStopped records the graceful shutdown of the backend server with the given
-// id.
+// HandleStopped is called when the graceful shutdown of the backend server with the given
+// id is announced. That has no effect: a server that leaves reports before that it drains,
+// and the announcement may be late, or of another writer.
 func (x *LeasedExecutor) HandleStopped(id string) {
-	x.update(func(l *leaser.Leaser, _ time.Time) {
-		if x.report.ID == id {
-			x.report.Ready = false
-			l.SetDraining(true)
-		}
-	})
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.report.ID == id && x.report.Ready {
+		x.Log.WithFields(logFields(x.report)).Info("Agent ignores the shutdown of its backend server, which has not reported that it drains.")
+	}
 }
