--- a/server/sync.go
+++ b/server/sync.go
@@ -15,13 +15,13 @@
 // SyncJob is a request to run a synchronous job: it has no ticket, and its caller
 // waits for the answer.
 type SyncJob struct {
-	Host      string
-	Path      string
-	RequestID string
-	Deadline  time.Duration                            // how long the caller waits; 0: unspecified
-	Decode    func(id string) (coordinator.Job, error) // decodes the job; id is the path without the prefix of the route
-	CallerLeft   func() bool                              // reports whether the caller has closed its connection; nil: only the context shows it
-	Age       func() time.Duration                     // time since the request arrived, also while it was not read; nil: time since SubmitSync was called
+	Host       string
+	Path       string
+	RequestID  string
+	Deadline   time.Duration                            // how long the caller waits; 0: unspecified
+	Decode     func(id string) (coordinator.Job, error) // decodes the job; id is the path without the prefix of the route
+	CallerLeft func() bool                              // reports whether the caller has closed its connection; nil: only the context shows it
+	Age        func() time.Duration                     // time since the request arrived, also while it was not read; nil: time since SubmitSync was called
 }
 
 // Outcome classifies the result of a synchronous job.
