--- a/executor/foreign_claim_test.go
+++ b/executor/foreign_claim_test.go
@@ -18,7 +18,7 @@
 // report that it drains is acknowledged, so no task may be started from then on.
 func TestDrainingReportBelowForeignNumberWithdrawsServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := &fakeBackend{startedAt: testStartedAt, id: "i-1", address: "10.0.0.1:1"}
+		b := newReportingBackend()
 		x, stop := newLeasedExecutor(t, b)
 		defer stop()
 		x.HandleReport(testReport(math.MaxInt64))
@@ -35,7 +35,7 @@
 // draining report of the server, which has a lower one.
 func TestDrainingReportBelowForeignFollowingNumberWithdrawsServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := &fakeBackend{startedAt: testStartedAt, id: "i-1", address: "10.0.0.1:1"}
+		b := newReportingBackend()
 		x, stop := newLeasedExecutor(t, b)
 		defer stop()
 		x.HandleReport(testReport(4))
@@ -59,7 +59,7 @@
 		} {
 			t.Run(name+", "+origin, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					b := &fakeBackend{startedAt: testStartedAt, id: "i-1", address: "10.0.0.1:1"}
+					b := newReportingBackend()
 					x, stop := newLeasedExecutor(t, b)
 					defer stop()
 					foreign := testReport(number)
@@ -83,7 +83,7 @@
 // server.
 func TestForeignServiceDoesNotRaiseCapacity(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := &fakeBackend{startedAt: testStartedAt, id: "i-1", address: "10.0.0.1:1"}
+		b := newReportingBackend()
 		x, stop := newLeasedExecutor(t, b)
 		defer stop()
 		foreign := testReport(2)
@@ -99,7 +99,7 @@
 // intervals, and do not use up the tokens of the calls to the server.
 func TestForeignAddressThatRejectsTokensIsNotProbedWithoutPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := &fakeBackend{startedAt: testStartedAt, id: "i-1", address: "10.0.0.1:1"}
+		b := newReportingBackend()
 		x, stop := newLeasedExecutor(t, b)
 		defer stop()
 		var probes, token atomic.Int64
@@ -129,7 +129,7 @@
 // force: the capacity that it names is an old one.
 func TestDelayedReportAfterMissedReportsDoesNotRaiseCapacity(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := &fakeBackend{startedAt: testStartedAt, id: "i-1", address: "10.0.0.1:1"}
+		b := newReportingBackend()
 		x, stop := newLeasedExecutor(t, b)
 		defer stop()
 		less := testReport(9)
--- a/executor/foreign_report_test.go
+++ b/executor/foreign_report_test.go
@@ -37,7 +37,7 @@
 	for name, foreign := range foreignReports() {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				b := &fakeBackend{startedAt: testStartedAt, id: "i-1", address: "10.0.0.1:1"}
+				b := newReportingBackend()
 				x, stop := newLeasedExecutor(t, b)
 				defer stop()
 				x.HandleReport(testReport(1))
@@ -67,7 +67,7 @@
 		} {
 			t.Run(name+", "+origin, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					b := &fakeBackend{startedAt: testStartedAt, id: "i-1", address: "10.0.0.1:1"}
+					b := newReportingBackend()
 					x, stop := newLeasedExecutor(t, b)
 					defer stop()
 					deliver(x)
@@ -93,7 +93,7 @@
 // first incarnation that was delayed until the third is in force ends no run of that one.
 func TestLateReportAfterClockWasSetBackEndsNoRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := &fakeBackend{startedAt: testStartedAt, id: "i-1", address: "10.0.0.1:1"}
+		b := newReportingBackend()
 		x, stop := newLeasedExecutor(t, b)
 		defer stop()
 		x.HandleReport(testReport(1))
@@ -121,7 +121,7 @@
 // its own: its runs are reported as ended only once their leases have expired.
 func TestServerAtAnotherAddressEndsNoRunBeforeItsLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := &fakeBackend{startedAt: testStartedAt, id: "i-1", address: "10.0.0.1:1"}
+		b := newReportingBackend()
 		x, stop := newLeasedExecutor(t, b)
 		defer stop()
 		x.HandleReport(testReport(1))
@@ -147,7 +147,7 @@
 // probes, and the report of its server is confirmed all the same.
 func TestManyForeignReportsDoNotDelayServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := &fakeBackend{startedAt: testStartedAt, id: "i-1", address: "10.0.0.1:1"}
+		b := newReportingBackend()
 		x, stop := newLeasedExecutor(t, b)
 		defer stop()
 		for i := range 1000 {
--- a/executor/late_message_test.go
+++ b/executor/late_message_test.go
@@ -12,7 +12,7 @@
 // per interval, as they were sent. They must not make the agent offer the server again.
 func TestLateReportsDoNotOfferDrainingServerAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := &fakeBackend{startedAt: testStartedAt, id: "i-1", address: "10.0.0.1:1"}
+		b := newReportingBackend()
 		x, stop := newLeasedExecutor(t, b)
 		defer stop()
 		x.HandleReport(testReport(1))
@@ -34,7 +34,7 @@
 // has been confirmed. It says nothing of the present one, which answers.
 func TestLateDeregistrationOfEarlierIncarnationDoesNotWithdrawServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := &fakeBackend{startedAt: testStartedAt, id: "i-1", address: "10.0.0.1:1"}
+		b := newReportingBackend()
 		x, stop := newLeasedExecutor(t, b)
 		defer stop()
 		x.HandleReport(testReport(1))
--- a/executor/leased_test.go
+++ b/executor/leased_test.go
@@ -35,6 +35,12 @@
 	statuses      map[uint64]int // status by run id; 0 if FinishStopped was called
 }
 
+// newReportingBackend returns the backend server that testReport reports. It answers no
+// calls to other addresses or ids.
+func newReportingBackend() *fakeBackend {
+	return &fakeBackend{startedAt: testStartedAt, id: "i-1", address: "10.0.0.1:1"}
+}
+
 // restart ends the active runs and starts the next incarnation.
 func (b *fakeBackend) restart(startedAt int64) {
 	b.mu.Lock()
--- a/executor/report.go
+++ b/executor/report.go
@@ -30,7 +30,7 @@
 // that the backend server is used before its next report. Like any other report it has no
 // effect unless the server confirms it.
 func (x *LeasedExecutor) RestoreReport(r Report) {
-	if !x.isOwnService(r) {
+	if !x.acceptsService(r) {
 		return
 	}
 	x.mu.Lock()
@@ -41,8 +41,8 @@
 	x.awaitConfirmation(r, true)
 }
 
-// isOwnService reports whether the report is of the agent's service.
-func (x *LeasedExecutor) isOwnService(r Report) bool {
+// acceptsService reports whether the report is of the agent's service, and logs it if not.
+func (x *LeasedExecutor) acceptsService(r Report) bool {
 	if r.Service != x.Service {
 		x.Log.WithFields(logFields(r)).Warn("Agent ignores a report of another service.")
 	}
@@ -54,7 +54,7 @@
 // which HandleReport waits until the first probe has been answered. It reports whether r
 // is in force.
 func (x *LeasedExecutor) HandleReport(r Report) bool {
-	if !x.isOwnService(r) {
+	if !x.acceptsService(r) {
 		return false
 	}
 	known := false
--- a/executor/two_claims_test.go
+++ b/executor/two_claims_test.go
@@ -22,7 +22,7 @@
 				for order := range 6 {
 					t.Run(fmt.Sprint(name, ", same id ", sameID, ", moved ", moved, ", order ", order), func(t *testing.T) {
 						synctest.Test(t, func(t *testing.T) {
-							b := &fakeBackend{startedAt: testStartedAt, id: "i-1", address: "10.0.0.1:1"}
+							b := newReportingBackend()
 							x, stop := newLeasedExecutor(t, b)
 							defer stop()
 							x.Call = func(ctx context.Context, target Report, c leaser.Call) leaser.Answer {
--- a/messenger/hub.go
+++ b/messenger/hub.go
@@ -56,7 +56,7 @@
 	ReportPanic   func(peer string, value any, stack []byte)                  // receives the panic of a request; peer is empty without a session
 	Traffic       Traffic
 
-	lifecycleMu   sync.Mutex // serializes SessionOpened and SessionClosed; acquired before every other lock
+	lifecycleMu   sync.Mutex // serializes SessionOpened and SessionClosed; acquired before every other lock but conn.writeMu
 	mu            sync.Mutex
 	sessions      map[string]*session
 	nextEpochs    map[string]uint64 // by incarnation: local epoch of the next session, for closed sessions
