--- a/executor/confirmation.go
+++ b/executor/confirmation.go
@@ -26,7 +26,6 @@
 	restored   bool   // report was saved by an earlier process
 	receivedAt time.Time
 	probed     chan struct{} // closed after the first probe
-	rejected   leaser.Call   // last probe, if its fencing token was too low
 }
 
 // reportSeries is a series of reports with rising numbers that arrive about as often as
@@ -103,7 +102,7 @@
 	x.mu.Lock()
 	target := u.report
 	waiting := x.waits(u)
-	c := x.leaser.Probe(u.rejected)
+	c := x.leaser.Probe(x.rejectedProbes[target.Address])
 	x.mu.Unlock()
 	if !waiting {
 		return 0, true
@@ -117,10 +116,7 @@
 		contradicted := a.Status == leaser.StatusWrongIncarnation || a.Status == leaser.StatusInvalid ||
 			a.Status == leaser.StatusDone && a.StartedAt != target.StartedAt
 		expired := now.Sub(u.receivedAt) >= maxMissedReports*x.ReportInterval
-		u.rejected = leaser.Call{}
-		if a.Status == leaser.StatusFenced {
-			u.rejected = c
-		}
+		x.recordRejection(target.Address, c, a)
 		settled = confirmed || contradicted || expired || !x.waits(u)
 		if settled {
 			x.removeUnconfirmed(u)
@@ -138,6 +134,21 @@
 	return a.Status, settled
 }
 
+// recordRejection remembers a probe whose fencing token was too low, so that the next
+// probe of that address has a higher one, also if the backend server restarts before: calls
+// of an earlier process with a higher token may still arrive there. The caller holds mu.
+func (x *LeasedExecutor) recordRejection(address string, c leaser.Call, a leaser.Answer) {
+	switch a.Status {
+	case leaser.StatusDone:
+		delete(x.rejectedProbes, address)
+	case leaser.StatusFenced:
+		if x.rejectedProbes == nil || len(x.rejectedProbes) > maxUnconfirmed {
+			x.rejectedProbes = make(map[string]leaser.Call)
+		}
+		x.rejectedProbes[address] = c
+	}
+}
+
 // waits reports whether u still waits for confirmation. The caller holds mu.
 func (x *LeasedExecutor) waits(u *unconfirmedReport) bool { return slices.Contains(x.unconfirmed, u) }
 
--- a/executor/leased.go
+++ b/executor/leased.go
@@ -60,21 +60,22 @@
 	// server turns out to have run on.
 	RetractLoss func(id uint64)
 
-	notifyMu      sync.Mutex // serializes calls of Offer, SetCapacity, Withdraw and SetUnresponsive; acquired before mu
-	mu            sync.Mutex // guards the fields below, up to unresponsive
-	leaser        leaser.Leaser
-	report        Report               // in force: the backend server has confirmed its incarnation
-	reportedAt    time.Time            // when that took effect
-	deviating     reportSeries         // of reports that do not follow the one in force
-	unconfirmed   []*unconfirmedReport // oldest first
-	saved         Report               // last passed to Save, or restored
-	restored      bool                 // report was saved by an earlier process, and none has arrived since
-	offered       bool                 // as last reported by Offer or Withdraw
-	offeredReport Report               // as last reported by Offer or SetCapacity
-	unresponsive  bool                 // as last reported by SetUnresponsive
-	limited       bool                 // as last logged
-	ctx           context.Context
-	goroutines    sync.WaitGroup
+	notifyMu       sync.Mutex // serializes calls of Offer, SetCapacity, Withdraw and SetUnresponsive; acquired before mu
+	mu             sync.Mutex // guards the fields below, up to unresponsive
+	leaser         leaser.Leaser
+	report         Report                 // in force: the backend server has confirmed its incarnation
+	reportedAt     time.Time              // when that took effect
+	deviating      reportSeries           // of reports that do not follow the one in force
+	unconfirmed    []*unconfirmedReport   // oldest first
+	rejectedProbes map[string]leaser.Call // by address: the last probe, if its fencing token was too low
+	saved          Report                 // last passed to Save, or restored
+	restored       bool                   // report was saved by an earlier process, and none has arrived since
+	offered        bool                   // as last reported by Offer or Withdraw
+	offeredReport  Report                 // as last reported by Offer or SetCapacity
+	unresponsive   bool                   // as last reported by SetUnresponsive
+	limited        bool                   // as last logged
+	ctx            context.Context
+	goroutines     sync.WaitGroup
 }
 
 // Start starts the renewal of leases, which continues until ctx is canceled.
--- a/leaser/incarnation.go
+++ b/leaser/incarnation.go
@@ -34,14 +34,14 @@
 
 // Probe returns a call that asks for the incarnation of the backend server that a status
 // report names, without an effect on leases and runs. Its answer must be passed to
-// HandleProbe instead of HandleAnswer. rejected is the probe before for this report if
+// HandleProbe instead of HandleAnswer. rejected is the probe before at this address if
 // its token was too low, else the zero value.
 func (l *Leaser) Probe(rejected Call) Call {
 	l.serial++
 	c := Call{Kind: KindRenew, Token: l.token, serial: l.serial, startedAt: l.startedAt}
 	if rejected.serial != 0 {
 		c.increment = nextIncrement(rejected.increment)
-		c.Token = max(c.Token, rejected.Token) + c.increment
+		c.Token = min(max(c.Token, rejected.Token)+c.increment, maxToken)
 	}
 	return c
 }
--- a/leaser/simulation_agent_test.go
+++ b/leaser/simulation_agent_test.go
@@ -58,6 +58,7 @@
 	clockOffset time.Duration // of this process
 	report      simulatedReport
 	restored    bool
+	rejected    Call // last probe of this process, if its token was too low
 	saved       []simulatedReport
 	runs        []*agentRun // of all processes, by ID from 1
 	tries       map[string]int
@@ -68,7 +69,7 @@
 	s := g.s
 	g.process++
 	g.alive, g.frozenUntil = true, 0
-	g.report, g.restored = simulatedReport{}, false
+	g.report, g.restored, g.rejected = simulatedReport{}, false, Call{}
 	if g.process > 1 {
 		g.clockOffset = s.between(-3*time.Second, time.Second)
 	}
@@ -164,9 +165,15 @@
 		c.answered = true
 		g.s.logf("agent: call %d (%v) is answered: %v clock %d born %d active %v ended %v", c.serialNumber, c.Kind, a.Status, a.ClockMillis, a.StartedAt, a.Active, a.Ended)
 		if c.probed.id != "" {
+			switch a.Status {
+			case StatusDone:
+				g.rejected = Call{}
+			case StatusFenced:
+				g.rejected = c.Call
+			}
 			g.handleProbe(c, a)
 			if a.Status == StatusFenced {
-				g.probe(c.probed, c.Call)
+				g.probe(c.probed)
 			}
 			return
 		}
@@ -177,7 +184,7 @@
 // handleReport is like executor.LeasedExecutor.HandleReport.
 func (g *simulatedAgent) handleReport(r simulatedReport) {
 	if !g.leaser.Present(r.startedAt) || !r.sameServer(g.report) {
-		g.probe(r, Call{})
+		g.probe(r)
 		return
 	}
 	if r.number > g.report.number {
@@ -189,10 +196,10 @@
 }
 
 // probe asks the backend server to confirm a report.
-func (g *simulatedAgent) probe(r simulatedReport, rejected Call) {
+func (g *simulatedAgent) probe(r simulatedReport) {
 	s := g.s
 	s.calls++
-	c := &sentCall{Call: g.leaser.Probe(rejected), serialNumber: s.calls, process: g.process, target: r.id, decidedAt: s.now, probed: r}
+	c := &sentCall{Call: g.leaser.Probe(g.rejected), serialNumber: s.calls, process: g.process, target: r.id, decidedAt: s.now, probed: r}
 	s.logf("agent: probes for report %d of %s %d by call %d", r.number, r.id, r.startedAt, c.serialNumber)
 	s.send(c)
 }
@@ -218,7 +225,7 @@
 	}
 	g.s.logf("agent: restores the report of %s %d", r.id, r.startedAt)
 	r.restored = true
-	g.probe(r, Call{})
+	g.probe(r)
 }
 
 // run starts a run of a task.
--- a/leaser/token.go
+++ b/leaser/token.go
@@ -10,6 +10,7 @@
 	tokenShift        = 12
 	tokenIncrement    = 1 << 20 // raises the token above those that an earlier process may have used; 256 ms of start times
 	maxTokenIncrement = 1 << 44 // 50 days of start times
+	maxToken          = 1<<53 - 1
 )
 
 // initialToken returns the first token of a process that starts now.
