--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -30,7 +29,6 @@
 	mu     sync.Mutex
 	life   *life   // nil while it is down
 	starts []start // of all lives
-	over   []string
 	sick   float64 // share of the calls that are answered with 503 and not executed
 	server *http.Server
 }
@@ -303,9 +301,6 @@
 		used += r.millicores
 	}
 	x.record.printf("%s (kind %s): run %d of %s starts; %d of %d thousandths of a core in use", x.id, n.kind.label, c.Run, c.Task, used, n.kind.millicores)
-	if used > n.kind.millicores {
-		x.over = append(x.over, fmt.Sprintf("the start of %s brings %s to %d of %d thousandths of a core", c.Task, x.id, used, n.kind.millicores))
-	}
 	return http.StatusOK, map[string]any{}
 }
 
@@ -351,10 +346,3 @@
 	}
 	return list
 }
-
-// overloads returns the starts that exceeded the capacity.
-func (x *executor) overloads() []string {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return append([]string(nil), x.over...)
-}
