--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -54,8 +54,8 @@
 // entry is one entry process as clients and the platform see it.
 type entry struct{ name, front, ready string }
 
-// start starts the store with a configuration and the processes, and waits until every
-// entry is ready and every agent has offered its executor.
+// start starts the store with a configuration, the processes and the executors, and waits
+// until every entry is ready.
 func (d *deployment) start(entries int, executors ...*executor) error {
 	folder, err := os.MkdirTemp("", "review-")
 	if err != nil {
@@ -196,8 +196,8 @@
 	return d.awaitReady()
 }
 
-// awaitReady waits until every entry answers readiness checks with 200 and has served
-// jobs, so that it knows the executors.
+// awaitReady waits until every entry answers readiness checks with 200, and a second more
+// for the agents to connect to all of them.
 func (d *deployment) awaitReady() error {
 	limit := time.Now().Add(startDeadline)
 	for _, e := range d.entries {
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -53,7 +53,7 @@
 	millicores int
 	endsAt     time.Time
 	stopAt     time.Time // zero unless a stop was requested
-	entry      int       // index in executor.starts
+	index      int       // in executor.starts
 }
 
 // start is one start of a task, as the executor has seen it.
@@ -217,7 +217,7 @@
 
 // recordEnd records the end of a run. The caller holds mu.
 func (x *executor) recordEnd(task string, r *activeRun, how string) {
-	x.starts[r.entry].endAt, x.starts[r.entry].how = time.Now(), how
+	x.starts[r.index].endAt, x.starts[r.index].how = time.Now(), how
 	x.record.printf("%s: run %d of %s ends: %s", x.id, r.number, task, how)
 }
 
@@ -294,7 +294,7 @@
 	}
 	now := time.Now()
 	n.newest[c.Task] = c.Run
-	n.active[c.Task] = &activeRun{number: c.Run, millicores: w.Millicores, endsAt: now.Add(time.Duration(w.Millis) * time.Millisecond), entry: len(x.starts)}
+	n.active[c.Task] = &activeRun{number: c.Run, millicores: w.Millicores, endsAt: now.Add(time.Duration(w.Millis) * time.Millisecond), index: len(x.starts)}
 	x.starts = append(x.starts, start{task: c.Task, run: c.Run, label: n.kind.label, startAt: now})
 	used := 0
 	for _, r := range n.active {
