--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target
-go build -o target/review-standin ./review/standin
+go build -buildvcs=false -o target/review-standin ./review/standin
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -62,7 +63,9 @@
 		return err
 	}
 	d.folder, d.executors = folder, executors
-	d.network = fmt.Sprintf("127.%d.%d.", 64+os.Getpid()%128, time.Now().UnixNano()/1000%250)
+	if d.network, err = freeNetwork(); err != nil {
+		return err
+	}
 	d.store = new(standin.Store)
 	if err := d.store.Start(d.network + "1:0"); err != nil {
 		return err
@@ -95,6 +98,27 @@
 	return d.awaitReady()
 }
 
+// freeNetwork returns the first three bytes of loopback addresses that no one listens on,
+// as far as a probe of the first ones shows.
+func freeNetwork() (string, error) {
+	for range 20 {
+		network := fmt.Sprintf("127.%d.%d.", 64+rand.IntN(128), rand.IntN(250))
+		free := true
+		for _, address := range []string{"10:7001", "10:7002", "10:7003", "10:" + operatorPort, "100:7001", "100:7004", "100:" + operatorPort} {
+			listener, err := net.Listen("tcp", network+address)
+			if err != nil {
+				free = false
+				break
+			}
+			listener.Close()
+		}
+		if free {
+			return network, nil
+		}
+	}
+	return "", errors.New("no free loopback network")
+}
+
 func (d *deployment) address(last, port int) string {
 	return net.JoinHostPort(d.network+strconv.Itoa(last), strconv.Itoa(port))
 }
