--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -16,6 +16,7 @@
 	longJob     = "5c0e7a21d94b36f8"
 	warmUpJob   = "00000000000000%02x"
 	longTask    = 9000 // ms
+	bookingTask = 3600 // ms; the longest task of the site's requests interp-book
 	jobDeadline = 14 * time.Second
 	slack       = 150 * time.Millisecond // for the stand-ins to notice a time
 )
@@ -127,6 +128,40 @@
 	return d.ranAfterCancel(longJob, ackedAt), nil
 }
 
+// retryAfterCancel: a second client cancels a job at the node that has it. The first one
+// gets an answer on which the pages let it send the job again, and does so.
+func retryAfterCancel(d *deployment, trouble bool) (string, error) {
+	if err := d.start(2, newExecutors(kindSmall, kindSmall)...); err != nil {
+		return "", err
+	}
+	if err := d.warmUp(); err != nil {
+		return "", err
+	}
+	submitter, canceller := &client{record: d.record, nodes: d.entries}, &client{record: d.record, nodes: d.entries}
+	body := jobBody(2, work{bookingTask, 3100})
+	submission, err := submitter.send(0, http.MethodPost, prefix+longJob, body, jobDeadline)
+	if err != nil {
+		return "", err
+	}
+	if err := d.awaitStart(longJob); err != nil {
+		return "", err
+	}
+	if !trouble {
+		if a := <-submission.done; a.status != http.StatusOK {
+			return "", fmt.Errorf("the job was not served: %d", a.status)
+		}
+		return "", nil
+	}
+	time.Sleep(time.Second)
+	d.record.printf("disruption: another client cancels the job")
+	ackedAt, err := canceller.cancel(longJob)
+	if err != nil {
+		return "", err
+	}
+	go submitter.retry(submission, prefix+longJob, body)
+	return d.ranAfterCancel(longJob, ackedAt), nil
+}
+
 // cancelAfterRemoval: the operator removes a queue while a job of it runs, and the client
 // cancels the job at the node that runs it.
 func cancelAfterRemoval(d *deployment, trouble bool) (string, error) {
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -63,6 +63,23 @@
 	return pending, nil
 }
 
+// retry sends a job again, at the next node each time and resendDelay after the answer,
+// as long as the answer lets it: no response, 502 or 504.
+func (c *client) retry(r *request, path, body string) {
+	for attempt := 1; ; attempt++ {
+		switch a := <-r.done; a.status {
+		case 0, http.StatusBadGateway, http.StatusGatewayTimeout:
+		default:
+			return
+		}
+		time.Sleep(resendDelay)
+		var err error
+		if r, err = c.send(attempt, http.MethodPost, path, body, jobDeadline); err != nil {
+			return
+		}
+	}
+}
+
 func readAnswer(conn net.Conn, r *http.Request) answer {
 	response, err := http.ReadResponse(bufio.NewReader(conn), r)
 	if err != nil {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,7 @@
 var scenarios = map[string]scenario{
 	"cancel-after-retry":      cancelAfterRetry,
 	"cancel-after-removal":    cancelAfterRemoval,
+	"retry-after-cancel":      retryAfterCancel,
 	"restart-while-idle":      restartWhileIdle,
 	"unhealthy-after-restart": unhealthyAfterRestart,
 }
