--- /dev/null
+++ b/review/standin-2/cases.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// cases holds the cases by name. Each returns how the rule was broken.
+var cases = map[string]func(r *record, trouble bool) ([]string, error){
+	"twice-held":        twiceHeld,
+	"cancel-after-drop": cancelAfterDrop,
+	"cancel-elsewhere":  cancelElsewhere,
+	"kind-earlier":      kindOfEarlierBoot,
+}
+
+const (
+	timeBudget  = 1500 * time.Millisecond
+	resendDelay = 1300 * time.Millisecond
+	taskCPU     = 3100
+	serverCPU   = 32000
+)
+
+// twiceHeld cuts an edge machine off for 2.45 s while clients send their jobs to it. They
+// get no answer within their time budget, close their channels and send the jobs again,
+// to the other edge machine. The first requests arrive there meanwhile.
+func twiceHeld(r *record, trouble bool) ([]string, error) {
+	const (
+		clients = 5
+		cut     = 2450 * time.Millisecond
+		tasks   = 3 // not the number of executors, so that the two machines place them differently
+		millis  = 900
+	)
+	d, err := newDeployment(r, 2, [][]string{{"a"}, {"a"}, {"a"}, {"a"}}, serverCPU)
+	if d != nil {
+		defer d.stop()
+	}
+	if err != nil {
+		return nil, err
+	}
+	first, second := d.entries[0], d.entries[1]
+	var channels []*client
+	for i := range clients {
+		c := &client{name: fmt.Sprintf("client-%d", i+1), record: r}
+		if err := c.open(first.front.address()); err != nil {
+			return nil, err
+		}
+		if s := c.post(first.name, fmt.Sprintf("%016x", 100+i), jobBody(1, 100, 20, ""), timeBudget); s != 200 {
+			return nil, fmt.Errorf("the first job is answered with %d", s)
+		}
+		channels = append(channels, c)
+	}
+	if trouble {
+		r.line("%s is cut off from all other machines and from the clients", first.name)
+		first.setCut(true)
+		time.AfterFunc(cut, func() {
+			r.line("%s is no longer cut off", first.name)
+			first.setCut(false)
+		})
+		time.Sleep(50 * time.Millisecond)
+	}
+	var wait sync.WaitGroup
+	for i, c := range channels {
+		wait.Go(func() {
+			id, body := fmt.Sprintf("%016x", 0xabc000+i), jobBody(tasks, taskCPU, millis, "")
+			if s := c.post(first.name, id, body, timeBudget); s != 0 && s != 502 && s != 504 {
+				return
+			}
+			time.Sleep(resendDelay)
+			again := &client{name: c.name, record: r}
+			if err := again.open(second.front.address()); err != nil {
+				r.line("%s cannot open a channel: %v", c.name, err)
+				return
+			}
+			again.post(second.name, id, body, timeBudget)
+		})
+	}
+	wait.Wait()
+	time.Sleep(2 * time.Second)
+	return r.overlaps(time.Millisecond), nil
+}
