review: drop two cases that an earlier review shows, case 9 becomes 7

The earlier cases 2 and 4 show the same faults as cases 7 and 8 (found here before they were read). The cut ends after 1.7 s now.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of review/6 to review/9 start.
+# Builds the stand-ins that the scripts of review/6 and review/7 start.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -o target/review-standin-2 ./review/standin-2
--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -8,10 +8,8 @@
 
 // cases holds the cases by name. Each returns how the rule was broken.
 var cases = map[string]func(r *record, trouble bool) ([]string, error){
-	"twice-held":        twiceHeld,
-	"cancel-after-drop": cancelAfterDrop,
-	"cancel-elsewhere":  cancelElsewhere,
-	"kind-earlier":      kindOfEarlierBoot,
+	"twice-held":   twiceHeld,
+	"kind-earlier": kindOfEarlierBoot,
 }
 
 const (
@@ -21,14 +19,14 @@
 	serverCPU   = 32000
 )
 
-// twiceHeld cuts an edge machine off for 2.45 s while clients send their jobs to it. They
+// twiceHeld cuts an edge machine off for 1.7 s while clients send their jobs to it. They
 // get no answer within their time budget, close their channels and send the jobs again,
-// to the other edge machine. The first requests arrive there meanwhile.
+// to the other edge machine. TCP delivers the first requests meanwhile.
 func twiceHeld(r *record, trouble bool) ([]string, error) {
 	const (
 		clients = 5
-		cut     = 2450 * time.Millisecond
-		tasks   = 3 // not the number of executors, so that the two machines place them differently
+		cut     = 1700 * time.Millisecond // ends before the fourth retransmission, 3.09 s after the first send
+		tasks   = 3                       // not the number of executors, so that the two machines place them differently
 		millis  = 900
 	)
 	d, err := newDeployment(r, 2, [][]string{{"a"}, {"a"}, {"a"}, {"a"}}, serverCPU)
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -28,10 +28,6 @@
 const configuration = `{"version":1,"routes":[{"name":"interp-book","host":"desk.example","pathPrefix":"/interp/","service":"access-desk",` +
 	`"priority":2,"attempts":3,"stretch":1.6,"targetLatencyMs":60}],"services":[{"name":"access-desk"}],"limits":{}}`
 
-// laterConfiguration has another queue instead.
-const laterConfiguration = `{"version":4,"routes":[{"name":"caption-check","host":"desk.example","pathPrefix":"/caption/","service":"access-desk",` +
-	`"priority":0,"attempts":3,"stretch":1.6,"targetLatencyMs":60}],"services":[{"name":"access-desk"}],"limits":{}}`
-
 // process is a running daemon.
 type process struct {
 	name    string
@@ -77,14 +73,18 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 1+os.Getpid()/250%250, d.addresses)
 }
 
-// freePort returns host:port with a port that is free now.
-func freePort(ip string) (string, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
+// freeAddresses returns n addresses, host:port, whose ports are free now.
+func freeAddresses(ip string, n int) ([]string, error) {
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close() // at the end, so that no port is returned twice
+		addresses = append(addresses, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return addresses, nil
 }
 
 // newDeployment starts the store, the entries, the agents and the executors with the
@@ -116,14 +116,9 @@
 }
 
 func (d *deployment) startEntry(name string, seeds []string) (*entry, string, error) {
-	ip := d.ip()
-	var listen [4]string // front, ready, control, operator
-	for i := range listen {
-		address, err := freePort(ip)
-		if err != nil {
-			return nil, "", err
-		}
-		listen[i] = address
+	listen, err := freeAddresses(d.ip(), 4) // front, ready, control, operator
+	if err != nil {
+		return nil, "", err
 	}
 	e := &entry{ready: listen[1]}
 	for _, l := range []struct {
@@ -131,7 +126,6 @@
 		target  string
 		backoff bool
 	}{{&e.front, listen[0], true}, {&e.links, listen[2], false}, {&e.store, d.store.Address(), false}} {
-		var err error
 		if *l.link, err = newLink(d.ip(), l.target, l.backoff); err != nil {
 			return nil, "", err
 		}
@@ -141,21 +135,17 @@
 		"operator-address": listen[3], "entries": append([]string{}, seeds...),
 		"platform": map[string]any{"store-address": e.store.address(), "ready-address": listen[1], "stop-s": graceS},
 	}
-	var err error
 	e.process, err = d.startProcess(name, settings)
 	return e, e.links.address(), err
 }
 
 func (d *deployment) startAgent(name string, seeds, labels []string, cpu int) error {
 	ip := d.ip()
-	control, err := freePort(ip)
-	if err != nil {
-		return err
-	}
-	operator, err := freePort(ip)
+	listen, err := freeAddresses(ip, 2)
 	if err != nil {
 		return err
 	}
+	control, operator := listen[0], listen[1]
 	settings := map[string]any{
 		"name": name, "role": "agent", "zone": "zone-1", "operator-address": operator, "entries": seeds,
 		"platform": map[string]any{
