review: case 6 cuts the entry's own connections too

Cause: the paths from the cut entry to the other one, which it opens itself, went on, so that the claim said more than the script did.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -50,10 +50,10 @@
 	}
 	if trouble {
 		r.line("%s is cut off from all other machines and from the clients", first.name)
-		first.setCut(true)
+		d.setCut(first, true)
 		time.AfterFunc(cut, func() {
 			r.line("%s is no longer cut off", first.name)
-			first.setCut(false)
+			d.setCut(first, false)
 		})
 		time.Sleep(50 * time.Millisecond)
 	}
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -49,13 +49,6 @@
 	store *link // to the store
 }
 
-// setCut cuts the machine off from all others, or ends that.
-func (e *entry) setCut(isCut bool) {
-	for _, l := range []*link{e.front, e.links, e.store} {
-		l.setCut(isCut)
-	}
-}
-
 // deployment is a small installation on loopback addresses.
 type deployment struct {
 	record    *record
@@ -67,6 +60,22 @@
 	addresses int
 }
 
+// setCut cuts an edge machine off from the clients and all other machines, or ends that.
+func (d *deployment) setCut(e *entry, isCut bool) {
+	machine := ""
+	if isCut {
+		machine = e.name
+	}
+	for _, other := range d.entries {
+		if other != e {
+			other.links.setCutFrom(machine)
+		}
+	}
+	for _, l := range []*link{e.front, e.links, e.store} {
+		l.setCut(isCut)
+	}
+}
+
 // ip returns a loopback address of its own for a machine.
 func (d *deployment) ip() string {
 	d.addresses++
@@ -122,11 +131,11 @@
 	}
 	e := &entry{ready: listen[1]}
 	for _, l := range []struct {
-		link    **link
-		target  string
-		backoff bool
-	}{{&e.front, listen[0], true}, {&e.links, listen[2], false}, {&e.store, d.store.Address(), false}} {
-		if *l.link, err = newLink(d.ip(), l.target, l.backoff); err != nil {
+		link              **link
+		target            string
+		backoff, identify bool
+	}{{&e.front, listen[0], true, false}, {&e.links, listen[2], false, true}, {&e.store, d.store.Address(), false, false}} {
+		if *l.link, err = newLink(d.ip(), l.target, l.backoff, l.identify); err != nil {
 			return nil, "", err
 		}
 	}
--- a/review/standin-2/link.go
+++ b/review/standin-2/link.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"mustardlever.dev/mustardlever/internal/relayer"
 )
 
 const (
@@ -21,23 +23,25 @@
 // backoff it is delivered at the first retransmission after the cut, and what follows,
 // an end of the connection too, one round trip later.
 type link struct {
-	target  string
-	backoff bool
+	target   string
+	backoff  bool
+	identify bool // the first bytes of a connection name the machine that opened it
 
 	listener net.Listener
 	mu       sync.Mutex
 	changed  *sync.Cond
 	isCut    bool
+	cutFrom  string // this machine only is cut off
 	conns    map[net.Conn]bool
 }
 
 // newLink starts a link to target that listens at ip.
-func newLink(ip, target string, backoff bool) (*link, error) {
+func newLink(ip, target string, backoff, identify bool) (*link, error) {
 	listener, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return nil, err
 	}
-	l := &link{target: target, backoff: backoff, listener: listener, conns: make(map[net.Conn]bool)}
+	l := &link{target: target, backoff: backoff, identify: identify, listener: listener, conns: make(map[net.Conn]bool)}
 	l.changed = sync.NewCond(&l.mu)
 	go l.accept()
 	return l, nil
@@ -52,12 +56,22 @@
 	l.changed.Broadcast()
 }
 
-// await waits until the link is not cut. It reports whether it was.
-func (l *link) await() bool {
+// setCutFrom cuts the path for the connections of one machine; the empty name ends that.
+func (l *link) setCutFrom(machine string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	waited := l.isCut
-	for l.isCut {
+	l.cutFrom = machine
+	l.changed.Broadcast()
+}
+
+// await waits until the path is not cut for the connections of a machine. It reports
+// whether it was.
+func (l *link) await(machine string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	cut := func() bool { return l.isCut || machine != "" && machine == l.cutFrom }
+	waited := cut()
+	for cut() {
 		l.changed.Wait()
 	}
 	return waited
@@ -66,6 +80,7 @@
 func (l *link) stop() {
 	l.listener.Close()
 	l.setCut(false)
+	l.setCutFrom("")
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
@@ -84,17 +99,34 @@
 }
 
 func (l *link) serve(source net.Conn) {
-	l.await()
+	var first []byte
+	machine := ""
+	if l.identify {
+		first = make([]byte, chunkBytes)
+		n, err := source.Read(first)
+		if err != nil {
+			source.Close()
+			return
+		}
+		first = first[:n]
+		machine = relayer.PeerName(first)
+	}
+	l.await(machine)
 	target, err := net.DialTimeout("tcp", l.target, dialTimeout)
 	if err != nil {
 		source.Close()
 		return
 	}
+	if _, err := target.Write(first); err != nil {
+		source.Close()
+		target.Close()
+		return
+	}
 	l.mu.Lock()
 	l.conns[source], l.conns[target] = true, true
 	l.mu.Unlock()
-	go l.forward(target, source)
-	l.forward(source, target)
+	go l.forward(target, source, machine)
+	l.forward(source, target, machine)
 }
 
 // chunk holds bytes that were sent at a time; no bytes stand for the end of the
@@ -105,7 +137,7 @@
 }
 
 // forward forwards one direction until the source ends it, and then ends it too.
-func (l *link) forward(source, target net.Conn) {
+func (l *link) forward(source, target net.Conn, machine string) {
 	chunks := make(chan chunk, 4096)
 	go func() {
 		defer close(chunks)
@@ -123,7 +155,7 @@
 	}()
 	heldBefore := false
 	for c := range chunks {
-		held := l.await()
+		held := l.await(machine)
 		switch {
 		case held && l.backoff:
 			time.Sleep(time.Until(nextRetransmission(c.sentAt)))
