review: case 6 at the size of the site, with its doubt

One of two edge machines was more than the share of 0.17 that the site sets for node_cut. The case now has the site's 4 edge and 11 side machines, one of which is cut off.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -17,6 +18,10 @@
 	resendDelay = 1300 * time.Millisecond
 	taskCPU     = 3100
 	serverCPU   = 32000
+
+	// The machines of the site.
+	edgeMachines = 4
+	sideMachines = 11
 )
 
 // twiceHeld cuts an edge machine off for 1.7 s while clients send their jobs to it. They
@@ -29,7 +34,8 @@
 		tasks   = 3                       // not the number of executors, so that the two machines place them differently
 		millis  = 900
 	)
-	d, err := newDeployment(r, 2, [][]string{{"a"}, {"a"}, {"a"}, {"a"}}, serverCPU)
+	labels := slices.Repeat([][]string{{"a"}}, sideMachines)
+	d, err := newDeployment(r, edgeMachines, labels, serverCPU)
 	if d != nil {
 		defer d.stop()
 	}
