--- a/configurer/process.go
+++ b/configurer/process.go
@@ -30,6 +30,17 @@
 	ReportIntervalMillis int    `json:"report-ms"`       // interval of the status reports; default 1500
 	MaxLeaseMillis       int    `json:"lease-ms"`        // longest lease of running tasks; default 1000
 	ShutdownSeconds      int    `json:"stop-s"`          // longest duration of a graceful shutdown; default 6
+
+	MemoryMiB      int `json:"memory-mb"`       // memory that the process may use; default 184
+	MaxDescriptors int `json:"max-descriptors"` // file descriptors that the process may open; default 4100
+
+	EvacuationMillis int     `json:"evacuation-ms"`   // time within which an evacuation takes effect; 0: evacuations are not followed
+	ColdOverage      float64 `json:"cold-overage"`    // load of a cold backend server, as a multiple of its fair share, that must not be exceeded; 0: cold servers are treated as others
+	ColdSlack        int     `json:"cold-slack"`      // tasks that a cold backend server may run in any case
+	RemoteFactor     float64 `json:"remote-factor"`   // how many times longer a task takes away from its data; default 1.5
+	LocalityWait     bool    `json:"locality-wait"`   // tasks may wait for a place near their data
+	ShareDemand      bool    `json:"share-demand"`    // entries exchange their demand if no entry is connected to all agents
+	ServerProfiles   bool    `json:"server-profiles"` // agents report what they have learned of their backend servers, and entries place by it
 }
 
 // Process holds the settings of one process. Addresses are IP addresses with ports.
@@ -65,6 +76,9 @@
 	defaultReportIntervalMillis = 1500
 	defaultLeaseMillis          = 1000
 	defaultShutdownSeconds      = 6
+	defaultMemoryMiB            = 184 // of the smallest VM in use
+	defaultMaxDescriptors       = 4100
+	defaultRemoteFactor         = 1.5
 )
 
 // ReadProcess reads and checks a settings file.
@@ -176,6 +190,9 @@
 	p.ReportIntervalMillis = cmp.Or(p.ReportIntervalMillis, defaultReportIntervalMillis)
 	p.MaxLeaseMillis = cmp.Or(p.MaxLeaseMillis, defaultLeaseMillis)
 	p.ShutdownSeconds = cmp.Or(p.ShutdownSeconds, defaultShutdownSeconds)
+	p.MemoryMiB = cmp.Or(p.MemoryMiB, defaultMemoryMiB)
+	p.MaxDescriptors = cmp.Or(p.MaxDescriptors, defaultMaxDescriptors)
+	p.RemoteFactor = cmp.Or(p.RemoteFactor, defaultRemoteFactor)
 }
 
 func (p *Process) checkPlatform(f *file) {
@@ -191,6 +208,12 @@
 	if p.Platform.ReportIntervalMillis < 0 || p.Platform.MaxLeaseMillis < 0 || p.Platform.ShutdownSeconds < 0 {
 		f.reject("platform", "expected report-ms, lease-ms and stop-s of 0 or more")
 	}
+	if p.Platform.MemoryMiB < 0 || p.Platform.MaxDescriptors < 0 || p.Platform.EvacuationMillis < 0 || p.Platform.ColdSlack < 0 {
+		f.reject("platform", "expected memory-mb, max-descriptors, evacuation-ms and cold-slack of 0 or more")
+	}
+	if p.Platform.ColdOverage < 0 || p.Platform.RemoteFactor != 0 && p.Platform.RemoteFactor < 1 {
+		f.reject("platform", "expected a cold-overage of 0 or more and a remote-factor of 1 or more")
+	}
 }
 
 // checkAddress checks that text is an IP address and a port.
