evacuator: follow evacuations of availability zones

Change: package evacuator merges statements about zones by the store's versions. The message evacuations is the first of each session and is sent again on each change, between entries and to and from agents. An agent of an evacuated zone refuses starts, also queued ones; an entry places tasks elsewhere and refuses jobs that only servers of evacuated zones could run. Followed only if evacuation-ms is set.

Measured: go test of the packages touched passes.

--- a/cmd/mustardleverd/hosted_agent.go
+++ b/cmd/mustardleverd/hosted_agent.go
@@ -24,7 +24,7 @@
 // serveHostedAgent runs an agent on the users' platform.
 func serveHostedAgent(l fx.Lifecycle, p configurer.Process, log *logrus.Entry, r *recorder.Recorder, settings *reloader, metrics *counter.Counter) error {
 	a := &server.Agent{
-		Settings: server.AgentSettings{Identity: identity(p), Entries: p.Entries, Messenger: hostedMessengerSettings()},
+		Settings: server.AgentSettings{Identity: identity(p), Entries: p.Entries, Messenger: hostedMessengerSettings(), FollowEvacuations: p.Platform.EvacuationMillis > 0},
 		Log:      log, Recorder: r,
 	}
 	settings.addEntries = a.AddEntries
--- a/cmd/mustardleverd/hosted_entry.go
+++ b/cmd/mustardleverd/hosted_entry.go
@@ -14,6 +14,7 @@
 	"mustardlever.dev/mustardlever/coordinator"
 	"mustardlever.dev/mustardlever/counter"
 	"mustardlever.dev/mustardlever/dispatcher"
+	"mustardlever.dev/mustardlever/evacuator"
 	"mustardlever.dev/mustardlever/operator"
 	"mustardlever.dev/mustardlever/pausedetector"
 	"mustardlever.dev/mustardlever/platform"
@@ -45,6 +46,9 @@
 			publishVariables(e.Traffic(), r)
 			store := newStore(p, log, metrics)
 			store.ConfigurationProgress = e.RecordSourceProgress
+			if p.Platform.EvacuationMillis > 0 {
+				store.ObserveEvacuations = func(r evacuator.Report) { e.AdoptEvacuations(r, "store") }
+			}
 			go newHostedFollower(store, e, log).Run(ctx)
 			go newRegistrar(store, &registrar.Registration{Name: p.Name, Address: e.Identity().Address}, e, log).Run(ctx)
 			for s, address := range map[*http.Server]string{callerServer: p.CallerAddress, readinessServer: p.Platform.ReadyAddress, operatorServer: p.OperatorAddress} {
@@ -69,6 +73,7 @@
 	e := &server.Entry{
 		Settings: server.EntrySettings{
 			Identity: identity(p), Entries: p.Entries, AddAnnouncedServices: true, Messenger: hostedMessengerSettings(),
+			FollowEvacuations: p.Platform.EvacuationMillis > 0,
 			Coordinator: coordinator.Settings{MaxDeadline: hostedDefaultDeadline, UsefulFactor: hostedUsefulFactor, LeaseExpiryWait: hostedSessionTimeout + hostedStopTime + hostedRenewalCutoff + hostedLease,
 				Dispatcher: dispatcher.Settings{Baseline: baseline}},
 		},
--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -21,12 +21,13 @@
 			return t.agent == from || t.address == m.Address && protocol.ProcessName(t.agent) == protocol.ProcessName(from)
 		})
 	}
-	a.address, a.draining = m.Address, m.Draining
+	a.address, a.zone, a.draining = m.Address, m.Zone, m.Draining
 	if m.Draining {
 		c.queue.RemoveAgent(from)
 		return
 	}
 	c.queue.AddAgent(from, m.Capacity, m.Labels)
+	c.queue.SetEvacuated(from, c.evacuations.Evacuated(m.Zone))
 	c.queue.Report(from, m.Load)
 	c.dispatch(now)
 }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mustardlever.dev/mustardlever/dispatcher"
+	"mustardlever.dev/mustardlever/evacuator"
 	"mustardlever.dev/mustardlever/protocol"
 )
 
@@ -72,6 +73,7 @@
 type agent struct {
 	name     string
 	address  string
+	zone     string
 	draining bool
 	inFlight map[*job]map[int]bool // tasks sent to it whose outcome is outstanding
 }
@@ -110,6 +112,7 @@
 	queue              dispatcher.Dispatcher[*job]
 	losses             lossTable
 	leaseExpiring      map[*job]bool // jobs that wait for tasks on lost agents to stop
+	evacuations        *evacuator.State
 	draining           bool
 	handedOver         bool      // unfinished jobs were handed over to their backups
 	lastClosedAt       time.Time // when closedBelow was last updated
@@ -176,15 +179,16 @@
 	FreeMillicores int `json:"room-cpu"`       // free capacity in thousandths of a core
 	SuspectAgents  int `json:"suspect-agents"` // agents that are suspended or on probation
 	Agents         int `json:"agents"`
-	AckedAgents    int `json:"witnessed-agents"` // agents acknowledged by the backup that acknowledged the most
-	BackedOwners   int `json:"witnessed-owners"` // owners for which this entry is the backup
+	Evacuated      int `json:"evacuated-agents,omitempty"` // agents in evacuated zones
+	AckedAgents    int `json:"witnessed-agents"`           // agents acknowledged by the backup that acknowledged the most
+	BackedOwners   int `json:"witnessed-owners"`           // owners for which this entry is the backup
 }
 
 // Counts returns the current sizes.
 func (c *Coordinator) Counts() Counts {
 	counts := Counts{
 		Jobs: len(c.jobs), Unfinished: len(c.active), Waiting: c.queue.Waiting(),
-		FreeMillicores: c.queue.FreeCapacity().CPU, SuspectAgents: c.queue.SuspectAgents(), Agents: len(c.agents), BackedOwners: len(c.owners),
+		FreeMillicores: c.queue.FreeCapacity().CPU, SuspectAgents: c.queue.SuspectAgents(), Agents: len(c.agents), Evacuated: c.queue.EvacuatedAgents(), BackedOwners: len(c.owners),
 	}
 	for _, b := range c.backups {
 		if !b.sealed {
--- a/coordinator/ending.go
+++ b/coordinator/ending.go
@@ -49,6 +49,9 @@
 	a := j.newAnswer(StateFailed, j.stopReason)
 	if !a.MayHaveRun() {
 		a.RetryAfter = c.retryAfter()
+		if j.stopReason == protocol.ReasonEvacuated {
+			a.RetryAfter = evacuatedRetryAfter
+		}
 	}
 	c.end(now, j, a)
 }
--- a/coordinator/progress.go
+++ b/coordinator/progress.go
@@ -44,7 +44,7 @@
 // An agent on which a task of the job failed or was a straggler is not used while
 // there are others.
 func (c *Coordinator) eligible(j *job, agent string) bool {
-	if j.avoids(agent) && c.queue.Agents() > len(j.avoidedAgents) {
+	if j.avoids(agent) && c.queue.Agents()-c.queue.EvacuatedAgents() > len(j.avoidedAgents) {
 		return false
 	}
 	if j.backup == "" {
--- a/coordinator/sync.go
+++ b/coordinator/sync.go
@@ -51,6 +51,8 @@
 		c.stop(now, j, protocol.ReasonNoFit)
 	case givenUp:
 		c.stop(now, j, protocol.ReasonServersLost)
+	case c.onlyEvacuated(now, j):
+		c.stop(now, j, protocol.ReasonEvacuated)
 	case held: // queued when the stops have taken effect
 	default:
 		c.enqueue(j)
--- a/coordinator/tick.go
+++ b/coordinator/tick.go
@@ -45,6 +45,8 @@
 		c.endUnfinalized(now, j)
 	case j.finalizeSentAt.IsZero() && !j.awaitingSeal && !now.Before(j.deadline):
 		c.stop(now, j, protocol.ReasonDeadline)
+	case c.onlyEvacuated(now, j):
+		c.stop(now, j, protocol.ReasonEvacuated)
 	case c.cannotMeetDueTime(now, j):
 		c.stop(now, j, protocol.ReasonDueTimeUnreachable)
 	case j.suspended:
--- a/dispatcher/agent.go
+++ b/dispatcher/agent.go
@@ -48,6 +48,7 @@
 	suspension          time.Duration   // length of the last suspension; zero after a success
 	onProbation         bool            // gets one task at a time until one succeeds
 	running             int             // starts sent without a reported outcome
+	evacuated           bool            // gets no task, see SetEvacuated
 }
 
 // updateFreeCapacity computes freeCapacity from the last Load and the unreported
@@ -80,7 +81,7 @@
 
 // available reports whether the agent may get a task now.
 func (a *agent) available() bool {
-	return a.suspendedUntil.IsZero() && (!a.onProbation || a.running == 0)
+	return !a.evacuated && a.suspendedUntil.IsZero() && (!a.onProbation || a.running == 0)
 }
 
 // addSample updates the slowness with a task that took ratio times its estimate.
@@ -185,21 +186,22 @@
 
 // Suspend suspends an agent. The duration doubles with each suspension since the
 // last success, up to maxSuspension. At most half of the agents, rounded up, are
-// suspended at once: when all of them fail, the cause is elsewhere.
+// suspended at once: when all of them fail, the cause is elsewhere. Agents in evacuated
+// zones do not count.
 func (d *Dispatcher[J]) Suspend(now time.Time, name string) {
 	a := d.agents[name]
-	if a == nil || !a.suspendedUntil.IsZero() || 2*(d.suspendedAgents()+1) > len(d.agentList)+1 {
+	if a == nil || !a.suspendedUntil.IsZero() || 2*(d.suspendedAgents()+1) > len(d.agentList)-d.EvacuatedAgents()+1 {
 		return
 	}
 	a.suspension = min(max(2*a.suspension, minSuspension), maxSuspension)
 	a.suspendedUntil = now.Add(a.suspension)
 }
 
-// suspendedAgents returns the number of suspended agents.
+// suspendedAgents returns the number of suspended agents outside evacuated zones.
 func (d *Dispatcher[J]) suspendedAgents() int {
 	n := 0
 	for _, a := range d.agentList {
-		if !a.suspendedUntil.IsZero() {
+		if !a.suspendedUntil.IsZero() && !a.evacuated {
 			n++
 		}
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -333,6 +333,9 @@
 func (d *Dispatcher[J]) hasHeadroom() bool {
 	free, total := 0, 0
 	for _, a := range d.agentList {
+		if a.evacuated {
+			continue
+		}
 		total += a.capacity.CPU
 		if a.available() {
 			free += max(a.freeCapacity.CPU, 0)
--- /dev/null
+++ b/dispatcher/evacuation.go
@@ -0,0 +1,37 @@
+package dispatcher
+
+import "slices"
+
+// SetEvacuated sets whether the agent is in an evacuated zone and gets no tasks.
+func (d *Dispatcher[J]) SetEvacuated(name string, evacuated bool) {
+	if a := d.agents[name]; a != nil {
+		a.evacuated = evacuated
+	}
+}
+
+// EvacuatedAgents returns the number of agents in evacuated zones.
+func (d *Dispatcher[J]) EvacuatedAgents() int {
+	n := 0
+	for _, a := range d.agentList {
+		if a.evacuated {
+			n++
+		}
+	}
+	return n
+}
+
+// OnlyEvacuated reports whether agents could run a task of the job, whatever they run
+// now, but all of them are in evacuated zones.
+func (d *Dispatcher[J]) OnlyEvacuated(j *Job[J]) bool {
+	found := false
+	for _, a := range d.agentList {
+		if !a.capacity.Covers(j.Need) || j.RequiredLabel != "" && !slices.Contains(a.labels, j.RequiredLabel) {
+			continue
+		}
+		if !a.evacuated {
+			return false
+		}
+		found = true
+	}
+	return found
+}
--- a/protocol/message.go
+++ b/protocol/message.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"mustardlever.dev/mustardlever/dispatcher"
+	"mustardlever.dev/mustardlever/evacuator"
 	"mustardlever.dev/mustardlever/sizer"
 )
 
@@ -76,6 +77,7 @@
 	Entries       *Entries       `json:"entries,omitempty"`
 
 	ServerLosses []ServerLoss `json:"server-losses,omitempty"`
+	Evacuations  *Evacuations `json:"evacuations,omitempty"`
 
 	Configuration        *Configuration        `json:"configuration,omitempty"`
 	ConfigurationRequest *ConfigurationRequest `json:"want-configuration,omitempty"`
@@ -120,6 +122,11 @@
 	Limit   int   `json:"limit,omitempty"`
 }
 
+// Evacuations (between entries, and between entries and agents) tells what the sender
+// knows of evacuated zones. It is the first message of a session, if the sender knows
+// anything, and is sent again on each change. Earlier releases ignore it.
+type Evacuations = evacuator.Report
+
 // ServerLoss (agent to entries, and between entries) reports that a backend server
 // was lost while it ran an attempt of the named task: it crashed, or did not answer
 // until the leases of its runs had expired. Agent is the agent incarnation beside it.
@@ -152,6 +159,8 @@
 	Address  string          `json:"address"`
 	Draining bool            `json:"leaving,omitempty"`
 	Load     Load            `json:"load"`
+
+	Zone string `json:"-"` // of the agent, from its Identity; set by the receiver
 }
 
 // Start (entry to agent) asks the agent to start one task. Agent is the agent
@@ -180,6 +189,7 @@
 	RefusalDraining         Refusal = "leaving"     // the agent is draining
 	RefusalClosed           Refusal = "closed"      // the ticket is closed; the agent may have run the task and discarded its record
 	RefusalNoCapacity       Refusal = "no-room"     // the agent has no capacity to start, queue or record the task
+	RefusalEvacuated        Refusal = "evacuated"   // the agent's zone is evacuated
 	RefusalUnreachable      Refusal = "unreachable" // no connection to the backend server was established
 )
 
@@ -314,6 +324,7 @@
 	ReasonDueTimeUnreachable Reason = "hopeless"        // the job cannot meet its due time
 	ReasonPaused             Reason = "suspended"       // the entry's process was paused
 	ReasonStopping           Reason = "stopping"        // the entry is shutting down
+	ReasonEvacuated          Reason = "evacuated"       // only servers of evacuated zones could run the job
 )
 
 // FinalizeAck (backup to owner) answers Finalize. If Sealed is set, the backup
--- a/server/agent.go
+++ b/server/agent.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"mustardlever.dev/mustardlever/evacuator"
 	"mustardlever.dev/mustardlever/messenger"
 	"mustardlever.dev/mustardlever/pausedetector"
 	"mustardlever.dev/mustardlever/protocol"
@@ -44,6 +45,8 @@
 	BackendServers []BackendServer   // one per service
 	Messenger      messenger.Settings
 	Starter        starter.Settings
+
+	FollowEvacuations bool // start nothing while the zone is evacuated
 }
 
 // Agent runs the tasks of its backend servers. Set the fields before Start.
@@ -52,6 +55,8 @@
 	Log      *logrus.Entry
 	Recorder *recorder.Recorder
 
+	evacuations evacuator.Holder
+
 	hub        messenger.Hub
 	mu         sync.RWMutex
 	shards     map[string]*agentShard
@@ -139,6 +144,7 @@
 func (a *Agent) applyDecisions(s *agentShard, decide func(*starter.Starter)) recipients {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.starter.SetEvacuated(a.evacuations.State().Evacuated(a.hub.Self.Zone))
 	decide(&s.starter)
 	d := s.starter.TakeDecisions()
 	var peers recipients
@@ -172,6 +178,10 @@
 		a.AddEntries(m.Entries.Addresses)
 		return
 	}
+	if m.Evacuations != nil {
+		a.adoptEvacuations(*m.Evacuations, from.Incarnation)
+		return
+	}
 	s := a.shard(m.Service)
 	if a.detector.Paused() {
 		a.handlePause()
@@ -197,6 +207,7 @@
 
 func (a *Agent) entryConnected(peer protocol.Identity) {
 	a.Log.Infof("Entry %s is connected.", peer.Incarnation)
+	sendEvacuations(&a.hub, &a.evacuations, peer.Incarnation)
 	for _, s := range a.shardList() {
 		peers := a.applyDecisions(s, func(st *starter.Starter) { st.EntryConnected(peer.Incarnation) })
 		peers.wake(&a.hub)
--- a/server/entry.go
+++ b/server/entry.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"mustardlever.dev/mustardlever/coordinator"
+	"mustardlever.dev/mustardlever/evacuator"
 	"mustardlever.dev/mustardlever/messenger"
 	"mustardlever.dev/mustardlever/pausedetector"
 	"mustardlever.dev/mustardlever/protocol"
@@ -27,6 +28,7 @@
 	AddAnnouncedServices bool                 // add services announced by agents, with the settings in Coordinator
 	Coordinator          coordinator.Settings // settings of added services
 	Messenger            messenger.Settings
+	FollowEvacuations    bool // start nothing in evacuated zones
 }
 
 // maxServices limits the services of an entry: with this many, it adds no more
@@ -50,6 +52,8 @@
 	Routes       router.Holder
 	DecodeRoutes func(document []byte) (*router.Table, error)
 
+	evacuations evacuator.Holder
+
 	hub        messenger.Hub
 	coder      ticketer.Coder
 	shards     shardTable
@@ -159,6 +163,8 @@
 	switch {
 	case m.Entries != nil:
 		e.AddEntries(m.Entries.Addresses)
+	case m.Evacuations != nil:
+		e.AdoptEvacuations(*m.Evacuations, from.Incarnation)
 	case m.Configuration != nil:
 		c := *m.Configuration
 		e.goroutines.Go(func() { e.receiveRoutes(from.Incarnation, &c) })
@@ -170,6 +176,9 @@
 	case m.Reply != nil:
 		e.calls.finish(m.Reply)
 	default:
+		if m.Announce != nil {
+			m.Announce.Zone = from.Zone
+		}
 		if s := e.shardFor(m); s != nil {
 			e.applyAndWake(s, func(c *coordinator.Coordinator, now time.Time) { c.Receive(now, from.Incarnation, m) })
 		}
@@ -178,6 +187,7 @@
 
 func (e *Entry) peerConnected(peer protocol.Identity) {
 	e.Log.Infof("Peer %s is connected.", peer.Incarnation)
+	sendEvacuations(&e.hub, &e.evacuations, peer.Incarnation)
 	if peer.Role != protocol.RoleEntry {
 		return
 	}
--- /dev/null
+++ b/server/evacuation.go
@@ -0,0 +1,73 @@
+package server
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mustardlever.dev/mustardlever/coordinator"
+	"mustardlever.dev/mustardlever/evacuator"
+	"mustardlever.dev/mustardlever/messenger"
+	"mustardlever.dev/mustardlever/protocol"
+	"mustardlever.dev/mustardlever/recorder"
+	"mustardlever.dev/mustardlever/starter"
+)
+
+// sendEvacuations sends a peer what is known of evacuated zones. It is called when a
+// session opens, before anything else is sent that depends on evacuations.
+func sendEvacuations(hub *messenger.Hub, evacuations *evacuator.Holder, peer string) {
+	if s := evacuations.State(); s.Known() {
+		r := s.Report()
+		hub.Send(peer, protocol.Message{Evacuations: &r})
+	}
+}
+
+// mergeEvacuations merges r, and passes changes on to all peers but the source. It
+// reports whether something has changed. A session that opens meanwhile is not missed:
+// either it is among the peers, or sendEvacuations reads the new state.
+func mergeEvacuations(hub *messenger.Hub, evacuations *evacuator.Holder, log *logrus.Entry, events *recorder.Recorder, r evacuator.Report, source string) bool {
+	before, after, changed := evacuations.Merge(r)
+	if !changed {
+		return false
+	}
+	report := after.Report()
+	for _, p := range hub.Peers() {
+		if p.Incarnation != source {
+			hub.Send(p.Incarnation, protocol.Message{Evacuations: &report})
+		}
+	}
+	log.WithFields(logrus.Fields{"evacuated": after.EvacuatedZones(), "before": before.EvacuatedZones(), "source": source}).
+		Info("Process learns of a change of evacuated zones.")
+	events.Add(recorder.Event{Kind: "evacuations-changed", Peer: source, Task: -1})
+	return true
+}
+
+// AdoptEvacuations merges what source says about evacuated zones: "store", or the
+// incarnation of a peer. Waiting tasks are placed elsewhere, or refused, before it
+// returns. It does nothing unless evacuations are followed.
+func (e *Entry) AdoptEvacuations(r evacuator.Report, source string) {
+	if !e.Settings.FollowEvacuations || !mergeEvacuations(&e.hub, &e.evacuations, e.Log, e.Recorder, r, source) {
+		return
+	}
+	for _, s := range e.shards.list() {
+		e.applyAndWake(s, func(*coordinator.Coordinator, time.Time) {}) // apply uses the new state
+	}
+}
+
+// Evacuations returns what the entry knows of evacuated zones.
+func (e *Entry) Evacuations() *evacuator.State { return e.evacuations.State() }
+
+// adoptEvacuations merges what an entry says about evacuated zones. The other entries
+// are told before the refusals of queued starts, so that they do not send them again.
+func (a *Agent) adoptEvacuations(r evacuator.Report, source string) {
+	if !a.Settings.FollowEvacuations || !mergeEvacuations(&a.hub, &a.evacuations, a.Log, a.Recorder, r, source) {
+		return
+	}
+	for _, s := range a.shardList() {
+		peers := a.applyDecisions(s, func(*starter.Starter) {}) // applyDecisions uses the new state
+		peers.wake(&a.hub)
+	}
+}
+
+// Evacuations returns what the agent knows of evacuated zones.
+func (a *Agent) Evacuations() *evacuator.State { return a.evacuations.State() }
--- a/server/shard.go
+++ b/server/shard.go
@@ -91,7 +91,11 @@
 func (e *Entry) apply(s *entryShard, decide func(c *coordinator.Coordinator, now time.Time)) recipients {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	decide(&s.coordinator, pausedetector.Now())
+	now := pausedetector.Now()
+	if state := e.evacuations.State(); state != s.coordinator.Evacuations() {
+		s.coordinator.SetEvacuations(now, state)
+	}
+	decide(&s.coordinator, now)
 	messages, jobEnds, decisions := s.coordinator.TakeDecisions()
 	var peers recipients
 	for _, o := range messages {
--- a/starter/load.go
+++ b/starter/load.go
@@ -30,11 +30,11 @@
 	}
 }
 
-// freeCapacity returns the free capacity to report. An unresponsive backend server
-// has no free CPU.
+// freeCapacity returns the free capacity to report. A backend server that is
+// unresponsive or in an evacuated zone has no free CPU.
 func (s *Starter) freeCapacity() sizer.Resources {
 	free := s.Capacity.Sub(s.admission.committed())
-	if s.unresponsive {
+	if s.unresponsive || s.evacuated {
 		free.CPU = min(free.CPU, 0)
 	}
 	return free
--- a/starter/start.go
+++ b/starter/start.go
@@ -122,6 +122,8 @@
 		return protocol.RefusalSealed
 	case s.draining || s.releasing[from]:
 		return protocol.RefusalDraining
+	case s.evacuated:
+		return protocol.RefusalEvacuated
 	case s.recordCount >= s.Settings.MaxStartRecords, !s.canAccept(need):
 		return protocol.RefusalNoCapacity
 	}
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -90,6 +90,7 @@
 	releasing        map[string]bool      // entries whose session will be closed: they get no more capacity
 	draining         bool
 	unresponsive     bool // the backend server may not answer: no capacity is offered or used
+	evacuated        bool // the zone is evacuated: nothing is started
 	runs             map[uint64]*acceptedRun
 	lastRunID        uint64
 	reportedLosses   []reportedLoss // oldest first
