starter: the load of cold backend servers rises in steps

Change: with cold-overage set, an agent admits cold-overage times the elapsed share of the warm-up, in eighths, plus cold-slack tasks in each warm-up. The warm-up ends at the reported time, at most 2 min later, without traffic.

--- a/cmd/mustardleverd/hosted_agent.go
+++ b/cmd/mustardleverd/hosted_agent.go
@@ -24,8 +24,9 @@
 // serveHostedAgent runs an agent on the users' platform.
 func serveHostedAgent(l fx.Lifecycle, p configurer.Process, log *logrus.Entry, r *recorder.Recorder, settings *reloader, metrics *counter.Counter) error {
 	a := &server.Agent{
-		Settings: server.AgentSettings{Identity: identity(p), Entries: p.Entries, Messenger: hostedMessengerSettings(), FollowEvacuations: p.Platform.EvacuationMillis > 0},
-		Log:      log, Recorder: r,
+		Settings: server.AgentSettings{Identity: identity(p), Entries: p.Entries, Messenger: hostedMessengerSettings(), FollowEvacuations: p.Platform.EvacuationMillis > 0,
+			Starter: starter.Settings{ColdOverage: p.Platform.ColdOverage, ColdSlack: p.Platform.ColdSlack}},
+		Log: log, Recorder: r,
 	}
 	settings.addEntries = a.AddEntries
 	store := newStore(p, log, metrics)
@@ -84,6 +85,7 @@
 		OwnerContact:    a.LastContact,
 		SetUnresponsive: func(unresponsive bool) { a.SetUnresponsive(service, unresponsive) },
 		SetCapacity:     func(capacity sizer.Resources) { a.SetCapacity(service, capacity) },
+		SetCold:         func(remaining time.Duration) { a.SetCold(service, remaining) },
 		Withdraw:        func(executor.Report) { a.Withdraw(service) },
 		Finish:          func(id uint64, result *protocol.Result) { a.Finish(service, id, result) },
 		FinishStopped:   func(id uint64, loss starter.Loss) { a.FinishStopped(service, id, loss) },
@@ -95,7 +97,8 @@
 	leased.Offer = func(r executor.Report) {
 		a.Offer(server.Offer{
 			Service: service, Address: r.Address, Capacity: r.Capacity, Labels: r.Labels,
-			Backend: server.Backend{Start: leased.Run, Stop: leased.Stop},
+			Backend:   server.Backend{Start: leased.Run, Stop: leased.Stop},
+			StartedAt: r.StartedAt, ColdFor: time.Duration(r.ColdMillis) * time.Millisecond,
 		})
 	}
 	return leased
--- a/executor/leased.go
+++ b/executor/leased.go
@@ -39,6 +39,9 @@
 	Offer func(Report)
 	// SetCapacity is called when the capacity of an offered backend server has changed.
 	SetCapacity func(sizer.Resources)
+	// SetCold is called when the reported end of the warm-up of an offered backend server
+	// has changed. It may be nil.
+	SetCold func(remaining time.Duration)
 	// Save is called with a report that differs in readiness or incarnation from the
 	// last one, or has less capacity. A later process of this agent restores it with
 	// RestoreReport. It may be nil.
@@ -190,9 +193,12 @@
 		x.unresponsive = unresponsive
 		return func() { x.SetUnresponsive(unresponsive) }
 	case x.offered && report.Capacity != x.offeredReport.Capacity:
-		x.offeredReport = report
+		x.offeredReport.Capacity = report.Capacity
 		x.Log.WithFields(logFields(report)).Info("Backend server has changed its capacity.")
 		return func() { x.SetCapacity(report.Capacity) }
+	case x.offered && x.SetCold != nil && report.ColdMillis != x.offeredReport.ColdMillis:
+		x.offeredReport.ColdMillis = report.ColdMillis
+		return func() { x.SetCold(time.Duration(report.ColdMillis) * time.Millisecond) }
 	}
 	return nil
 }
--- a/executor/report.go
+++ b/executor/report.go
@@ -18,6 +18,8 @@
 	Capacity  sizer.Resources `json:"capacity"`
 	Labels    []string        `json:"labels,omitempty"`
 	Zone      string          `json:"zone,omitempty"`
+
+	ColdMillis int64 `json:"cold-ms,omitempty"` // until the backend server has warmed up; 0: it is warm, or does not say
 }
 
 // sameServer reports whether both reports come from one incarnation of a backend
--- a/server/agent.go
+++ b/server/agent.go
@@ -70,9 +70,10 @@
 
 // agentShard holds the state of one service. The mutex guards the other fields.
 type agentShard struct {
-	mu      sync.Mutex
-	starter starter.Starter
-	backend Backend
+	mu        sync.Mutex
+	starter   starter.Starter
+	backend   Backend
+	startedAt int64 // of the backend server, see Offer
 }
 
 // Start connects to the entries and announces the backend servers.
@@ -144,7 +145,7 @@
 func (a *Agent) applyDecisions(s *agentShard, decide func(*starter.Starter)) recipients {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.starter.SetEvacuated(a.evacuations.State().Evacuated(a.hub.Self.Zone))
+	s.starter.SetEvacuated(time.Now(), a.evacuations.State().Evacuated(a.hub.Self.Zone))
 	decide(&s.starter)
 	d := s.starter.TakeDecisions()
 	var peers recipients
@@ -250,6 +251,7 @@
 				if cleanup {
 					st.Tick(now)
 				}
+				st.AdvanceWarmUp(now)
 				st.SendLoad()
 			})
 			peers.wake(&a.hub)
--- a/server/backend.go
+++ b/server/backend.go
@@ -35,6 +35,9 @@
 	Capacity sizer.Resources
 	Labels   []string
 	Backend  Backend
+
+	StartedAt int64         // identifies the incarnation of the backend server; 0: unknown
+	ColdFor   time.Duration // time that the backend server needs to warm up; 0: it is warm
 }
 
 func (a *Agent) newShard(offer Offer) *agentShard {
@@ -58,6 +61,11 @@
 	}
 	a.mu.Unlock()
 	peers := a.applyDecisions(shard, func(st *starter.Starter) {
+		if offer.StartedAt != shard.startedAt {
+			st.ForgetWarmUp(time.Now())
+		}
+		shard.startedAt = offer.StartedAt
+		st.SetCold(time.Now(), offer.ColdFor)
 		if known {
 			st.UpdateOffer(offer.Address, offer.Capacity, offer.Labels)
 			return
@@ -77,6 +85,14 @@
 	}
 }
 
+// SetCold sets how long the backend server of the service still needs to warm up.
+func (a *Agent) SetCold(service string, remaining time.Duration) {
+	if s := a.shard(service); s != nil {
+		peers := a.applyDecisions(s, func(st *starter.Starter) { st.SetCold(time.Now(), remaining) })
+		peers.wake(&a.hub)
+	}
+}
+
 // Withdraw stops sending new tasks to the backend server of the service.
 func (a *Agent) Withdraw(service string) {
 	if s := a.shard(service); s != nil {
--- a/starter/load.go
+++ b/starter/load.go
@@ -31,12 +31,16 @@
 }
 
 // freeCapacity returns the free capacity to report. A backend server that is
-// unresponsive or in an evacuated zone has no free CPU.
+// unresponsive or in an evacuated zone has no free CPU, and a cold one not more than it
+// admits.
 func (s *Starter) freeCapacity() sizer.Resources {
 	free := s.Capacity.Sub(s.admission.committed())
 	if s.unresponsive || s.evacuated {
 		free.CPU = min(free.CPU, 0)
 	}
+	if s.load.limited && s.load.slackLeft <= 0 {
+		free.CPU = min(free.CPU, s.load.millicores(s.Capacity)-s.admission.committed().CPU)
+	}
 	return free
 }
 
--- a/starter/start.go
+++ b/starter/start.go
@@ -34,6 +34,9 @@
 		need = sizer.Slots(1)
 	}
 	if reason := s.refusalReason(from, key, m, need); reason != "" {
+		if reason == protocol.RefusalEvacuated {
+			s.evacuatedStarts++
+		}
 		s.refuseStart(from, key, m, reason)
 		return
 	}
@@ -48,6 +51,7 @@
 		s.admission.enqueue(r)
 		return
 	}
+	s.load.countStart(s.Capacity, s.admission.used, need)
 	s.admission.reserve(r)
 	s.decisions.Starts = append(s.decisions.Starts, r.Run)
 }
@@ -57,11 +61,23 @@
 	if s.unresponsive {
 		return
 	}
-	for r := s.admission.startNext(s.Capacity); r != nil; r = s.admission.startNext(s.Capacity) {
+	for s.admitsNext() {
+		used := s.admission.used
+		r := s.admission.startNext(s.Capacity)
+		if r == nil {
+			return
+		}
+		s.load.countStart(s.Capacity, used, r.need)
 		s.decisions.Starts = append(s.decisions.Starts, r.Run)
 	}
 }
 
+// admitsNext reports whether a warm-up permits the oldest queued task.
+func (s *Starter) admitsNext() bool {
+	queue := s.admission.queuedRuns
+	return len(queue) > 0 && s.load.admits(s.Capacity, s.admission.used, queue[0].need)
+}
+
 // handleStop stops session-bound tasks at the request of their owner.
 func (s *Starter) handleStop(from string, m *protocol.Stop) {
 	if m.Ticket.Owner == "" {
@@ -130,8 +146,12 @@
 	return ""
 }
 
-// canAccept reports whether a task can be started or queued.
+// canAccept reports whether a task can be started or queued. Nothing is queued for a cold
+// backend server: the queue would outlast several steps.
 func (s *Starter) canAccept(need sizer.Resources) bool {
+	if s.load.limited {
+		return !s.unresponsive && s.admission.canStart(s.Capacity, need) && s.load.admits(s.Capacity, s.admission.used, need)
+	}
 	return !s.unresponsive && s.admission.canStart(s.Capacity, need) || s.admission.canQueue(s.Capacity, need)
 }
 
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -25,6 +25,9 @@
 	MaxResultBytes  int           // bytes of results retained for backups; default 16 MiB
 	MaxStartRecords int           // when this many are kept, further starts are refused; default 200,000
 	OwnerRetention  time.Duration // how long the start records of a lost owner are kept; default 10 min
+
+	ColdOverage float64 // bound of the load of a cold backend server, as a multiple of its fair share; 0: cold servers are treated as others
+	ColdSlack   int     // tasks that are started above that bound in each warm-up
 }
 
 // Output is a message to an entry incarnation.
@@ -91,6 +94,8 @@
 	draining         bool
 	unresponsive     bool // the backend server may not answer: no capacity is offered or used
 	evacuated        bool // the zone is evacuated: nothing is started
+	evacuatedStarts  int  // starts refused since then
+	load             admittedLoad
 	runs             map[uint64]*acceptedRun
 	lastRunID        uint64
 	reportedLosses   []reportedLoss // oldest first
