soaker: evacuate zones and check that nothing starts there

Cause: no soak evacuated a zone, and operators could not see the state of zones or of cold servers.

The stand-ins serve evacuations and cold servers. Gauges, mustardctl services and backend-servers show them.

--- a/cmd/mustardctl/views.go
+++ b/cmd/mustardctl/views.go
@@ -1,7 +1,10 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -35,19 +38,41 @@
 	for _, v := range views {
 		fmt.Printf("%-20s agents %d, suspect %d, jobs %d, unfinished %d, waiting tasks %d, free cores %s\n",
 			v.Service, v.Counts.Agents, v.Counts.SuspectAgents, v.Counts.Jobs, v.Counts.Unfinished, v.Counts.Waiting, formatCores(v.Counts.FreeMillicores))
+		printZones(v)
 		for _, a := range v.Agents {
-			fmt.Printf("  %-28s %-22s running %-4d free cores %s of %s, heard %s ago, speed %.2f%s\n", a.Agent, a.Address, a.Running,
+			fmt.Printf("  %-28s %-22s %-10s running %-4d free cores %s of %s, heard %s ago, speed %.2f%s\n", a.Agent, a.Address, a.Zone, a.Running,
 				formatCores(a.FreeCapacity.CPU), formatCores(a.Capacity.CPU), formatMillis(a.LastContactMillis), relativeSpeed(a.Slowness), formatHealth(a))
 		}
 	}
 }
 
+// printZones prints the zones of a service's agents and the evacuated zones, with the
+// number of agents in each.
+func printZones(v server.ServiceView) {
+	agents := make(map[string]int)
+	for _, a := range v.Agents {
+		agents[a.Zone]++
+	}
+	for _, zone := range v.EvacuatedZones {
+		agents[zone] += 0
+	}
+	for _, zone := range slices.Sorted(maps.Keys(agents)) {
+		state := "in use"
+		if slices.Contains(v.EvacuatedZones, zone) {
+			state = "evacuated"
+		}
+		fmt.Printf("  zone %s: %s, agents %d\n", cmp.Or(zone, "(none)"), state, agents[zone])
+	}
+}
+
 // formatHealth describes what restricts the tasks that an agent gets. It is empty
 // for a healthy agent.
 func formatHealth(a server.AgentView) string {
 	switch {
 	case a.Draining:
 		return ", leaving"
+	case a.Evacuated:
+		return ", evacuated"
 	case a.SuspendedMillis > 0:
 		return fmt.Sprintf(", paused for %s after %d failures", formatMillis(a.SuspendedMillis), a.ConsecutiveFailures)
 	case a.OnProbation:
@@ -123,6 +148,9 @@
 	}
 	fmt.Printf("%s of %s at %s, offered %t, report %s ago, answered %s ago, clean %t, silent %t, renewing %t, lease left %s, %s\n",
 		v.ID, v.Service, v.Address, v.Offered, formatMillis(v.ReportAgeMillis), formatMillis(v.LastContactMillis), v.Reconciled, v.Unresponsive, v.Renewing, formatMillis(v.LeaseLeftMillis), formatResources(v.Capacity))
+	if v.WarmUpMillis > 0 {
+		fmt.Printf("  cold: admits %.0f%% of its capacity and %d tasks above that, warm in %s\n", 100*v.AdmittedShare, v.WarmUpSlack, formatMillis(v.WarmUpMillis))
+	}
 	for _, r := range v.Runs {
 		fmt.Printf("  %-24s run %d %s for %s, stopping %t\n", r.Task, r.Number, r.State, formatMillis(r.AgeMillis), r.Stopping)
 	}
--- a/cmd/mustardleverd/gauges.go
+++ b/cmd/mustardleverd/gauges.go
@@ -35,6 +35,8 @@
 	registerPanicGauge(metrics, e.Traffic())
 	metrics.Gauge("agents", sum(func(c coordinator.Counts) int { return c.Agents }))
 	metrics.Gauge("suspect_agents", sum(func(c coordinator.Counts) int { return c.SuspectAgents }))
+	metrics.Gauge("evacuated_zones", func() float64 { return float64(len(e.Evacuations().EvacuatedZones())) })
+	metrics.Gauge("evacuated_agents", sum(func(c coordinator.Counts) int { return c.Evacuated }))
 	metrics.Gauge("waiting_tasks", sum(func(c coordinator.Counts) int { return c.Waiting }))
 	metrics.Gauge("unfinished_jobs", sum(func(c coordinator.Counts) int { return c.Unfinished }))
 	metrics.Gauge("room_cores", func() float64 { return sum(func(c coordinator.Counts) int { return c.FreeMillicores })() / 1000 })
@@ -57,6 +59,9 @@
 // registerAgentGauges registers the gauges of an agent.
 func registerAgentGauges(a *server.Agent, metrics *counter.Counter) {
 	metrics.Gauge("running_tasks", func() float64 { return float64(a.RunCount()) })
+	metrics.Gauge("evacuated_zones", func() float64 { return float64(len(a.Evacuations().EvacuatedZones())) })
+	metrics.Gauge("zone_evacuated", func() float64 { return boolToFloat(a.Evacuations().Evacuated(a.Identity().Zone)) })
+	metrics.Gauge("starts_refused_evacuated_total", func() float64 { return float64(a.EvacuatedStarts()) })
 	registerSessionGauge(metrics, "sessions_with_entries", protocol.RoleEntry, a.Peers)
 	registerPanicGauge(metrics, a.Traffic())
 }
@@ -68,11 +73,12 @@
 
 // registerBackendServerGauges registers the gauges of a backend server whose tasks
 // run under leases.
-func registerBackendServerGauges(leased *executor.LeasedExecutor, metrics *counter.Counter) {
+func registerBackendServerGauges(view func() executor.View, metrics *counter.Counter) {
 	gauge := func(value func(executor.View) float64) func() float64 {
-		return func() float64 { return value(leased.View()) }
+		return func() float64 { return value(view()) }
 	}
 	metrics.Gauge("leased_tasks", gauge(func(v executor.View) float64 { return float64(len(v.Runs)) }))
+	metrics.Gauge("backend_server_cold", gauge(func(v executor.View) float64 { return boolToFloat(v.WarmUpMillis > 0) }))
 	metrics.Gauge("leases_renewed", gauge(func(v executor.View) float64 { return boolToFloat(v.Renewing) }))
 	metrics.Gauge("backend_server_offered", gauge(func(v executor.View) float64 { return boolToFloat(v.Offered) }))
 	metrics.Gauge("backend_server_silent", gauge(func(v executor.View) float64 { return boolToFloat(v.Unresponsive) }))
--- a/cmd/mustardleverd/hosted_agent.go
+++ b/cmd/mustardleverd/hosted_agent.go
@@ -40,9 +40,10 @@
 		metrics.ObserveBackendCall(k.String(), s.String(), duration)
 	}
 	registerAgentGauges(a, metrics)
-	registerBackendServerGauges(leased, metrics)
+	view := func() executor.View { return backendServerView(a, leased) }
+	registerBackendServerGauges(view, metrics)
 	source := agentSource(a, r, metrics)
-	source.BackendServer = leased.View
+	source.BackendServer = view
 	operatorServer := operator.New(source)
 	l.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -104,6 +105,15 @@
 	return leased
 }
 
+// backendServerView returns the state of the agent's backend server.
+func backendServerView(a *server.Agent, leased *executor.LeasedExecutor) executor.View {
+	v := leased.View()
+	if w := a.WarmUp(leased.Service); !w.End.IsZero() {
+		v.WarmUpMillis, v.AdmittedShare, v.WarmUpSlack = time.Until(w.End).Milliseconds(), w.Share, w.SlackLeft
+	}
+	return v
+}
+
 // restoreReport restores the backend server's report that an earlier process of
 // this agent saved, so that the agent need not wait for the next one.
 func restoreReport(ctx context.Context, store *platform.Store, agent string, leased *executor.LeasedExecutor, log *logrus.Entry) {
--- a/cmd/mustardsoak/main.go
+++ b/cmd/mustardsoak/main.go
@@ -48,6 +48,7 @@
 			&cli.BoolFlag{Name: "forgotten-fence", Usage: "with --liberties: a restarted backend server executes starts that were fenced off before, which no protocol can prevent"},
 			&cli.BoolFlag{Name: "foreign-reports", Usage: "agents also get misleading status reports: those of other writers, and late ones of a backend server whose clock was set back"},
 			&cli.StringSliceFlag{Name: "only", Usage: "with --foreign-reports: `KIND` of misleading status reports, instead of all kinds; repeatable"},
+			&cli.BoolFlag{Name: "evacuations", Usage: "zones are also evacuated, and backend servers are cold after their start"},
 			&cli.BoolFlag{Name: "quiet", Usage: "print only the summary of each seed"},
 		},
 		Action: run,
@@ -92,6 +93,7 @@
 		Seed: seed, Duration: time.Duration(c.Float("minutes") * float64(time.Minute)), DaemonPath: daemon, Dir: dir,
 		Entries: c.Int("entries"), Agents: c.Int("agents"), Callers: c.Int("callers"), Logf: printLine,
 		Liberties: c.Bool("liberties"), ForgottenFence: c.Bool("forgotten-fence"),
+		Evacuations: c.Bool("evacuations"),
 	}
 	if s.ReportFaults, err = reportFaults(c); err != nil {
 		return soaker.Settings{}, err
--- a/cmd/platform-standin/main.go
+++ b/cmd/platform-standin/main.go
@@ -20,10 +20,14 @@
   platform-standin --backend 127.0.0.1:9001 --backend 127.0.0.1:9002
   platform-standin --store 127.0.0.1:7900 --configuration config.json --executor 127.0.0.1:7410
   curl -X PUT -d '{"down":true}' http://127.0.0.1:7900/faults
+  curl -X PUT http://127.0.0.1:7900/evacuations/zone-1
+  curl -X DELETE http://127.0.0.1:7900/evacuations/zone-1
 
 Faults of the store: down (every call gets status 503), slow-ms (delay of every
 call), lose-reply (transactions are applied, but get no response), forget (drops
 the change history).
+PUT and DELETE of /evacuations/ZONE write and remove the row that requests the
+evacuation of a zone.
 A backend server answers GET /starts with the number of starts of each task id.`
 
 func main() {
--- a/coordinator/view.go
+++ b/coordinator/view.go
@@ -14,6 +14,9 @@
 	Address  string `json:"backend-server"`
 	Running  int    `json:"running"` // tasks started by this entry
 	Draining bool   `json:"leaving"`
+
+	Zone      string `json:"zone,omitempty"`
+	Evacuated bool   `json:"evacuated,omitempty"` // the zone is evacuated
 	dispatcher.AgentView
 }
 
@@ -22,6 +25,7 @@
 	views := make([]AgentView, 0, len(c.agents))
 	for _, a := range c.agents {
 		v := AgentView{Agent: a.name, Address: a.address, Draining: a.draining, AgentView: c.queue.View(now, a.name)}
+		v.Zone, v.Evacuated = a.zone, c.evacuations.Evacuated(a.zone)
 		for _, tasks := range a.inFlight {
 			v.Running += len(tasks)
 		}
--- a/executor/view.go
+++ b/executor/view.go
@@ -14,6 +14,11 @@
 	Unconfirmed     int   `json:"unconfirmed"`   // reports that wait for an answer of the backend server that they name
 	Offered         bool  `json:"offered"`       // offered to the entries for tasks
 	leaser.View
+
+	// State of a warm-up, set by the agent.
+	WarmUpMillis  int64   `json:"warm-up-ms,omitempty"` // until the backend server has warmed up; 0: its load is not limited
+	AdmittedShare float64 `json:"admitted-share,omitempty"`
+	WarmUpSlack   int     `json:"warm-up-slack,omitempty"` // tasks that may be started above that share
 }
 
 // View returns the state of the backend server as shown to operators.
--- a/internal/soaker/inject.go
+++ b/internal/soaker/inject.go
@@ -41,6 +41,8 @@
 		k.injectStore(f)
 	case CrashServer, HangServer, IgnoreStops:
 		injectServer(f, agent)
+	case EvacuateZone, EvacuateZoneTwice:
+		k.evacuate(f)
 	case LateCalls, HoldAnswers, LateReports, RestartSameID, RestartSameIDCut, RestartNewID, RestartNewIDCut, RestartSlowly:
 		k.injectLiberties(f, agent)
 	default:
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -25,6 +25,8 @@
 	Liberties      bool // backend servers take the platform's liberties: the faults of a second schedule are added
 	ForgottenFence bool // and so the one that no protocol can make harmless; see standin.Liberties
 
+	Evacuations bool // zones are evacuated: faults of a further schedule are added, and the processes get the settings for them
+
 	ReportFaults []Kind // faults of these kinds, from ReportFaultKinds, are added by a third schedule; empty: none
 }
 
@@ -56,9 +58,10 @@
 	jobs                 []*job
 	attempts             []attempt
 	configurationChanges []configurationChange
-	steadyPhases         []interval // no fault is injected and the system has recovered
-	maintenancePhases    []interval // graceful shutdowns, configuration changes and reloads
-	stalls               []interval // this process was stalled, and usually the others too
+	steadyPhases         []interval           // no fault is injected and the system has recovered
+	maintenancePhases    []interval           // graceful shutdowns, configuration changes and reloads
+	evacuations          map[string]time.Time // when the evacuation of a zone was acknowledged, by zone
+	stalls               []interval           // this process was stalled, and usually the others too
 }
 
 // interval is the half-open time interval [from, to).
@@ -79,6 +82,7 @@
 func Run(s Settings) (*Report, error) {
 	k := &soak{system: system{Settings: s}, startTime: time.Now()}
 	k.balancer.ready = make([]bool, s.Entries)
+	k.system.observeStart = k.checkEvacuation
 	k.report.Seed = s.Seed
 	defer k.stop()
 	if err := k.system.start(); err != nil {
@@ -110,6 +114,9 @@
 	if len(s.ReportFaults) > 0 {
 		rounds = addReportFaults(rounds, s.Seed, s.Agents, s.ReportFaults)
 	}
+	if s.Evacuations {
+		rounds = addEvacuations(rounds, s.Seed, s.Agents)
+	}
 	for _, r := range rounds {
 		k.runRound(r)
 	}
--- a/internal/soaker/system.go
+++ b/internal/soaker/system.go
@@ -69,6 +69,7 @@
 	executorLog          *log.Logger
 	executorLogFile      *os.File
 	stopOnce             sync.Once
+	observeStart         func(agent *process, task string) // called for each start of a task
 }
 
 // start starts the store, the stand-ins, the relays and the processes.
@@ -125,8 +126,9 @@
 		return nil, err
 	}
 	platform["store-address"] = p.storeRelay.Address()
+	s.addEvacuationSettings(platform)
 	p.settings = map[string]any{
-		"name": p.name, "role": role, "zone": fmt.Sprintf("zone-%d", index%3+1), "operator-address": p.operatorAddress,
+		"name": p.name, "role": role, "zone": zoneOf(index), "operator-address": p.operatorAddress,
 		"entries": append([]string{}, linkAddresses...), "platform": platform,
 	}
 	return p, nil
@@ -161,6 +163,10 @@
 		return nil, err
 	}
 	p.executor = &standin.Executor{Name: fmt.Sprintf("executor-%d", index+1), Service: service, Millicores: executorMillicores, Checker: &s.checker, Seed: s.Seed + uint64(index)<<32, Logf: s.executorLog.Printf}
+	p.executor.ObserveStart = func(task string) { s.observeStart(p, task) }
+	if s.Evacuations {
+		p.executor.Zone, p.executor.WarmUp = zoneOf(index), soakWarmUp
+	}
 	p.executor.SetLiberties(s.defaultLiberties())
 	if err := p.executor.Listen(); err != nil {
 		return nil, err
--- a/server/agent.go
+++ b/server/agent.go
@@ -74,6 +74,7 @@
 	starter   starter.Starter
 	backend   Backend
 	startedAt int64 // of the backend server, see Offer
+	warming   bool  // as last logged
 }
 
 // Start connects to the entries and announces the backend servers.
@@ -147,6 +148,7 @@
 	defer s.mu.Unlock()
 	s.starter.SetEvacuated(time.Now(), a.evacuations.State().Evacuated(a.hub.Self.Zone))
 	decide(&s.starter)
+	a.logWarmUp(s)
 	d := s.starter.TakeDecisions()
 	var peers recipients
 	for _, o := range d.Messages {
--- a/server/evacuation.go
+++ b/server/evacuation.go
@@ -69,5 +69,42 @@
 	}
 }
 
+// EvacuatedStarts returns the number of starts refused because of an evacuation.
+func (a *Agent) EvacuatedStarts() int {
+	n := 0
+	for _, s := range a.shardList() {
+		s.mu.Lock()
+		n += s.starter.EvacuatedStarts()
+		s.mu.Unlock()
+	}
+	return n
+}
+
+// WarmUp returns the state of the warm-up of the backend server of the service.
+func (a *Agent) WarmUp(service string) starter.WarmUp {
+	s := a.shard(service)
+	if s == nil {
+		return starter.WarmUp{Share: 1}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.starter.WarmUp()
+}
+
+// logWarmUp logs that a warm-up of the backend server has begun or ended. The caller
+// holds s.mu.
+func (a *Agent) logWarmUp(s *agentShard) {
+	w := s.starter.WarmUp()
+	if warming := !w.End.IsZero(); warming != s.warming {
+		s.warming = warming
+		log := a.Log.WithField("service", s.starter.Service)
+		if warming {
+			log.WithField("warm-up-ms", time.Until(w.End).Milliseconds()).Info("Agent limits the load of its cold backend server.")
+			return
+		}
+		log.Info("Agent no longer limits the load of its backend server.")
+	}
+}
+
 // Evacuations returns what the agent knows of evacuated zones.
 func (a *Agent) Evacuations() *evacuator.State { return a.evacuations.State() }
--- a/server/view.go
+++ b/server/view.go
@@ -19,6 +19,8 @@
 	Service string             `json:"service"`
 	Counts  coordinator.Counts `json:"counts"`
 	Agents  []AgentView        `json:"agents"`
+
+	EvacuatedZones []string `json:"evacuated-zones,omitempty"` // known to the entry
 }
 
 // AgentView is the state of an agent as known to an entry.
@@ -34,6 +36,7 @@
 		s.mu.Lock()
 		v := ServiceView{Service: s.service, Counts: s.coordinator.Counts()}
 		agents := s.coordinator.Agents(pausedetector.Now())
+		v.EvacuatedZones = s.coordinator.Evacuations().EvacuatedZones()
 		s.mu.Unlock()
 		for _, a := range agents {
 			v.Agents = append(v.Agents, AgentView{a, e.hub.MillisSinceContact(a.Agent)})
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -30,6 +30,11 @@
 	3002, // a report of another writer, or a late one of an earlier incarnation, ended runs that went on
 }
 
+// evacuationSeeds are run in CI in the same way, with evacuations of zones.
+var evacuationSeeds = []uint64{
+	4001, // two zones at once while links are cut and servers crash
+}
+
 // Guards against violated guarantees and against a soak in which no job completes.
 // The seeds determine the faults of processes, links and the store.
 func TestSoak(t *testing.T) {
@@ -59,6 +64,17 @@
 	}
 }
 
+// Guards against tasks that start in an evacuated zone while processes are lost, stopped
+// or cut off, and against jobs that are lost because of an evacuation.
+func TestSoakWithEvacuations(t *testing.T) {
+	t.Parallel()
+	for _, seed := range evacuationSeeds {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			soak(t, soaker.Settings{Seed: seed, Agents: 5, Callers: 14, Evacuations: true})
+		})
+	}
+}
+
 // soak runs one round of a seed. The logs of the processes are kept if it fails: the seed
 // does not determine the timing, and the same failure may not occur again.
 func soak(t *testing.T, s soaker.Settings) {
