--- a/cmd/mustardleverd/hosted_agent.go
+++ b/cmd/mustardleverd/hosted_agent.go
@@ -24,8 +24,9 @@
 // serveHostedAgent runs an agent on the users' platform.
 func serveHostedAgent(l fx.Lifecycle, p configurer.Process, log *logrus.Entry, r *recorder.Recorder, settings *reloader, metrics *counter.Counter) error {
 	a := &server.Agent{
-		Settings: server.AgentSettings{Identity: identity(p), Entries: p.Entries, Messenger: hostedMessengerSettings()},
-		Log:      log, Recorder: r,
+		Settings: server.AgentSettings{Identity: identity(p), Entries: p.Entries, Messenger: hostedMessengerSettings(), FollowEvacuations: p.Platform.EvacuationMillis > 0,
+			Starter: starter.Settings{ColdOverage: p.Platform.ColdOverage, ColdSlack: p.Platform.ColdSlack}},
+		Log: log, Recorder: r,
 	}
 	settings.addEntries = a.AddEntries
 	store := newStore(p, log, metrics)
@@ -39,9 +40,10 @@
 		metrics.ObserveBackendCall(k.String(), s.String(), duration)
 	}
 	registerAgentGauges(a, metrics)
-	registerBackendServerGauges(leased, metrics)
+	view := func() executor.View { return backendServerView(a, leased) }
+	registerBackendServerGauges(view, metrics)
 	source := agentSource(a, r, metrics)
-	source.BackendServer = leased.View
+	source.BackendServer = view
 	operatorServer := operator.New(source)
 	l.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -84,6 +86,7 @@
 		OwnerContact:    a.LastContact,
 		SetUnresponsive: func(unresponsive bool) { a.SetUnresponsive(service, unresponsive) },
 		SetCapacity:     func(capacity sizer.Resources) { a.SetCapacity(service, capacity) },
+		SetCold:         func(remaining time.Duration) { a.SetCold(service, remaining) },
 		Withdraw:        func(executor.Report) { a.Withdraw(service) },
 		Finish:          func(id uint64, result *protocol.Result) { a.Finish(service, id, result) },
 		FinishStopped:   func(id uint64, loss starter.Loss) { a.FinishStopped(service, id, loss) },
@@ -95,12 +98,22 @@
 	leased.Offer = func(r executor.Report) {
 		a.Offer(server.Offer{
 			Service: service, Address: r.Address, Capacity: r.Capacity, Labels: r.Labels,
-			Backend: server.Backend{Start: leased.Run, Stop: leased.Stop},
+			Backend:   server.Backend{Start: leased.Run, Stop: leased.Stop},
+			StartedAt: r.StartedAt, ColdFor: time.Duration(r.ColdMillis) * time.Millisecond,
 		})
 	}
 	return leased
 }
 
+// backendServerView returns the state of the agent's backend server.
+func backendServerView(a *server.Agent, leased *executor.LeasedExecutor) executor.View {
+	v := leased.View()
+	if w := a.WarmUp(leased.Service); !w.End.IsZero() {
+		v.WarmUpMillis, v.AdmittedShare, v.WarmUpSlack = time.Until(w.End).Milliseconds(), w.Share, w.SlackLeft
+	}
+	return v
+}
+
 // restoreReport restores the backend server's report that an earlier process of
 // this agent saved, so that the agent need not wait for the next one.
 func restoreReport(ctx context.Context, store *platform.Store, agent string, leased *executor.LeasedExecutor, log *logrus.Entry) {
