starter: believe cold reports for at most two minutes

Cause: a server that always reports the same remaining warm-up began a new warm-up with each report and stayed limited.

Change: the time for which a server reports without a break that it is cold is bounded like a warm-up.

--- a/starter/starter.go
+++ b/starter/starter.go
@@ -94,7 +94,7 @@
 	draining         bool
 	unresponsive     bool // the backend server may not answer: no capacity is offered or used
 	evacuated        bool // the zone is evacuated: nothing is started
-	evacuatedStarts  int  // starts refused since then
+	evacuatedStarts  int  // starts refused for that reason
 	load             admittedLoad
 	runs             map[uint64]*acceptedRun
 	lastRunID        uint64
--- a/starter/warmup.go
+++ b/starter/warmup.go
@@ -9,8 +9,9 @@
 const (
 	// warmUpSteps is the number of steps in which the admitted load rises.
 	warmUpSteps = 8
-	// maxWarmUp bounds a warm-up, so that a wrong report does not withhold capacity for
-	// longer. Warm-ups take seconds.
+	// maxWarmUp bounds a warm-up, and the time for which a backend server may report that
+	// it is cold without a break, so that wrong reports do not withhold capacity for longer.
+	// Warm-ups take seconds.
 	maxWarmUp = 2 * time.Minute
 	// defaultWarmUp is the warm-up after an evacuation of a backend server that has not
 	// reported how long it takes to warm up: two intervals of its reports, in which it
@@ -50,6 +51,7 @@
 // admittedLoad is the limit of the load of a cold backend server.
 type admittedLoad struct {
 	reported  warmUp        // by the backend server
+	coldSince time.Time     // the backend server has reported since then that it is cold; zero: its last report was that it is warm
 	returned  warmUp        // after an evacuation
 	longest   time.Duration // longest warm-up that the present backend server has reported
 	limited   bool          // a warm-up is active
@@ -57,7 +59,7 @@
 	slackLeft int           // tasks that may be started above that
 }
 
-// update computes the limit as of now. A warm-up that has just begun grants new slack.
+// update computes the limit as of now.
 func (l *admittedLoad) update(now time.Time, overage float64) {
 	l.limited = l.reported.active(now) || l.returned.active(now)
 	l.share = min(1, overage*min(l.reported.share(now), l.returned.share(now)))
@@ -90,10 +92,17 @@
 	if s.Settings.ColdOverage <= 0 {
 		return
 	}
-	remaining = min(max(remaining, 0), maxWarmUp)
+	if remaining > 0 {
+		if s.load.coldSince.IsZero() {
+			s.load.coldSince = now
+		}
+		remaining = min(remaining, s.load.coldSince.Add(maxWarmUp).Sub(now))
+	} else {
+		s.load.coldSince = time.Time{}
+	}
 	w := &s.load.reported
 	switch {
-	case remaining == 0:
+	case remaining <= 0:
 		*w = warmUp{}
 	case w.active(now) && now.Add(remaining).Sub(w.end) <= warmUpTolerance:
 		w.end = now.Add(remaining)
@@ -110,7 +119,7 @@
 	if s.Settings.ColdOverage <= 0 {
 		return
 	}
-	s.load.reported, s.load.longest = warmUp{}, 0
+	s.load.reported, s.load.coldSince, s.load.longest = warmUp{}, time.Time{}, 0
 	s.updateAdmittedLoad(now)
 }
 
--- a/starter/warmup_test.go
+++ b/starter/warmup_test.go
@@ -63,6 +63,28 @@
 	require.Equal(t, 10, fill(s, &sequence))
 }
 
+// TestColdReportsAreBelievedForLimitedTime guards against a backend server that is limited
+// for ever because it always reports the same remaining time, and against one that is
+// never limited again after it was warm.
+func TestColdReportsAreBelievedForLimitedTime(t *testing.T) {
+	s, sequence := newColdStarter(1.5, 0), uint64(0)
+	for elapsed := time.Duration(0); elapsed < 10*time.Minute; elapsed += 1500 * time.Millisecond {
+		s.SetCold(testTime.Add(elapsed), 10*time.Second)
+		if elapsed < maxWarmUp-10*time.Second {
+			require.Zero(t, s.WarmUp().Share)
+			continue
+		}
+		if elapsed >= maxWarmUp {
+			require.Equal(t, WarmUp{Share: 1}, s.WarmUp(), "after %v", elapsed)
+		}
+	}
+	require.Equal(t, 10, fill(s, &sequence))
+	at := testTime.Add(10 * time.Minute)
+	s.SetCold(at, 0)
+	s.SetCold(at, 10*time.Second)
+	require.Equal(t, at.Add(10*time.Second), s.WarmUp().End)
+}
+
 // TestReportsContinueWarmUp guards against a warm-up that begins again with each report,
 // that outlasts a report of a warm backend server, or that is missed when the server
 // becomes cold again.
