--- a/tests/platform_test.go
+++ b/tests/platform_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -33,11 +35,20 @@
 	checker   *standin.Checker
 	executors []*standin.Executor
 	settings  map[string]map[string]any
+
+	platformSettings map[string]any // added to those of each process
+	startsByAgent    sync.Map       // *atomic.Int64 by the index of the agent
 }
 
 func newPlatformFleet(t *testing.T, entries, agents int) *platformFleet {
+	return newPlatformFleetWith(t, entries, agents, nil)
+}
+
+// newPlatformFleetWith returns a fleet whose processes have additional settings.
+func newPlatformFleetWith(t *testing.T, entries, agents int, platformSettings map[string]any) *platformFleet {
 	f := &platformFleet{
 		fleet: &fleet{t: t, dir: t.TempDir()}, store: new(standin.Store), checker: new(standin.Checker), settings: map[string]map[string]any{},
+		platformSettings: platformSettings,
 	}
 	require.NoError(t, f.store.Start("127.0.0.1:0"))
 	f.store.Put("op", "config", fmt.Appendf(nil, configurationFormat, 1, ""))
@@ -73,6 +84,7 @@
 		"caller-address": callers, "operator-address": p.operatorAddress, "entries": append([]string{}, links...),
 		"platform": map[string]any{"store-address": f.store.Address(), "ready-address": ready},
 	}
+	f.addPlatformSettings(p.name)
 	f.start(p, f.settings[p.name])
 	f.entries = append(f.entries, p)
 	return p.relay.Address()
@@ -85,13 +97,28 @@
 		"name": p.name, "role": "agent", "zone": fmt.Sprintf("zone-%d", i+1), "operator-address": p.operatorAddress, "entries": links,
 		"platform": map[string]any{"store-address": f.store.Address(), "reports-address": reports, "service": service},
 	}
+	f.addPlatformSettings(p.name)
 	f.start(p, f.settings[p.name])
 	f.agents = append(f.agents, p)
 	x := &standin.Executor{Name: fmt.Sprintf("executor-%d", i+1), Service: service, Millicores: executorMillicores, ReportAddress: reports, Checker: f.checker}
+	starts := new(atomic.Int64)
+	f.startsByAgent.Store(i, starts)
+	x.ObserveStart = func(string) { starts.Add(1) }
 	require.NoError(f.t, x.Start())
 	f.executors = append(f.executors, x)
 }
 
+func (f *platformFleet) addPlatformSettings(name string) {
+	maps.Copy(f.settings[name]["platform"].(map[string]any), f.platformSettings)
+}
+
+// startsAt returns the number of starts at the backend server of an agent.
+func (f *platformFleet) startsAt(agent int) int64 {
+	starts, ok := f.startsByAgent.Load(agent)
+	require.True(f.t, ok)
+	return starts.(*atomic.Int64).Load()
+}
+
 // restart starts a killed process again.
 func (f *platformFleet) restart(p *process) { f.start(p, f.settings[p.name]) }
 
