messenger: dial within the Hub's goroutines in the test of late answers

Cause: TestLateAnswerOfEarlierIncarnationDoesNotCloseSession called Hub.dial in goroutines of its own. dial starts further goroutines of the Hub, which added to its WaitGroup while Stop waited for it, and the test set Hub.Dial again while the first dial might still read it. The daemon calls dial in goroutines of that group only, so the product is not affected.

Change: the test dials in goroutines of the Hub and sets Dial once. It checks what it checked before.

--- a/messenger/late_answer_test.go
+++ b/messenger/late_answer_test.go
@@ -27,6 +27,14 @@
 	return n, err
 }
 
+// startDial dials in a goroutine of the Hub, as redialLoop does: Stop waits for it, and dial
+// may start further goroutines of the Hub only while one of them runs.
+func startDial(h *Hub, address string) <-chan bool {
+	connected := make(chan bool, 1)
+	h.goroutines.Go(func() { connected <- h.dial(address) })
+	return connected
+}
+
 // The answer of an entry process to a hello is read after another process has replaced it
 // at another address. The session with the present process goes on.
 func TestLateAnswerOfEarlierIncarnationDoesNotCloseSession(t *testing.T) {
@@ -37,26 +45,25 @@
 	earlier.Self.Address = listener.Addr().String()
 	earlier.Start(listener)
 	t.Cleanup(earlier.Stop)
+	var first sync.Once // Dial stays as it is while a goroutine of the Hub may call it
 	h.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 		c, err := new(net.Dialer).DialContext(ctx, "tcp", address)
-		return &lateConn{Conn: c, beforeRead: func() {
-			attachTo(t, h, hello{Identity: present, Epoch: 8, PeerEpoch: h.ensureSession(present).localEpoch})
-		}}, err
+		first.Do(func() {
+			c = &lateConn{Conn: c, beforeRead: func() {
+				attachTo(t, h, hello{Identity: present, Epoch: 8, PeerEpoch: h.ensureSession(present).localEpoch})
+			}}
+		})
+		return c, err
 	}
-	connected := make(chan bool, 1)
-	go func() { connected <- h.dial(earlier.Self.Address) }()
 	select {
-	case ok := <-connected:
+	case ok := <-startDial(h, earlier.Self.Address):
 		require.False(t, ok)
 	case <-time.After(time.Second):
 	}
 	require.NotNil(t, h.findSession(present.Incarnation))
 
 	// An answer that was asked for later is that of a real replacement.
-	h.Dial = func(ctx context.Context, address string) (net.Conn, error) {
-		return new(net.Dialer).DialContext(ctx, "tcp", address)
-	}
-	go h.dial(earlier.Self.Address)
+	startDial(h, earlier.Self.Address)
 	require.Eventually(t, func() bool {
 		return h.findSession(present.Incarnation) == nil && h.Reachable(earlier.Self.Incarnation, time.Minute)
 	}, 5*time.Second, time.Millisecond)
