review: the stand-in fills in the new placeholders of the templates

Change: it fills in the limits of the smallest machine and leaves out the bounds that the site of the cases does not set.

--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"syscall"
@@ -144,10 +145,15 @@
 	d.record.printf("operator: configuration %d is acknowledged; the queue %s is there: %t", version, prefix, withRoute)
 }
 
-// render fills in the placeholders of a settings template as the platform does.
+// unsetSection is a part of a template for a bound that this platform does not set.
+var unsetSection = regexp.MustCompile(`\{\{#bounds\.\w+\}\}.*\{\{/bounds\.\w+\}\}`)
+
+// render fills in the placeholders of a settings template as the platform does. It leaves
+// out the settings of bounds that the site of the cases does not have.
 func render(template string, fields map[string]string, seeds []string) string {
 	const list = `{{#seeds}}"{{.}}"{{,}}{{/seeds}}`
 	text := strings.ReplaceAll(template, list, `"`+strings.Join(seeds, `","`)+`"`)
+	text = unsetSection.ReplaceAllString(text, "")
 	for name, value := range fields {
 		text = strings.ReplaceAll(text, "{{"+name+"}}", value)
 	}
@@ -163,8 +169,9 @@
 	fields["zone"], fields["service"], fields["platform.address"] = "z1", service, d.store.Address()
 	fields["heartbeatMs"], fields["bounds.maxHoldMs"] = strconv.FormatInt(heartbeat.Milliseconds(), 10), strconv.FormatInt(maxHold.Milliseconds(), 10)
 	fields["bounds.graceS"] = strconv.Itoa(graceSeconds)
+	fields["limits.memoryMb"], fields["limits.maxFds"] = "184", "4100" // of the smallest machine
 	text := render(string(content), fields, seeds)
-	if strings.Contains(text, "{{node") || strings.Contains(text, "{{listen") || strings.Contains(text, "{{bounds") {
+	if strings.Contains(text, "{{node") || strings.Contains(text, "{{listen") || strings.Contains(text, "{{bounds") || strings.Contains(text, "{{limits") {
 		return errors.New("a placeholder of " + template + " is unknown")
 	}
 	path := filepath.Join(d.folder, name+".conf")
