Labels and capacity of an earlier incarnation of a backend server are not acted on

An entry that was frozen placed tasks by the labels of an earlier incarnation, and the agent started them on the present one.

Change: protocol.Start states the required label. The starter refuses a start whose label the offered incarnation lacks (refusal label: nothing ran), and refuses queued ones, and those that no longer fit, when another incarnation is offered; the executor checks again against the incarnation that the start is bound to. The leaser withholds a start that relies on labels, or on more than half of the capacity, until the incarnation is confirmed: by an answered renewal sent in the last 25 ms, or 100 ms while another renewal is in flight, with no call left unanswered since. It then sends the renewal that runs need in any case before the start, not beside it. If another incarnation answers, or none, the start ends as not started. UpdateOffer starts what is queued, which it did not while the server had been unresponsive.

--- a/coordinator/progress.go
+++ b/coordinator/progress.go
@@ -69,7 +69,7 @@
 	a.inFlight[j][i] = true
 	c.send(a.name, protocol.Message{Start: &protocol.Start{
 		Agent: a.name, Ticket: j.ticket(c.Self), Task: i, Attempt: j.tasks[i].attempt,
-		Request: j.requests[i], SessionBound: j.restartable,
+		Request: j.requests[i], SessionBound: j.restartable, RequiredLabel: j.queueItem.RequiredLabel,
 	}})
 }
 
--- a/executor/leased.go
+++ b/executor/leased.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -288,9 +289,13 @@
 }
 
 // Run starts a task. It does not block. The end is reported by Finish or
-// FinishStopped.
+// FinishStopped. A run whose label the offered incarnation lacks does not start.
 func (x *LeasedExecutor) Run(r starter.Run) {
 	x.decideAndReportAsync(func(l *leaser.Leaser, now time.Time) {
+		if r.RequiredLabel != "" && !slices.Contains(x.offeredReport.Labels, r.RequiredLabel) {
+			l.Refuse(r.ID)
+			return
+		}
 		l.Start(now, x.newRequest(r))
 		l.Tick(now)
 	})
@@ -298,13 +303,25 @@
 
 // newRequest returns the request to start a run, on the incarnation that was offered.
 func (x *LeasedExecutor) newRequest(r starter.Run) leaser.Request {
-	q := leaser.Request{ID: r.ID, Task: r.Request.Name, Number: r.Attempt, Spec: r.Request.Body, StartedAt: x.offeredReport.StartedAt}
+	q := leaser.Request{ID: r.ID, Task: r.Request.Name, Number: r.Attempt, Spec: r.Request.Body, StartedAt: x.offeredReport.StartedAt, Confirm: x.needsConfirmation(r)}
 	if x.OwnerContact != nil {
 		q.Owner, q.ContactAt = r.Requester, x.OwnerContact(r.Requester)
 	}
 	return q
 }
 
+// unconfirmedShare is the reciprocal of the share of the capacity that is used for tasks
+// without a required label before the incarnation is confirmed. The next incarnation of a
+// server was seen to have two thirds of the capacity. The first tasks on an idle server
+// start without a further call.
+const unconfirmedShare = 2
+
+// needsConfirmation reports whether a run relies on labels or capacity that the next
+// incarnation of the backend server may lack. The caller holds mu.
+func (x *LeasedExecutor) needsConfirmation(r starter.Run) bool {
+	return r.RequiredLabel != "" || r.Used.DominantShare(x.offeredReport.Capacity)*unconfirmedShare > 1
+}
+
 // Stop stops a task. It does not block.
 func (x *LeasedExecutor) Stop(r starter.Run) {
 	x.decideAndReportAsync(func(l *leaser.Leaser, now time.Time) { l.Stop(now, r.ID) })
--- a/leaser/answer.go
+++ b/leaser/answer.go
@@ -12,6 +12,7 @@
 	case newestReconcile:
 		l.reconcileInFlight = 0
 	}
+	defer l.settleWithheld(now, c, a)
 	if a.Status == StatusWrongIncarnation {
 		a = Answer{Status: a.Status} // of one that cannot be called before its report
 	}
@@ -33,6 +34,7 @@
 		l.unansweredSerial = l.serial
 	}
 	l.extendForeignExpiry(now, c, a)
+	l.recordConfirmation(c, a)
 	switch c.Kind {
 	case KindStart:
 		l.handleStartAnswer(now, c, a)
--- a/leaser/call.go
+++ b/leaser/call.go
@@ -27,6 +27,7 @@
 	StartedAt int64     // incarnation of the backend server that is meant; 0: any
 	Owner     string    // process that vouches for the run: it ends some time after the last contact with it; empty: none
 	ContactAt time.Time // last contact with the owner
+	Confirm   bool      // nothing is started until the incarnation is confirmed to be the present one
 }
 
 // Call is a call to make to the backend server. Its answer, or the lack of one,
@@ -41,12 +42,13 @@
 	AckedEnds      int             // for a renewal: the backend server may forget ends up to this serial
 	Wait           time.Duration   // for a renewal: how long it may wait for a run to end
 
-	reconcile  bool   // a reconciliation call: it lists the runs and renews no lease
-	id         uint64 // of the run; 0 for one that this process did not start, and for a renewal
-	serial     uint64 // calls are numbered from 1
-	startedAt  int64  // incarnation that the call was made to; 0: unknown
-	increment  int64  // of a probe: by which its token is above the one of the rejected probe before
-	resurfaced bool   // a stop of a run that had been reported as ended or not started
+	reconcile  bool      // a reconciliation call: it lists the runs and renews no lease
+	id         uint64    // of the run; 0 for one that this process did not start, and for a renewal
+	serial     uint64    // calls are numbered from 1
+	startedAt  int64     // incarnation that the call was made to; 0: unknown
+	increment  int64     // of a probe: by which its token is above the one of the rejected probe before
+	sentAt     time.Time // of a renewal
+	resurfaced bool      // a stop of a run that had been reported as ended or not started
 }
 
 // Resurfaced reports whether the call stops a run that the backend server lists as active
--- a/leaser/incarnation.go
+++ b/leaser/incarnation.go
@@ -82,6 +82,7 @@
 // incarnation is unknown.
 func (l *Leaser) resetAfterRestart(now time.Time, startedAt int64) {
 	l.endRestarted(now)
+	l.endWithheld()
 	if l.startedAt != 0 {
 		l.replacedAt = l.startedAt
 	}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -102,7 +102,13 @@
 	foreignExpiry       time.Time      // an unknown incarnation may have granted leases until then; local clock
 	draining            bool           // the backend server leaves as planned, which ends its runs
 	presumedLosses      []presumedLoss // oldest first
-	lastContact         time.Time      // when a renewal or reconciliation call last succeeded, or Start found no runs
+	confirmedSerial     uint64         // serial of the newest renewal that the known incarnation has answered
+	confirmedAt         time.Time      // when that was sent
+	suspectedSerial     uint64         // serial of the newest call when one had no answer of the known incarnation
+	withheld            []withheldStart
+	confirmingSerial    uint64    // serial of the renewal in flight that withheld starts wait for; 0: none
+	confirmingSentAt    time.Time // when that was sent
+	lastContact         time.Time // when a renewal or reconciliation call last succeeded, or Start found no runs
 
 	calls []Call
 	ends  []End
@@ -163,7 +169,7 @@
 	if l.reconcileInFlight != 0 || now.Before(l.retryAt) {
 		return
 	}
-	l.queueCall(Call{Kind: KindRenew, AckedEnds: l.lastEnd, Wait: wait, reconcile: true})
+	l.queueCall(Call{Kind: KindRenew, AckedEnds: l.lastEnd, Wait: wait, reconcile: true, sentAt: now})
 	l.reconcileInFlight = l.serial
 }
 
@@ -171,8 +177,20 @@
 // Reconciled is false, another incarnation is known, the task has a run already, or the
 // run might last too long after the last contact with its owner, the End reports that
 // nothing was started. If the task has a run, that follows once the run has ended: the
-// task is started elsewhere then.
+// task is started elsewhere then. A request with Confirm is withheld until the incarnation
+// is confirmed; the End follows if it is not.
 func (l *Leaser) Start(now time.Time, q Request) {
+	if q.Confirm && l.reconciled && l.byTask[q.Task] == nil && !l.confirmed(now) {
+		l.withhold(now, q)
+		return
+	}
+	l.start(now, q)
+}
+
+// Refuse reports that nothing was started for the request with the given ID.
+func (l *Leaser) Refuse(id uint64) { l.ends = append(l.ends, End{ID: id}) }
+
+func (l *Leaser) start(now time.Time, q Request) {
 	if r := l.byTask[q.Task]; r != nil {
 		r.refused = append(r.refused, q.ID)
 		return
@@ -219,7 +237,9 @@
 	r := l.runs[id]
 	switch {
 	case r == nil:
-		l.stopRefused(id)
+		if !l.stopWithheld(id) {
+			l.stopRefused(id)
+		}
 	case !r.stopping:
 		r.stopping, r.stopRequestedAt = true, now
 		if r.state == running {
@@ -321,7 +341,7 @@
 // unless a start is unconfirmed, the previous renewal failed, or the backend server's clock
 // was read too long ago, so that the lease may be short.
 func (l *Leaser) sendRenewal(now time.Time) {
-	c := Call{Kind: KindRenew, AckedEnds: l.lastEnd}
+	c := Call{Kind: KindRenew, AckedEnds: l.lastEnd, sentAt: now}
 	if len(l.runs) > 0 && now.Sub(l.lastContact) < renewalCutoff {
 		l.extendLeases(now, &c)
 	}
@@ -331,6 +351,9 @@
 	}
 	l.renewalsInFlight++
 	l.queueCall(c)
+	if c.Wait == 0 {
+		l.confirmingSerial, l.confirmingSentAt = l.serial, now
+	}
 }
 
 // endRun removes a run and records its End. It reports started as false only for a
--- a/leaser/simulation_agent_test.go
+++ b/leaser/simulation_agent_test.go
@@ -243,7 +243,7 @@
 	}
 	s.logf("agent: is told to start run %d of %s %d, %v", r.id, task, number, duration)
 	g.update(func(l *Leaser, now time.Time) {
-		l.Start(now, Request{ID: r.id, Task: task, Number: number})
+		l.Start(now, Request{ID: r.id, Task: task, Number: number, Confirm: s.confirmsStarts && r.id%2 == 0})
 		l.Tick(now)
 	})
 	return r
--- a/leaser/simulation_test.go
+++ b/leaser/simulation_test.go
@@ -17,6 +17,7 @@
 //
 //	go test ./leaser -run 'TestSimulation$' -simulation-seeds 20000
 //	go test ./leaser -run 'TestSimulation$' -simulation-first 17 -simulation-seeds 1 -v
+//	go test ./leaser -run TestSimulationWithConfirmedStarts -simulation-seeds 20000
 //	go test ./leaser -run TestSimulationWithLateGrants -simulation-first 100000 -simulation-seeds 3000
 
 var (
@@ -87,6 +88,7 @@
 	server  *simulatedServer
 	agent   *simulatedAgent
 
+	confirmsStarts             bool // every second start waits for its incarnation to be confirmed
 	lateGrantsCountFromArrival bool // a call that is executed late moves the lease end by its delay
 
 	verbose             bool
@@ -362,6 +364,15 @@
 
 func TestSimulation(t *testing.T) { runSimulations(t, newSimulation) }
 
+// Withheld starts keep the same promises as others: each has one end, and none runs twice.
+func TestSimulationWithConfirmedStarts(t *testing.T) {
+	runSimulations(t, func(seed uint64, verbose bool) *simulation {
+		s := newSimulation(seed, verbose)
+		s.confirmsStarts = true
+		return s
+	})
+}
+
 // newSimulationWithLateGrants returns a simulation in which the time that a call
 // grants counts from its arrival if it is executed late.
 func newSimulationWithLateGrants(seed uint64, verbose bool) *simulation {
--- a/protocol/message.go
+++ b/protocol/message.go
@@ -158,7 +158,9 @@
 // incarnation that the message is meant for. Ticket.Owner is empty when the
 // sender owns the ticket. SessionBound marks a session-bound task: the agent
 // stops it when the session with the sender is lost, so that it can be started
-// on another agent.
+// on another agent. RequiredLabel is the label that the backend server must have: the
+// agent, which knows its incarnation, refuses a start that this one does not meet.
+// Earlier releases ignore it.
 type Start struct {
 	Agent        string  `json:"agent"`
 	Ticket       Ticket  `json:"ticket"`
@@ -166,6 +168,8 @@
 	Attempt      int     `json:"attempt,omitempty"` // increases each time the task is reassigned
 	Request      Request `json:"request"`
 	SessionBound bool    `json:"bound,omitempty"`
+
+	RequiredLabel string `json:"required-label,omitempty"`
 }
 
 // Refusal is the reason why an agent did not start a task and never will.
@@ -181,6 +185,7 @@
 	RefusalClosed           Refusal = "closed"      // the ticket is closed; the agent may have run the task and discarded its record
 	RefusalNoCapacity       Refusal = "no-room"     // the agent has no capacity to start, queue or record the task
 	RefusalUnreachable      Refusal = "unreachable" // no connection to the backend server was established
+	RefusalLabel            Refusal = "label"       // the backend server's present incarnation lacks the required label
 )
 
 // Refusals of session-bound tasks that may have run for some time and are no
--- a/starter/admission.go
+++ b/starter/admission.go
@@ -56,9 +56,19 @@
 // removeLargerThan removes the queued runs that need more than the whole capacity, and
 // returns them.
 func (q *admissionQueue) removeLargerThan(capacity sizer.Resources) []*acceptedRun {
+	return q.removeIf(func(r *acceptedRun) bool { return !capacity.Covers(r.need) })
+}
+
+// removeWithoutLabel removes the queued runs that require a label which is not among
+// labels, and returns them.
+func (q *admissionQueue) removeWithoutLabel(labels []string) []*acceptedRun {
+	return q.removeIf(func(r *acceptedRun) bool { return !hasLabel(labels, r.RequiredLabel) })
+}
+
+func (q *admissionQueue) removeIf(unmet func(*acceptedRun) bool) []*acceptedRun {
 	var removed []*acceptedRun
 	for _, r := range slices.Clone(q.queuedRuns) {
-		if !capacity.Covers(r.need) {
+		if unmet(r) {
 			q.remove(r)
 			removed = append(removed, r)
 		}
--- a/starter/start.go
+++ b/starter/start.go
@@ -41,7 +41,8 @@
 	s.putRecord(key, m.Ticket.Sequence, m.Task, record)
 	s.lastRunID++
 	r := &acceptedRun{
-		Run: Run{s.lastRunID, from, m.Ticket, m.Task, m.Attempt, m.Request}, key: key, record: record, need: need, sessionBound: m.SessionBound,
+		Run: Run{ID: s.lastRunID, Requester: from, Ticket: m.Ticket, Task: m.Task, Attempt: m.Attempt, Request: m.Request, RequiredLabel: m.RequiredLabel},
+		key: key, record: record, need: need, sessionBound: m.SessionBound,
 	}
 	s.runs[r.ID] = r
 	if s.unresponsive || !s.admission.canStart(s.Capacity, need) {
@@ -49,6 +50,12 @@
 		return
 	}
 	s.admission.reserve(r)
+	s.startRun(r)
+}
+
+// startRun starts a run whose capacity is reserved.
+func (s *Starter) startRun(r *acceptedRun) {
+	r.Used = s.admission.used
 	s.decisions.Starts = append(s.decisions.Starts, r.Run)
 }
 
@@ -58,7 +65,7 @@
 		return
 	}
 	for r := s.admission.startNext(s.Capacity); r != nil; r = s.admission.startNext(s.Capacity) {
-		s.decisions.Starts = append(s.decisions.Starts, r.Run)
+		s.startRun(r)
 	}
 }
 
@@ -122,12 +129,19 @@
 		return protocol.RefusalSealed
 	case s.draining || s.releasing[from]:
 		return protocol.RefusalDraining
+	case !hasLabel(s.Labels, m.RequiredLabel):
+		return protocol.RefusalLabel
 	case s.recordCount >= s.Settings.MaxStartRecords, !s.canAccept(need):
 		return protocol.RefusalNoCapacity
 	}
 	return ""
 }
 
+// hasLabel reports whether a backend server with the given labels meets the required one.
+func hasLabel(labels []string, required string) bool {
+	return required == "" || slices.Contains(labels, required)
+}
+
 // canAccept reports whether a task can be started or queued.
 func (s *Starter) canAccept(need sizer.Resources) bool {
 	return !s.unresponsive && s.admission.canStart(s.Capacity, need) || s.admission.canQueue(s.Capacity, need)
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -42,6 +42,9 @@
 	Task      int
 	Attempt   int
 	Request   protocol.Request
+
+	RequiredLabel string          // label that the backend server must have; empty: any
+	Used          sizer.Resources // by this and all other running tasks when it starts
 }
 
 // Decisions are the pending decisions of a Starter: messages to send, tasks to
@@ -170,10 +173,18 @@
 // UpdateOffer changes the address, capacity and labels, for example after a restart
 // of the backend server, and announces them to the entries. It also ends draining and
 // treats the backend server as responsive again. The caller has to finish the runs
-// that were started before the restart.
+// that were started before the restart. Queued tasks whose label the backend server no
+// longer has, or which no longer fit at all, are refused.
 func (s *Starter) UpdateOffer(address string, capacity sizer.Resources, labels []string) {
 	s.Address, s.Capacity, s.Labels = address, capacity, labels
 	s.draining, s.unresponsive = false, false
+	for _, r := range s.admission.removeWithoutLabel(labels) {
+		s.refuseQueued(r, protocol.RefusalLabel)
+	}
+	for _, r := range s.admission.removeLargerThan(capacity) {
+		s.refuseQueued(r, protocol.RefusalNoCapacity)
+	}
+	s.startQueued()
 	for e := range s.entries {
 		if !s.unannounced[e] {
 			s.announce(e)
