limiter: bound the memory and descriptors that callers can take

Cause: net/http reads whatever arrives: 600 connections whose requests stop short of their end raised an entry with memory-mb 96 to 185 to 265 MiB.

Change: package limiter divides memory-mb and max-descriptors among the listeners of a process. Reservations belong to a connection; headers count at their cost after parsing, bodies as they are buffered. The messenger reads no frame of more than 64 KiB before a session is open.

--- a/cmd/mustardleverd/hosted_agent.go
+++ b/cmd/mustardleverd/hosted_agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -33,8 +34,9 @@
 	leased := newLeasedExecutor(ctx, p, a, store, log)
 	reportServer := &http.Server{
 		Handler:           platform.ReportsHandler(log, func(r executor.Report) { leased.HandleReport(r) }, leased.HandleStopped),
-		ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout,
+		ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
+	limits := newLimits(p, metrics)
 	leased.ObserveCall = func(k leaser.Kind, s leaser.Status, duration time.Duration) {
 		metrics.ObserveBackendCall(k.String(), s.String(), duration)
 	}
@@ -51,10 +53,11 @@
 			leased.Start(ctx)
 			go restoreReport(ctx, store, p.Name, leased, log)
 			go newRegistrar(store, nil, a, log).Run(ctx)
-			if err := serve(reportServer, p.Platform.ReportsAddress); err != nil {
-				return err
-			}
-			return serve(operatorServer, p.OperatorAddress)
+			go limits.watch(ctx, log)
+			return errors.Join(
+				limits.serve(reportServer, p.Platform.ReportsAddress, limits.budget.Reports),
+				limits.serve(operatorServer, p.OperatorAddress, limits.budget.Operators),
+			)
 		},
 		OnStop: func(context.Context) error {
 			defer cancel()
--- a/cmd/mustardleverd/hosted_entry.go
+++ b/cmd/mustardleverd/hosted_entry.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net"
+	"errors"
 	"net/http"
 	"time"
 
@@ -26,14 +26,15 @@
 
 // serveHostedEntry runs an entry on the users' platform.
 func serveHostedEntry(l fx.Lifecycle, p configurer.Process, log *logrus.Entry, r *recorder.Recorder, settings *reloader, metrics *counter.Counter) error {
-	linkListener, err := net.Listen("tcp", p.LinkAddress)
+	limits := newLimits(p, metrics)
+	linkListener, err := limits.listenLinks(p.LinkAddress)
 	if err != nil {
 		return err
 	}
 	e := newHostedEntry(p, log, r, metrics)
 	settings.addEntries = e.AddEntries
 	callerServer := newCallerServer(&platform.ClientHandler{Submit: e.SubmitSync, Cancel: e.Cancel, LookupPath: e.LookupPath})
-	readinessServer := &http.Server{Handler: readinessHandler(e), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	readinessServer := newReadinessServer(readinessHandler(e))
 	source := entrySource(e, r, metrics)
 	source.Configuration = e.Configuration
 	operatorServer := operator.New(source)
@@ -47,12 +48,12 @@
 			store.ConfigurationProgress = e.RecordSourceProgress
 			go newHostedFollower(store, e, log).Run(ctx)
 			go newRegistrar(store, &registrar.Registration{Name: p.Name, Address: e.Identity().Address}, e, log).Run(ctx)
-			for s, address := range map[*http.Server]string{callerServer: p.CallerAddress, readinessServer: p.Platform.ReadyAddress, operatorServer: p.OperatorAddress} {
-				if err := serve(s, address); err != nil {
-					return err
-				}
-			}
-			return nil
+			go limits.watch(ctx, log)
+			return errors.Join(
+				limits.serve(callerServer, p.CallerAddress, limits.budget.Callers),
+				limits.serve(readinessServer, p.Platform.ReadyAddress, limits.budget.Readiness),
+				limits.serve(operatorServer, p.OperatorAddress, limits.budget.Operators),
+			)
 		},
 		OnStop: func(context.Context) error {
 			defer cancel()
--- /dev/null
+++ b/limiter/budget.go
@@ -0,0 +1,191 @@
+package limiter
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+)
+
+// Settings are the limits of a process.
+type Settings struct {
+	MemoryMiB   int // default 184
+	Descriptors int // default 4100, of which reservedDescriptors are for files
+}
+
+const (
+	defaultMemoryMiB    = 184
+	defaultDescriptors  = 4100
+	reservedDescriptors = 200
+
+	// Shares of the memory. Together they leave a fifth or more for the process itself,
+	// its identified links and the store. None is reached by clients within the limits of
+	// their requests: at the default, 942 connections, 50 bodies of 262,144 bytes while
+	// they are read, and jobs of 140,000 tasks while they run.
+	connectionsShare = 0.20
+	headersShare     = 0.08
+	bodiesShare      = 0.12
+	jobsShare        = 0.30
+	reserveShare     = 0.02
+	linksShare       = 0.04
+	operatorsShare   = 0.03
+	readinessShare   = 0.02
+	reportsShare     = 0.30 // of an agent, which has no callers; a report has up to 4 MiB
+
+	// Shares of the descriptors that are not reserved for files. The rest is for identified
+	// links and the store.
+	callerDescriptors    = 0.70
+	linkDescriptors      = 0.08
+	operatorDescriptors  = 0.05
+	readinessDescriptors = 0.05
+	reportDescriptors    = 0.10
+
+	// The runtime's soft limit is below the memory by a fifth, or by unlimitedMiB if that
+	// is more: pages of the program's file, and garbage before a collection ends.
+	softLimitShare = 0.80
+	unlimitedMiB   = 28
+
+	// linkGrace protects a link that has not identified itself: its hello may be queued
+	// behind those of all agents after a restart.
+	linkGrace = time.Second
+	// backlog of listeners: connections that the kernel holds before they are accepted,
+	// each with up to receiveBuffer of data.
+	backlog       = 1024
+	watchInterval = time.Second
+)
+
+// Budget is the memory and the descriptors of a process, divided among its listeners.
+// Create it with NewBudget.
+type Budget struct {
+	Callers   *Pool
+	Readiness *Pool
+	Operators *Pool
+	Links     *Pool // until their peers have identified themselves
+	Reports   *Pool
+	memory    int64
+}
+
+// NewBudget returns the budget for the settings. Zero fields take the defaults.
+func NewBudget(s Settings) *Budget {
+	if s.MemoryMiB <= 0 {
+		s.MemoryMiB = defaultMemoryMiB
+	}
+	if s.Descriptors <= 0 {
+		s.Descriptors = defaultDescriptors
+	}
+	b := &Budget{memory: int64(s.MemoryMiB) << 20}
+	usable := max(s.Descriptors-reservedDescriptors, 0)
+	b.Callers = newPool("callers", connectionCost, part(usable, callerDescriptors), map[Account]int64{
+		Connections: b.share(connectionsShare), Headers: b.share(headersShare), Bodies: b.share(bodiesShare),
+		Jobs: b.share(jobsShare), Reserve: b.share(reserveShare),
+	})
+	single := func(name string, cost int64, descriptors, memory float64) *Pool {
+		return newPool(name, cost, part(usable, descriptors), map[Account]int64{Connections: b.share(memory)})
+	}
+	b.Readiness = single("readiness", connectionCost, readinessDescriptors, readinessShare)
+	b.Operators = single("operators", connectionCost, operatorDescriptors, operatorsShare)
+	b.Reports = single("reports", connectionCost, reportDescriptors, reportsShare)
+	b.Links = single("links", linkCost, linkDescriptors, linksShare)
+	b.Links.plain, b.Links.patient, b.Links.ledger.Grace = true, true, linkGrace
+	return b
+}
+
+func newPool(name string, cost int64, connections int, limits map[Account]int64) *Pool {
+	l := NewLedger(limits)
+	l.MaxConnections = connections
+	return &Pool{Name: name, ledger: l, cost: cost}
+}
+
+// share returns a part of the memory in bytes.
+func (b *Budget) share(f float64) int64 { return int64(float64(b.memory) * f) }
+
+// part returns a part of n, at least 1.
+func part(n int, f float64) int { return max(int(math.Floor(float64(n)*f)), 1) }
+
+// SoftLimit returns the limit in bytes at which the Go runtime collects garbage more
+// often.
+func (b *Budget) SoftLimit() int64 {
+	limit := min(b.share(softLimitShare), b.memory-unlimitedMiB<<20)
+	return max(limit, b.memory/2)
+}
+
+// Apply sets the soft limit of the Go runtime.
+func (b *Budget) Apply() { debug.SetMemoryLimit(b.SoftLimit()) }
+
+// accountNames are the names of the accounts in metrics.
+var accountNames = map[Account]string{
+	Connections: "connections", Headers: "headers", Bodies: "bodies", Jobs: "jobs", Reserve: "reserve",
+}
+
+// Register registers the metrics of pools with a function that takes a name and a
+// function that returns the value. A pool whose accounts share one limit has one
+// account, which bears its name.
+func Register(gauge func(name string, value func() float64), pools ...*Pool) {
+	for _, p := range pools {
+		read := func(name, label, labelValue string, value func(Usage) float64) {
+			gauge(fmt.Sprintf("limit_%s{%s=%q}", name, label, labelValue), func() float64 { return value(p.Usage()) })
+		}
+		read("used_connections", "listener", p.Name, func(u Usage) float64 { return float64(u.Connections) })
+		read("evicted_total", "listener", p.Name, func(u Usage) float64 { return float64(u.Evicted) })
+		read("refused_total", "listener", p.Name, func(u Usage) float64 { return float64(u.Refused) })
+		if p.ledger.shared {
+			read("used_bytes", "account", p.Name, func(u Usage) float64 { return float64(u.Bytes) })
+			continue
+		}
+		for a, name := range accountNames {
+			read("used_bytes", "account", name, func(u Usage) float64 { return float64(u.Accounts[a]) })
+		}
+	}
+}
+
+// Watch logs once a second what the pools refused and evicted, until ctx is done.
+func Watch(ctx context.Context, log *logrus.Entry, pools ...*Pool) {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	last := make([]Usage, len(pools))
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for i, p := range pools {
+			u := p.Usage()
+			if refused, evicted := u.Refused-last[i].Refused, u.Evicted-last[i].Evicted; refused > 0 || evicted > 0 {
+				log.WithFields(logrus.Fields{
+					"listener": p.Name, "refused": refused, "evicted": evicted, "connections": u.Connections, "bytes": u.Bytes,
+				}).Warn("Limits are reached: requests were refused or connections closed.")
+			}
+			last[i] = u
+		}
+	}
+}
+
+// Listen listens on a TCP address. Connections have small receive buffers, and few are
+// held by the kernel before they are accepted.
+func Listen(address string) (net.Listener, error) {
+	c := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) { failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer) })
+		if err != nil {
+			return err
+		}
+		return failed
+	}}
+	l, err := c.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if s, ok := l.(syscall.Conn); ok {
+		if raw, err := s.SyscallConn(); err == nil {
+			raw.Control(func(fd uintptr) { unix.Listen(int(fd), backlog) }) // the default backlog stays if it fails
+		}
+	}
+	return l, nil
+}
--- /dev/null
+++ b/limiter/ledger.go
@@ -0,0 +1,498 @@
+package limiter
+
+import (
+	"cmp"
+	"container/list"
+	"time"
+)
+
+// Account names what a reservation is for.
+type Account int
+
+// Accounts of a Ledger.
+const (
+	Connections Account = iota // cost of connections without their requests
+	Headers                    // headers being read, and those of bodies being read
+	Bodies                     // bodies being read
+	Jobs                       // requests that are being handled
+	Reserve                    // small requests, once their own account is full
+	accounts
+)
+
+// Phase is what a connection is doing.
+type Phase int
+
+// Phases of a connection. Only in PhaseBusy it is never evicted: its request was read
+// completely and may have been started.
+const (
+	PhaseIdle    Phase = iota // between requests
+	PhaseReading              // headers or a body
+	PhaseBusy
+)
+
+// Verdict is the decision on a reservation.
+type Verdict int
+
+// Verdicts. With Waits, the reservation is granted once evicted connections have ended.
+const (
+	Refused Verdict = iota
+	Granted
+	Waits
+)
+
+const (
+	// smallRequest is the cost up to which a request is evicted last and may use the
+	// reserve. Requests of ordinary callers have headers of 300 bytes and bodies of 1 KiB.
+	smallRequest = 16 << 10
+	// smallGrace protects a small request, or a connection without one, from eviction: an
+	// ordinary caller sends its request within it, also over a slow link.
+	smallGrace = 250 * time.Millisecond
+	// agesAlike is the difference in age below which the less complete request is evicted.
+	agesAlike = time.Second
+	// maxCompared limits the requests whose completeness is compared for one eviction.
+	maxCompared = 16
+)
+
+// Holder is a connection that holds reservations. Evict and Grant may be nil; they are
+// called by the owner of the Ledger for what TakeEvicted and TakeGranted return.
+type Holder struct {
+	Evict func() // closes the connection
+	Grant func() // ends its wait
+
+	phase    Phase
+	since    time.Time // when the request began, or the connection became idle
+	received int64     // bytes of the request so far
+	used     [accounts]int64
+	evicted  bool
+	closed   bool
+	waiting  bool
+	want     int64 // reservation that it waits for
+	account  Account
+	place    *list.Element
+	queue    *list.List // that place belongs to
+}
+
+// request returns the cost of the holder's request so far.
+func (h *Holder) request() int64 {
+	return h.used[Headers] + h.used[Bodies] + h.used[Jobs] + h.used[Reserve]
+}
+
+// Ledger holds the accounts of one listener and decides which reservation is granted
+// and which connection is evicted. It handles the load of many connections whose
+// requests are large or never end. Create it with NewLedger.
+type Ledger struct {
+	MaxConnections int           // default: bounded only by the limit of Connections
+	Grace          time.Duration // age up to which a small request is not evicted; default 250 ms
+
+	limits [accounts]int64
+	shared bool // all accounts draw on the limit of Connections
+	used   [accounts]int64
+	// leavingUsed is the part of used that evicted holders have not released yet.
+	leavingUsed  [accounts]int64
+	leavingCount int
+	idle         *list.List // evictable holders, oldest first
+	large        *list.List
+	small        *list.List
+	waiters      *list.List
+	evicted      []*Holder
+	granted      []*Holder
+	count        int
+	Evicted      int64 // connections evicted so far
+	Refusals     int64 // reservations refused so far
+}
+
+// NewLedger returns a Ledger with the given limits in bytes. With a limit for
+// Connections only, all accounts share it.
+func NewLedger(limits map[Account]int64) *Ledger {
+	l := &Ledger{idle: list.New(), large: list.New(), small: list.New(), waiters: list.New()}
+	for a, n := range limits {
+		l.limits[a] = n
+	}
+	l.shared = len(limits) == 1
+	return l
+}
+
+// Used returns the reserved bytes of an account.
+func (l *Ledger) Used(a Account) int64 { return l.used[a] }
+
+// Count returns the number of connections that hold reservations.
+func (l *Ledger) Count() int { return l.count }
+
+// TakeEvicted returns the holders evicted since the last call.
+func (l *Ledger) TakeEvicted() []*Holder {
+	h := l.evicted
+	l.evicted = nil
+	return h
+}
+
+// TakeGranted returns the holders whose wait ended with a grant since the last call.
+func (l *Ledger) TakeGranted() []*Holder {
+	h := l.granted
+	l.granted = nil
+	return h
+}
+
+// Open reserves the cost of a new connection.
+func (l *Ledger) Open(now time.Time, h *Holder, cost int64) Verdict {
+	h.since, h.phase = now, PhaseReading
+	if l.MaxConnections > 0 && l.count-l.leavingCount >= l.MaxConnections && !l.evictOne(now, h) {
+		h.closed = true
+		l.Refusals++
+		return Refused
+	}
+	v := l.reserve(now, h, Connections, cost)
+	if v == Refused {
+		h.closed = true
+		return v
+	}
+	l.count++
+	l.file(h)
+	return v
+}
+
+// Reserve adds n bytes to an account for the holder.
+func (l *Ledger) Reserve(now time.Time, h *Holder, a Account, n int64) Verdict {
+	if h.evicted || h.closed || h.waiting {
+		return Refused
+	}
+	v := l.reserve(now, h, a, n)
+	if v == Granted {
+		l.file(h)
+	}
+	return v
+}
+
+func (l *Ledger) reserve(now time.Time, h *Holder, a Account, n int64) Verdict {
+	if n <= 0 {
+		return Granted
+	}
+	if !l.hasWaiter(a) && l.fits(a, n) {
+		l.charge(h, a, n)
+		return Granted
+	}
+	if a != Connections && h.request()+n <= smallRequest && l.used[Reserve]+n <= l.limits[Reserve] {
+		l.charge(h, Reserve, n)
+		return Granted
+	}
+	if n > l.limit(a) || !l.makeRoom(now, h, a, n) {
+		l.Refusals++
+		return Refused
+	}
+	h.waiting, h.want, h.account = true, n, a
+	l.waiters.PushBack(h)
+	return Waits
+}
+
+// limit returns the limit that applies to an account.
+func (l *Ledger) limit(a Account) int64 {
+	if l.shared {
+		return l.limits[Connections]
+	}
+	return l.limits[a]
+}
+
+// usage returns the bytes that count against the limit of an account.
+func (l *Ledger) usage(a Account) int64 {
+	if !l.shared {
+		return l.used[a]
+	}
+	sum := int64(0)
+	for _, n := range l.used {
+		sum += n
+	}
+	return sum
+}
+
+func (l *Ledger) fits(a Account, n int64) bool { return l.usage(a)+n <= l.limit(a) }
+
+func (l *Ledger) hasWaiter(a Account) bool {
+	for e := l.waiters.Front(); e != nil; e = e.Next() {
+		if l.shared || e.Value.(*Holder).account == a {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Ledger) charge(h *Holder, a Account, n int64) {
+	h.used[a] += n
+	l.used[a] += n
+}
+
+// held returns what the end of a holder would free in an account.
+func (l *Ledger) held(h *Holder, a Account) int64 {
+	if !l.shared {
+		return h.used[a]
+	}
+	sum := int64(0)
+	for _, n := range h.used {
+		sum += n
+	}
+	return sum
+}
+
+// makeRoom evicts holders until, once they have ended, n bytes and those of all waiters
+// are free. It evicts none and returns false if that is not possible. The order: idle
+// connections, requests that are not small, small requests past their grace; each
+// oldest first, and the less complete of those of about the same age. A holder makes
+// room only by eviction of older ones, or of any if its own request is small.
+func (l *Ledger) makeRoom(now time.Time, h *Holder, a Account, n int64) bool {
+	missing := l.usage(a) + n - l.limit(a)
+	for e := l.waiters.Front(); e != nil; e = e.Next() {
+		if w := e.Value.(*Holder); l.shared || w.account == a {
+			missing += w.want
+		}
+	}
+	missing -= l.leaving(a)
+	if missing <= 0 {
+		return true
+	}
+	taken := make(map[*Holder]bool)
+	for missing > 0 {
+		v := l.victim(now, taken, h, a, n)
+		if v == nil {
+			return false
+		}
+		taken[v] = true
+		missing -= l.held(v, a)
+	}
+	for v := range taken {
+		l.evict(v)
+	}
+	return true
+}
+
+// evictOne makes room for the connection of h by the eviction of another one.
+func (l *Ledger) evictOne(now time.Time, h *Holder) bool {
+	v := l.victim(now, nil, h, Connections, 0)
+	if v != nil {
+		l.evict(v)
+	}
+	return v != nil
+}
+
+// victim returns the holder to evict next, beside those taken, so that h can reserve n
+// bytes of an account, or nil.
+func (l *Ledger) victim(now time.Time, taken map[*Holder]bool, h *Holder, a Account, n int64) *Holder {
+	small := h.request()+n <= smallRequest || a == Connections
+	for _, queue := range []*list.List{l.idle, l.large, l.small} {
+		v := l.next(queue, taken, h, a)
+		switch {
+		case v == nil, queue == l.small && now.Sub(v.since) < cmp.Or(l.Grace, smallGrace):
+		case queue != l.idle && !small && !v.since.Before(h.since):
+		default:
+			return v
+		}
+	}
+	return nil
+}
+
+// next returns the holder in a queue to evict next, or nil.
+func (l *Ledger) next(queue *list.List, taken map[*Holder]bool, h *Holder, a Account) *Holder {
+	var best *Holder
+	oldest, compared := time.Time{}, 0
+	for e := queue.Front(); e != nil && compared < maxCompared; e = e.Next() {
+		v := e.Value.(*Holder)
+		if v == h || taken[v] || l.held(v, a) == 0 {
+			continue
+		}
+		if best == nil {
+			best, oldest = v, v.since
+		} else if v.since.Sub(oldest) < agesAlike && v.since.Before(h.since) && v.received < best.received {
+			best = v
+		}
+		compared++
+	}
+	return best
+}
+
+// leaving returns what evicted holders that have not ended yet will free.
+func (l *Ledger) leaving(a Account) int64 {
+	if !l.shared {
+		return l.leavingUsed[a]
+	}
+	sum := int64(0)
+	for _, n := range l.leavingUsed {
+		sum += n
+	}
+	return sum
+}
+
+func (l *Ledger) evict(h *Holder) {
+	h.evicted = true
+	l.Evicted++
+	l.leavingCount++
+	l.unfile(h)
+	l.unwait(h)
+	for a, n := range h.used {
+		l.leavingUsed[a] += n
+	}
+	l.evicted = append(l.evicted, h)
+}
+
+// CancelWait ends the wait of a holder. It returns false if it has ended already.
+func (l *Ledger) CancelWait(h *Holder) bool {
+	if !h.waiting {
+		return false
+	}
+	l.Refusals++
+	l.unwait(h)
+	l.grant()
+	return true
+}
+
+func (l *Ledger) unwait(h *Holder) {
+	if !h.waiting {
+		return
+	}
+	h.waiting = false
+	for e := l.waiters.Front(); e != nil; e = e.Next() {
+		if e.Value.(*Holder) == h {
+			l.waiters.Remove(e)
+			return
+		}
+	}
+}
+
+// SetPhase records what a holder is doing from now on. It returns false if the holder
+// was evicted.
+func (l *Ledger) SetPhase(now time.Time, h *Holder, p Phase) bool {
+	if h.evicted || h.closed {
+		return false
+	}
+	if p != h.phase && p != PhaseBusy {
+		h.since, h.received = now, 0
+	}
+	h.phase = p
+	l.file(h)
+	return true
+}
+
+// Receive counts bytes of a holder's request.
+func (l *Ledger) Receive(h *Holder, n int) { h.received += int64(n) }
+
+// Release takes n bytes from an account of the holder, or what it has there, and the
+// rest from its reserve.
+func (l *Ledger) Release(h *Holder, a Account, n int64) {
+	own := min(n, h.used[a])
+	l.discharge(h, a, own)
+	l.discharge(h, Reserve, min(n-own, h.used[Reserve]))
+	if !h.evicted && !h.closed {
+		l.file(h)
+	}
+	l.grant()
+}
+
+// Settle ends the reservations for reading a request, once those for handling it are
+// in the account Jobs.
+func (l *Ledger) Settle(h *Holder) {
+	l.discharge(h, Headers, h.used[Headers])
+	l.discharge(h, Bodies, h.used[Bodies])
+	if h.used[Jobs] > 0 {
+		l.discharge(h, Reserve, h.used[Reserve])
+	}
+	l.grant()
+}
+
+// ReleaseRequest takes all bytes but those of the connection itself.
+func (l *Ledger) ReleaseRequest(h *Holder) {
+	for _, a := range []Account{Headers, Bodies, Jobs, Reserve} {
+		l.discharge(h, a, h.used[a])
+	}
+	if !h.evicted && !h.closed {
+		l.file(h)
+	}
+	l.grant()
+}
+
+func (l *Ledger) discharge(h *Holder, a Account, n int64) {
+	h.used[a] -= n
+	l.used[a] -= n
+	if h.evicted {
+		l.leavingUsed[a] -= n
+	}
+}
+
+// Close ends all reservations of a holder. Further calls have no effect.
+func (l *Ledger) Close(h *Holder) {
+	if h.closed {
+		return
+	}
+	l.unwait(h)
+	l.unfile(h)
+	for a, n := range h.used {
+		l.discharge(h, Account(a), n)
+	}
+	h.closed = true
+	l.count--
+	if h.evicted {
+		l.leavingCount--
+	}
+	l.grant()
+}
+
+// grant grants waiting reservations in their order, as far as they fit.
+func (l *Ledger) grant() {
+	var full [accounts]bool
+	for e := l.waiters.Front(); e != nil; {
+		next := e.Next()
+		h := e.Value.(*Holder)
+		if full[h.account] || !l.fits(h.account, h.want) {
+			full[h.account] = true
+			if l.shared {
+				return
+			}
+		} else {
+			l.waiters.Remove(e)
+			h.waiting = false
+			l.charge(h, h.account, h.want)
+			l.file(h)
+			l.granted = append(l.granted, h)
+		}
+		e = next
+	}
+}
+
+// file puts a holder into the queue of its phase and size, by its age.
+func (l *Ledger) file(h *Holder) {
+	var queue *list.List
+	switch {
+	case h.phase == PhaseIdle:
+		queue = l.idle
+	case h.phase == PhaseReading && h.request() > smallRequest:
+		queue = l.large
+	case h.phase == PhaseReading:
+		queue = l.small
+	}
+	if queue == h.queue && queue != nil && h.place != nil && l.inOrder(h) {
+		return
+	}
+	l.unfile(h)
+	if queue == nil {
+		return
+	}
+	h.queue = queue
+	for e := queue.Back(); e != nil; e = e.Prev() {
+		if !e.Value.(*Holder).since.After(h.since) {
+			h.place = queue.InsertAfter(h, e)
+			return
+		}
+	}
+	h.place = queue.PushFront(h)
+}
+
+// inOrder reports whether a holder is behind its predecessor and before its successor.
+func (l *Ledger) inOrder(h *Holder) bool {
+	if e := h.place.Prev(); e != nil && e.Value.(*Holder).since.After(h.since) {
+		return false
+	}
+	e := h.place.Next()
+	return e == nil || !e.Value.(*Holder).since.Before(h.since)
+}
+
+func (l *Ledger) unfile(h *Holder) {
+	if h.place != nil {
+		h.queue.Remove(h.place)
+	}
+	h.place, h.queue = nil, nil
+}
--- a/messenger/accept.go
+++ b/messenger/accept.go
@@ -28,10 +28,14 @@
 	}
 }
 
+// limitedConn is a connection that is limited until its peer has identified itself.
+// Identify returns false if it was closed before. It is called once the session is open.
+type limitedConn interface{ Identify() bool }
+
 // serveConn serves one accepted connection until it ends, and starts the writer of its
 // session. It closes a connection that has not opened a session within helloTimeout.
 func (h *Hub) serveConn(netConn net.Conn) {
-	c := h.newConn(netConn)
+	c := h.newAcceptedConn(netConn)
 	defer c.close()
 	select {
 	case <-c.sessionReady:
@@ -42,6 +46,9 @@
 	case <-h.ctx.Done():
 		return
 	}
+	if l, ok := netConn.(limitedConn); ok && !l.Identify() {
+		return
+	}
 	h.goroutines.Go(func() { h.writeLoop(c.session, c) })
 	select {
 	case <-c.rpc.Done():
--- a/messenger/conn.go
+++ b/messenger/conn.go
@@ -24,12 +24,40 @@
 	closeOnce    sync.Once
 }
 
-// newConn starts JSON-RPC on netConn.
+// newConn starts JSON-RPC on a connection that this process dialed.
 func (h *Hub) newConn(netConn net.Conn) *conn {
-	c := &conn{stream: newStream(netConn, &h.Traffic), sessionReady: make(chan struct{}), closed: make(chan struct{})}
+	c := h.prepareConn(netConn)
+	h.startConn(c)
+	return c
+}
+
+// newAcceptedConn starts JSON-RPC on an accepted connection, which reads large frames
+// only once its session is open.
+func (h *Hub) newAcceptedConn(netConn net.Conn) *conn {
+	c := h.prepareConn(netConn)
+	c.stream.awaitSession = c.awaitSession
+	h.startConn(c)
+	return c
+}
+
+func (h *Hub) prepareConn(netConn net.Conn) *conn {
+	return &conn{stream: newStream(netConn, &h.Traffic), sessionReady: make(chan struct{}), closed: make(chan struct{})}
+}
+
+func (h *Hub) startConn(c *conn) {
 	c.rpc = jsonrpc2.NewConn(c.stream, jsonrpc2.WithCodec(codec{}))
 	c.rpc.Go(h.ctx, func(_ context.Context, r *jsonrpc2.Request) (any, error) { return h.handleRequest(c, r) })
-	return c
+}
+
+// awaitSession waits until the session is open and returns false if the connection is
+// closed before.
+func (c *conn) awaitSession() bool {
+	select {
+	case <-c.sessionReady:
+		return true
+	case <-c.closed:
+		return false
+	}
 }
 
 // setSession sets the session. Only the first call has an effect.
--- a/messenger/stream.go
+++ b/messenger/stream.go
@@ -20,6 +20,12 @@
 	frameHeaderBytes = 4
 	writeTimeout     = 5 * time.Second
 	readBufferBytes  = 32 << 10 // 32 KiB
+	// handshakeBytes is the size of the largest frame that is read before a session is
+	// open. A hello lists the addresses of entries, of 24 bytes each.
+	handshakeBytes = 64 << 10
+	// handshakeFrames is the number of frames, hello and begin, that open a session. The
+	// next one is a batch and may arrive before the begin was handled.
+	handshakeFrames = 2
 )
 
 // Traffic counts the frames, bytes, messages and failed requests on the connections of a Hub.
@@ -38,6 +44,10 @@
 	reader  *bufio.Reader
 	writeMu sync.Mutex
 	traffic *Traffic
+	// awaitSession waits until the session is open and returns false if it will not be;
+	// nil if frames of any size are read at once.
+	awaitSession func() bool
+	framesRead   int // used by Read only
 }
 
 func newStream(netConn net.Conn, t *Traffic) *stream {
@@ -77,6 +87,10 @@
 	if n > maxFrameBytes {
 		return nil, 0, &Error{Op: "read", Kind: KindFrame, Detail: fmt.Sprintf("frame too large: %d bytes, limit %d", n, maxFrameBytes)}
 	}
+	if s.awaitSession != nil && n > handshakeBytes && (s.framesRead < handshakeFrames || !s.awaitSession()) {
+		return nil, 0, &Error{Op: "read", Kind: KindFrame, Detail: fmt.Sprintf("frame of %d bytes before the session is open", n)}
+	}
+	s.framesRead++
 	b, err := s.readBody(int(n))
 	if err != nil {
 		return nil, 0, err
