--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -46,6 +46,13 @@
 	readinessDescriptors = 0.05
 	reportDescriptors    = 0.10
 
+	// Requests that are not small and are read at the same time. Each has a share of the
+	// processor: on a fifth of a core, parsing 16 KiB of chunks of 4 bytes takes 3 ms, for
+	// which ordinary callers wait. Jobs have bodies of about 1 KiB, and an agent gets the
+	// reports of one backend server.
+	maxLargeCallers = 64
+	maxLargeOthers  = 16
+
 	// The runtime's soft limit is below the memory by a fifth, or by unlimitedMiB if that
 	// is more: pages of the program's file, and garbage before a collection ends.
 	softLimitShare = 0.80
@@ -53,10 +60,7 @@
 
 	// linkGrace protects a link that has not identified itself: its hello may be queued
 	// behind those of all agents after a restart.
-	linkGrace = time.Second
-	// backlog of listeners: connections that the kernel holds before they are accepted,
-	// each with up to receiveBuffer of data.
-	backlog       = 1024
+	linkGrace     = time.Second
 	watchInterval = time.Second
 )
 
@@ -85,6 +89,7 @@
 		Connections: b.share(connectionsShare), Headers: b.share(headersShare), Bodies: b.share(bodiesShare),
 		Jobs: b.share(jobsShare), Reserve: b.share(reserveShare),
 	})
+	b.Callers.ledger.MaxLarge = maxLargeCallers
 	single := func(name string, cost int64, descriptors, memory float64) *Pool {
 		return newPool(name, cost, part(usable, descriptors), map[Account]int64{Connections: b.share(memory)})
 	}
@@ -98,7 +103,7 @@
 
 func newPool(name string, cost int64, connections int, limits map[Account]int64) *Pool {
 	l := NewLedger(limits)
-	l.MaxConnections = connections
+	l.MaxConnections, l.MaxLarge = connections, maxLargeOthers
 	return &Pool{Name: name, ledger: l, cost: cost}
 }
 
@@ -167,8 +172,8 @@
 	}
 }
 
-// Listen listens on a TCP address. Connections have small receive buffers, and few are
-// held by the kernel before they are accepted.
+// Listen listens on a TCP address. Accepted connections have small receive buffers, so
+// that data that were not read yet occupy little memory of the kernel.
 func Listen(address string) (net.Listener, error) {
 	c := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		var failed error
@@ -178,14 +183,5 @@
 		}
 		return failed
 	}}
-	l, err := c.Listen(context.Background(), "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	if s, ok := l.(syscall.Conn); ok {
-		if raw, err := s.SyscallConn(); err == nil {
-			raw.Control(func(fd uintptr) { unix.Listen(int(fd), backlog) }) // the default backlog stays if it fails
-		}
-	}
-	return l, nil
+	return c.Listen(context.Background(), "tcp", address)
 }
--- a/limiter/ledger.go
+++ b/limiter/ledger.go
@@ -82,6 +82,7 @@
 // requests are large or never end. Create it with NewLedger.
 type Ledger struct {
 	MaxConnections int           // default: bounded only by the limit of Connections
+	MaxLarge       int           // requests that are being read and not small; default: unlimited
 	Grace          time.Duration // age up to which a small request is not evicted; default 250 ms
 
 	limits [accounts]int64
@@ -287,7 +288,8 @@
 	return nil
 }
 
-// next returns the holder in a queue to evict next, or nil.
+// next returns the holder in a queue to evict next, other than h and those taken, or
+// nil.
 func (l *Ledger) next(queue *list.List, taken map[*Holder]bool, h *Holder, a Account) *Holder {
 	var best *Holder
 	oldest, compared := time.Time{}, 0
@@ -298,7 +300,7 @@
 		}
 		if best == nil {
 			best, oldest = v, v.since
-		} else if v.since.Sub(oldest) < agesAlike && v.since.Before(h.since) && v.received < best.received {
+		} else if v.since.Sub(oldest) < agesAlike && (h == nil || v.since.Before(h.since)) && v.received < best.received {
 			best = v
 		}
 		compared++
@@ -472,6 +474,14 @@
 		return
 	}
 	h.queue = queue
+	l.insert(h, queue)
+	if queue == l.large && l.MaxLarge > 0 && queue.Len() > l.MaxLarge {
+		l.evict(l.next(queue, nil, nil, Connections))
+	}
+}
+
+// insert puts a holder into a queue, by its age.
+func (l *Ledger) insert(h *Holder, queue *list.List) {
 	for e := queue.Back(); e != nil; e = e.Prev() {
 		if !e.Value.(*Holder).since.After(h.since) {
 			h.place = queue.InsertAfter(h, e)
