--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -26,17 +26,17 @@
 
 	// Shares of the memory. Together they leave a fifth or more for the process itself,
 	// its identified links and the store. None is reached by clients within the limits of
-	// their requests: at the default, 942 connections, 50 bodies of 262,144 bytes while
-	// they are read, and jobs of 140,000 tasks while they run.
-	connectionsShare = 0.20
+	// their requests: at the default, 1,177 connections, 44 bodies of 262,144 bytes at
+	// the end of their reading, and jobs of 120,000 tasks while they run.
+	connectionsShare = 0.25
 	headersShare     = 0.08
 	bodiesShare      = 0.12
-	jobsShare        = 0.30
+	jobsShare        = 0.25
 	reserveShare     = 0.02
 	linksShare       = 0.04
 	operatorsShare   = 0.03
 	readinessShare   = 0.02
-	reportsShare     = 0.30 // of an agent, which has no callers; a report has up to 4 MiB
+	reportsShare     = 0.20 // of an agent, which has no callers; a report has up to 4 MiB
 
 	// Shares of the descriptors that are not reserved for files. The rest is for identified
 	// links and the store.
--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -44,6 +45,8 @@
 	holder Holder
 	turn   chan bool // receives the end of a wait for a reservation
 
+	identified atomic.Bool // the peer of a link has identified itself
+
 	mu         sync.Mutex
 	stage      stage
 	scanner    headerScanner
@@ -127,7 +130,7 @@
 // Read reads what net/http asks for and accounts for headers.
 func (c *Conn) Read(b []byte) (int, error) {
 	if c.pool.plain {
-		return c.Conn.Read(b)
+		return c.readPlain(b)
 	}
 	if !c.prepareRead() {
 		return 0, c.refuse()
@@ -139,6 +142,20 @@
 	return n, err
 }
 
+// readPlain reads and accounts for the frames of a link until its peer has identified
+// itself.
+func (c *Conn) readPlain(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n == 0 || c.identified.Load() {
+		return n, err
+	}
+	c.pool.do(func(l *Ledger) { l.Receive(&c.holder, n) })
+	if !c.reserve(Headers, int64(n)*byteCost) && !c.identified.Load() {
+		return 0, limitError()
+	}
+	return n, err
+}
+
 // refuse tells the client that its request is refused.
 func (c *Conn) refuse() error {
 	c.mu.Lock()
@@ -246,6 +263,7 @@
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
 	c.pool.do(func(l *Ledger) { l.Close(&c.holder) })
+	c.signal(false) // ends a wait
 	return err
 }
 
@@ -254,10 +272,12 @@
 // false if the connection was evicted before.
 func (c *Conn) Identify() bool {
 	ok := false
+	c.identified.Store(true)
 	c.pool.do(func(l *Ledger) {
 		ok = l.SetPhase(time.Now(), &c.holder, PhaseBusy)
 		l.Close(&c.holder)
 	})
+	c.signal(false)
 	return ok
 }
 
--- a/limiter/cost.go
+++ b/limiter/cost.go
@@ -9,17 +9,18 @@
 	// connectionCost is the cost of a connection without a request: two goroutines, the
 	// buffers of net/http, and receiveBuffer with the kernel's own overhead.
 	connectionCost = 40 << 10
-	// linkCost is the cost of a link whose peer has not identified itself: a connection,
-	// the buffer of its stream, and the largest frame that is read from it.
-	linkCost = connectionCost + 32<<10 + 64<<10
+	// linkCost is the cost of a link whose peer has not identified itself, beside the bytes
+	// that it sent: a connection and the buffer of its stream.
+	linkCost = connectionCost + 32<<10
 	// receiveBuffer is SO_RCVBUF of accepted connections; Linux doubles it. Received bytes
 	// that were not read yet occupy at most that much.
 	receiveBuffer = 8 << 10
 	// lineCost is the cost of a header line beside its bytes: its slots in the map and the
-	// slice of values, two strings, and the smaller maps that were replaced.
-	// TestHeaderCost measures it.
+	// slice of values, two strings, and the smaller maps that were replaced. After parsing,
+	// 87 bytes of it stay in use for distinct names (TestHeaderCost).
 	lineCost = 256
-	// byteCost is the cost of a byte of a header: the string, and the buffer it came from.
+	// byteCost is the cost of a byte of a header or of a link's first frames: the value, and
+	// the buffer that it came from.
 	byteCost = 2
 )
 
--- a/messenger/stream.go
+++ b/messenger/stream.go
@@ -21,8 +21,9 @@
 	writeTimeout     = 5 * time.Second
 	readBufferBytes  = 32 << 10 // 32 KiB
 	// handshakeBytes is the size of the largest frame that is read before a session is
-	// open. A hello lists the addresses of entries, of 24 bytes each.
-	handshakeBytes = 64 << 10
+	// open. A hello lists the addresses of all entries that a process has known, of 24 bytes
+	// each: there is room for 10,000.
+	handshakeBytes = 256 << 10
 	// handshakeFrames is the number of frames, hello and begin, that open a session. The
 	// next one is a batch and may arrive before the begin was handled.
 	handshakeFrames = 2
