evacuator: answer a peer that lacks a change

Cause: an agent that sends its evacuations when a session opens, while the entry reads the store, was not told that they were withdrawn: the entry had sent nothing, since it knew nothing yet, and saw no change afterwards. The agent then refused all starts until the next change or session.

Change: a process whose message lacks something is sent the merged state.

--- a/evacuator/state.go
+++ b/evacuator/state.go
@@ -168,6 +168,10 @@
 	return 0
 }
 
+// Corrects reports whether a process that knows no more than r says lacks something that
+// s knows: that a zone is evacuated, or that its evacuation was withdrawn.
+func (s *State) Corrects(r Report) bool { return s.WithReport(r).tells(new(State).WithReport(r)) }
+
 // tells reports whether other processes may not know what s adds to previous: a zone
 // was evacuated, or an evacuation was withdrawn.
 func (s *State) tells(previous *State) bool {
--- a/evacuator/state_test.go
+++ b/evacuator/state_test.go
@@ -121,6 +121,29 @@
 	require.True(t, after.Evacuated("a"))
 }
 
+// TestCorrects guards against a process that stays unaware of a change, and against two
+// that send each other the same for ever.
+func TestCorrects(t *testing.T) {
+	requested := evacuator.Report{AsOf: 4, Zones: []evacuator.Zone{{Name: "a", Version: 3, Evacuated: true}}}
+	var unaware, s *evacuator.State
+	require.False(t, unaware.Corrects(requested))
+	require.False(t, unaware.WithReport(requested).Corrects(requested))
+	require.True(t, s.WithReport(evacuator.Report{AsOf: 9}).WithReport(requested).Corrects(requested), "the evacuation was withdrawn")
+	require.True(t, s.WithReport(requested).Corrects(evacuator.Report{AsOf: 2}))
+	for seed := range uint64(500) {
+		r := rand.New(rand.NewPCG(seed, 3))
+		h := newHistory(r, 8)
+		a, b := s, s
+		for range 6 {
+			version := 1 + r.Int64N(8)
+			a = a.WithReport(evacuator.Report{AsOf: version, Zones: h.at(version)})
+			b = b.WithReport(evacuator.Report{Zones: []evacuator.Zone{h[r.IntN(8)]}})
+		}
+		merged := b.WithReport(a.Report())
+		require.False(t, merged.Corrects(a.WithReport(merged.Report()).Report()), "seed %d: both know the same", seed)
+	}
+}
+
 // TestIncompleteReportWithdrawsNothing guards against a truncated read that is taken for
 // the removal of the rows that it lacks.
 func TestIncompleteReportWithdrawsNothing(t *testing.T) {
--- a/server/evacuation.go
+++ b/server/evacuation.go
@@ -13,6 +13,9 @@
 	"mustardlever.dev/mustardlever/starter"
 )
 
+// sourceStore is the source of what the store says.
+const sourceStore = "store"
+
 // sendEvacuations sends a peer what is known of evacuated zones. It is called when a
 // session opens, before anything else is sent that depends on evacuations.
 func sendEvacuations(hub *messenger.Hub, evacuations *evacuator.Holder, peer string) {
@@ -24,13 +27,17 @@
 
 // mergeEvacuations merges r, and passes changes on to all peers but the source. It
 // reports whether something has changed. A session that opens meanwhile is not missed:
-// either it is among the peers, or sendEvacuations reads the new state.
+// either it is among the peers, or sendEvacuations reads the new state. A source that
+// lacks something is told: it may have sent r before this process had learned anything.
 func mergeEvacuations(hub *messenger.Hub, evacuations *evacuator.Holder, log *logrus.Entry, events *recorder.Recorder, r evacuator.Report, source string) bool {
 	before, after, changed := evacuations.Merge(r)
+	report := after.Report()
+	if after.Corrects(r) && source != sourceStore {
+		hub.Send(source, protocol.Message{Evacuations: &report})
+	}
 	if !changed {
 		return false
 	}
-	report := after.Report()
 	for _, p := range hub.Peers() {
 		if p.Incarnation != source {
 			hub.Send(p.Incarnation, protocol.Message{Evacuations: &report})
@@ -43,7 +50,7 @@
 }
 
 // AdoptEvacuations merges what source says about evacuated zones: "store", or the
-// incarnation of a peer. Waiting tasks are placed elsewhere, or refused, before it
+// incarnation of a peer, which is told what it lacks. Waiting tasks are placed elsewhere, or refused, before it
 // returns. It does nothing unless evacuations are followed.
 func (e *Entry) AdoptEvacuations(r evacuator.Report, source string) {
 	if !e.Settings.FollowEvacuations || !mergeEvacuations(&e.hub, &e.evacuations, e.Log, e.Recorder, r, source) {
--- a/server/evacuation_test.go
+++ b/server/evacuation_test.go
@@ -499,6 +499,22 @@
 	require.Zero(t, s.startsAfter("b", begin))
 }
 
+// TestWithdrawalIsNotMissedByOpeningSession guards against an agent that refuses all
+// starts for ever: it sends the evacuation that it knows when its session opens, and the
+// entry reads the store, which has none, before that message arrives.
+func TestWithdrawalIsNotMissedByOpeningSession(t *testing.T) {
+	s := newEvacuationSite(t)
+	s.store.setDown(true)
+	e := s.startEntry("entry-1")
+	a := s.startAgent("agent-b", "b")
+	s.awaitAgents(1)
+	e.AdoptEvacuations(evacuator.Report{AsOf: 20}, "store")
+	a.adoptEvacuations(evacuator.Report{AsOf: 10, Zones: []evacuator.Zone{{Name: "b", Version: 9, Evacuated: true}}}, "an entry that is gone")
+	s.awaitState()
+	e.AdoptRoutes(evacuationRoutes, "store")
+	requireServed(t, s.load(evacuationWatch))
+}
+
 // TestEvacuationsAreIgnoredUnlessFollowed guards against changed decisions of a
 // deployment without the setting.
 func TestEvacuationsAreIgnoredUnlessFollowed(t *testing.T) {
