A cancel applies to the job, not to the entry that receives it

Message cancels goes to each connected entry once, is passed on by those for which it is new, and is sent when a session opens. The coordinator ends the job of that name in every service and answers later submissions as ended: 200 with state failed (reason job-cancelled). Paths that never had a route are answered with 410, as before. No call to the store.

--- a/cmd/mustardleverd/gauges.go
+++ b/cmd/mustardleverd/gauges.go
@@ -33,6 +33,8 @@
 	registerSessionGauge(metrics, "sessions_with_entries", protocol.RoleEntry, e.Peers)
 	registerSessionGauge(metrics, "sessions_with_agents", protocol.RoleAgent, e.Peers)
 	registerPanicGauge(metrics, e.Traffic())
+	metrics.Gauge("cancels_in_force", func() float64 { n, _ := e.CancelCounts(); return float64(n) })
+	metrics.Gauge("cancels_not_kept", func() float64 { _, n := e.CancelCounts(); return float64(n) })
 	metrics.Gauge("agents", sum(func(c coordinator.Counts) int { return c.Agents }))
 	metrics.Gauge("suspect_agents", sum(func(c coordinator.Counts) int { return c.SuspectAgents }))
 	metrics.Gauge("waiting_tasks", sum(func(c coordinator.Counts) int { return c.Waiting }))
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -88,6 +88,10 @@
 	// session; nil: there are none.
 	ConnectedEntries func() []string
 
+	// IsCancelled reports whether the job with the given name was cancelled: it is not
+	// started. nil: none is.
+	IsCancelled func(name string) bool
+
 	startedAt          time.Time
 	nextSequence       uint64          // sequence number of the next ticket
 	issued             []ticketRange   // tickets that have not expired, oldest first
--- a/coordinator/sync.go
+++ b/coordinator/sync.go
@@ -21,6 +21,9 @@
 // answer if it is available at once. If RunSync returns an error, no task was or
 // will be started.
 func (c *Coordinator) RunSync(now time.Time, spec Job) (uint64, *Answer, error) {
+	if c.IsCancelled != nil && c.IsCancelled(spec.Name) {
+		return 0, &Answer{State: StateFailed, Reason: protocol.ReasonJobCancelled}, nil
+	}
 	if j := c.byName[spec.Name]; j != nil {
 		j.callersLeft = append(j.callersLeft, spec.CallerLeft)
 		return j.key.sequence, nil, nil // the caller joins the unfinished job
@@ -71,7 +74,7 @@
 func (c *Coordinator) CancelByName(now time.Time, name string) bool {
 	j := c.byName[name]
 	if j != nil {
-		c.stop(now, j, protocol.ReasonCancelled)
+		c.stop(now, j, protocol.ReasonJobCancelled)
 	}
 	return j != nil
 }
--- a/protocol/message.go
+++ b/protocol/message.go
@@ -76,6 +76,7 @@
 	Entries       *Entries       `json:"entries,omitempty"`
 
 	ServerLosses []ServerLoss `json:"server-losses,omitempty"`
+	Cancels      []Cancel     `json:"cancels,omitempty"`
 
 	Configuration        *Configuration        `json:"configuration,omitempty"`
 	ConfigurationRequest *ConfigurationRequest `json:"want-configuration,omitempty"`
@@ -136,6 +137,16 @@
 	Retracted bool `json:"retracted,omitempty"`
 }
 
+// Cancel (entry to entry) reports that the named job was cancelled: it ends, and later
+// submissions of it are not started. At orders the cancels of one name, RemainingMillis is
+// how long the cancel stays in force. A receiver that did not know it passes it on. Earlier
+// releases ignore it.
+type Cancel struct {
+	Name            string `json:"name"`
+	At              int64  `json:"at-ms"`
+	RemainingMillis int64  `json:"remaining-ms"`
+}
+
 // JobName returns the name of the job of a named task: the part before the first dot.
 func JobName(task string) string {
 	name, _, _ := strings.Cut(task, ".")
@@ -307,6 +318,7 @@
 const (
 	ReasonDeadline           Reason = "deadline"        // the job missed its deadline
 	ReasonCancelled          Reason = "cancelled"       // the caller cancelled the job or no longer waits for it
+	ReasonJobCancelled       Reason = "job-cancelled"   // a synchronous job was cancelled by its name
 	ReasonAgentLost          Reason = "agent-lost"      // an agent was lost while it had a task of the job
 	ReasonNoResult           Reason = "no-result"       // a task's request was sent and got no response
 	ReasonOwnerLost          Reason = "owner-lost"      // the owner was lost and may have started tasks of the job
--- a/server/entry.go
+++ b/server/entry.go
@@ -54,6 +54,7 @@
 	coder      ticketer.Coder
 	shards     shardTable
 	calls      pendingCalls
+	cancels    cancels
 	ctx        context.Context
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
@@ -169,6 +170,8 @@
 		e.goroutines.Go(func() { e.serveForward(from.Incarnation, f) })
 	case m.Reply != nil:
 		e.calls.finish(m.Reply)
+	case m.Cancels != nil:
+		e.receiveCancels(from.Incarnation, m.Cancels)
 	default:
 		if s := e.shardFor(m); s != nil {
 			e.applyAndWake(s, func(c *coordinator.Coordinator, now time.Time) { c.Receive(now, from.Incarnation, m) })
@@ -182,6 +185,7 @@
 		return
 	}
 	e.AddEntries([]string{peer.Address})
+	e.sendCancels(peer.Incarnation)
 	e.announceRoutes(peer.Incarnation)
 	for _, s := range e.shards.list() {
 		e.applyAndWake(s, func(c *coordinator.Coordinator, _ time.Time) { c.BackupConnected(peer.Incarnation, peer.Zone) })
--- a/server/sync.go
+++ b/server/sync.go
@@ -31,7 +31,7 @@
 // its tasks may have run.
 const (
 	OutcomeComplete Outcome = "complete"
-	OutcomeFailed   Outcome = "failed"   // a task failed in all its attempts or was given up after losses of backend servers, or no backend server is large enough for it
+	OutcomeFailed   Outcome = "failed"   // the job was cancelled, a task failed in all its attempts or was given up after losses of backend servers, or no backend server is large enough for it
 	OutcomeNoRoute  Outcome = "no-route" // not run
 	OutcomeInvalid  Outcome = "invalid"  // not run
 	OutcomeOverload Outcome = "overload" // not run
@@ -126,7 +126,7 @@
 		return SyncReply{Outcome: OutcomeNotRun, Cause: err.Error(), RetryAfter: retryAfter}
 	case a.State == coordinator.StateComplete:
 		return SyncReply{Outcome: OutcomeComplete}
-	case a.Reason == protocol.ReasonTaskFailed, a.Reason == protocol.ReasonServersLost, a.Reason == protocol.ReasonNoFit:
+	case a.Reason == protocol.ReasonJobCancelled, a.Reason == protocol.ReasonTaskFailed, a.Reason == protocol.ReasonServersLost, a.Reason == protocol.ReasonNoFit:
 		return SyncReply{Outcome: OutcomeFailed, Cause: string(a.Reason)}
 	case !a.MayHaveRun():
 		return SyncReply{Outcome: OutcomeNotRun, Cause: string(a.Reason), RetryAfter: a.RetryAfter}
@@ -257,22 +257,6 @@
 	return status
 }
 
-// Cancel cancels the synchronous job named by the path and reports whether this
-// entry had such an unfinished job.
-func (e *Entry) Cancel(host, path string) bool {
-	route, id, _ := e.findRoute(host, path)
-	if route == nil {
-		return false
-	}
-	s := e.shards.find(route.Service)
-	if s == nil {
-		return false
-	}
-	found := false
-	e.applyAndWake(s, func(c *coordinator.Coordinator, now time.Time) { found = c.CancelByName(now, id) })
-	return found
-}
-
 // findRoute returns the route that matches host and path, or nil, and the path
 // without the prefix of the route. ready is false while no configuration is loaded.
 func (e *Entry) findRoute(host, path string) (route *router.Route, id string, ready bool) {
