A cancel finds the job of a removed or moved route

A job that was accepted under a route which was removed since was not found, nor one whose route leads to another service now.

--- a/server/cancel.go
+++ b/server/cancel.go
@@ -8,6 +8,7 @@
 	"mustardlever.dev/mustardlever/canceller"
 	"mustardlever.dev/mustardlever/coordinator"
 	"mustardlever.dev/mustardlever/protocol"
+	"mustardlever.dev/mustardlever/router"
 )
 
 // maxCancelsPerMessage keeps messages below 64 KiB.
@@ -18,15 +19,17 @@
 
 // States of a cancel.
 const (
-	CancelUnknown CancelState = "unknown"  // the path names no job of a present route
+	CancelUnknown CancelState = "unknown"  // the path names no job of a present or removed route
 	CancelInForce CancelState = "in-force" // the job has ended here, no later submission of it is started, and the connected entries were told
 	CancelNotKept CancelState = "not-kept" // too many cancels are in force: the job has ended here, but a later submission of it might be started
 )
 
-// cancels holds the cancels that an entry knows. The mutex may be acquired while that of a shard is held.
+// cancels holds the cancels that an entry knows, and the routes under which unfinished jobs
+// may have been accepted. The mutex may be acquired while that of a shard is held.
 type cancels struct {
 	mu        sync.Mutex
 	canceller canceller.Canceller
+	former    router.Former
 }
 
 func (c *cancels) add(now time.Time, name string) (canceller.Cancel, canceller.Result) {
@@ -66,6 +69,19 @@
 	return list
 }
 
+func (c *cancels) replaceRoutes(now time.Time, earlier, later *router.Table) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.former.Retention = canceller.Lifetime
+	c.former.Replace(now, earlier, later)
+}
+
+func (c *cancels) hadRoute(now time.Time, host, path, name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.former.Matches(now, host, path, name)
+}
+
 func cancelMessage(k canceller.Cancel) protocol.Cancel {
 	return protocol.Cancel{Name: k.Name, At: k.At, RemainingMillis: k.Remaining.Milliseconds()}
 }
@@ -80,12 +96,12 @@
 
 // Cancel cancels the synchronous job named by the path, at whichever entry it is: it ends the
 // job here, tells the other entries, and makes later submissions of the job end at once. The
-// path is that of a present route.
+// path is that of a present route, or of one that was removed within canceller.Lifetime.
 func (e *Entry) Cancel(host, requestPath string) CancelState {
 	name := path.Base(requestPath)
 	now := time.Now()
 	route, id, _ := e.findRoute(host, requestPath)
-	if route == nil || id != name {
+	if (route == nil || id != name) && !e.cancels.hadRoute(now, host, requestPath, name) {
 		return CancelUnknown
 	}
 	// The tombstone comes first: a submission is checked under the lock of its shard, so
--- a/server/cancel_test.go
+++ b/server/cancel_test.go
@@ -131,6 +131,20 @@
 	require.Equal(t, sent, first.Traffic().MessagesOut.Load()+second.Traffic().MessagesOut.Load())
 }
 
+// A job goes on under a route that has since been removed, or leads to another service.
+func TestCancelFindsJobOfRemovedOrMovedRoute(t *testing.T) {
+	for name, later := range map[string][]router.Route{"removed": nil, "moved": {checksRoute("other")}} {
+		t.Run(name, func(t *testing.T) {
+			e, _ := startEntry(t, "entry-1")
+			e.AdoptRoutes(router.NewTable(1, []router.Route{checksRoute("desk")}), "test")
+			answers := runJob(t, e, "a")
+			e.AdoptRoutes(router.NewTable(2, later), "test")
+			require.Equal(t, CancelInForce, e.Cancel(cancelHost, cancelPath))
+			requireCancelled(t, answers)
+		})
+	}
+}
+
 // Callers outside our control must not fill the table with paths that never had a route.
 func TestCancelWithoutRouteIsUnknown(t *testing.T) {
 	e, _ := startEntry(t, "entry-1")
--- a/server/routes.go
+++ b/server/routes.go
@@ -14,10 +14,11 @@
 // version to the other entries. Source is "store", or the incarnation of the entry
 // that sent it.
 func (e *Entry) AdoptRoutes(t *router.Table, source string) {
-	previous := e.Routes.Version()
+	previous, earlier := e.Routes.Version(), e.Routes.Table()
 	if !e.Routes.Adopt(t) {
 		return
 	}
+	e.cancels.replaceRoutes(time.Now(), earlier, t)
 	e.mu.Lock()
 	e.routesSource = source
 	e.mu.Unlock()
