dispatcher: delay scheduling and the remote factor as settings

Cause: a task takes remote-factor times as long away from its data, but the dispatcher started it elsewhere as soon as there was capacity. With remote factor 2 or 3 such tasks use up the capacity of their neighbors, and most of them miss their due time. The factor was the constant 1.5. Durations of tasks away from their data also made their servers look slow.

Change: settings remote-factor and locality-wait of the dispatcher. With the latter, a job with a preferred label waits for capacity at its place while that pays: expected wait by the place's recent rate and the work ahead in the queue, the servers' speeds, the due time, the free capacity, and a learned factor between expected and actual waits. The scan of the queue goes on past waiting jobs. Without the setting every decision stays as it was.

--- a/cmd/mustardleverd/hosted_entry.go
+++ b/cmd/mustardleverd/hosted_entry.go
@@ -13,7 +13,6 @@
 	"mustardlever.dev/mustardlever/conninspector"
 	"mustardlever.dev/mustardlever/coordinator"
 	"mustardlever.dev/mustardlever/counter"
-	"mustardlever.dev/mustardlever/dispatcher"
 	"mustardlever.dev/mustardlever/operator"
 	"mustardlever.dev/mustardlever/pausedetector"
 	"mustardlever.dev/mustardlever/platform"
@@ -45,6 +44,7 @@
 			publishVariables(e.Traffic(), r)
 			store := newStore(p, log, metrics)
 			store.ConfigurationProgress = e.RecordSourceProgress
+			go logPlacement(ctx, e, log)
 			go newHostedFollower(store, e, log).Run(ctx)
 			go newRegistrar(store, &registrar.Registration{Name: p.Name, Address: e.Identity().Address}, e, log).Run(ctx)
 			for s, address := range map[*http.Server]string{callerServer: p.CallerAddress, readinessServer: p.Platform.ReadyAddress, operatorServer: p.OperatorAddress} {
@@ -70,7 +70,7 @@
 		Settings: server.EntrySettings{
 			Identity: identity(p), Entries: p.Entries, AddAnnouncedServices: true, Messenger: hostedMessengerSettings(),
 			Coordinator: coordinator.Settings{MaxDeadline: hostedDefaultDeadline, UsefulFactor: hostedUsefulFactor, LeaseExpiryWait: hostedSessionTimeout + hostedStopTime + hostedRenewalCutoff + hostedLease,
-				Dispatcher: dispatcher.Settings{Baseline: baseline}},
+				Dispatcher: placementSettings(p.Platform)},
 		},
 		Log: log, Recorder: r,
 		DecodeRoutes:    func(document []byte) (*router.Table, error) { return platform.DecodeTable(document, time.Now()) },
@@ -84,6 +84,7 @@
 		},
 	}
 	registerEntryGauges(e, metrics)
+	registerPlacementGauges(e, metrics)
 	return e
 }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -178,6 +178,8 @@
 	Agents         int `json:"agents"`
 	AckedAgents    int `json:"witnessed-agents"` // agents acknowledged by the backup that acknowledged the most
 	BackedOwners   int `json:"witnessed-owners"` // owners for which this entry is the backup
+
+	Locality dispatcher.LocalityCounts `json:"locality,omitzero"`
 }
 
 // Counts returns the current sizes.
@@ -185,6 +187,7 @@
 	counts := Counts{
 		Jobs: len(c.jobs), Unfinished: len(c.active), Waiting: c.queue.Waiting(),
 		FreeMillicores: c.queue.FreeCapacity().CPU, SuspectAgents: c.queue.SuspectAgents(), Agents: len(c.agents), BackedOwners: len(c.owners),
+		Locality: c.queue.LocalityCounts(),
 	}
 	for _, b := range c.backups {
 		if !b.sealed {
--- a/coordinator/progress.go
+++ b/coordinator/progress.go
@@ -158,7 +158,7 @@
 func (c *Coordinator) applyResult(j *job, m *protocol.Outcome, from string) {
 	t := &j.tasks[m.Task]
 	t.state, t.result = ran, m.Result
-	c.queue.RecordDuration(from, j.queueItem.Estimate, time.Duration(m.Result.ServeMicros)*time.Microsecond)
+	c.queue.RecordDuration(from, c.queue.EstimateAt(&j.queueItem, from), time.Duration(m.Result.ServeMicros)*time.Microsecond)
 	if m.Result.Status == 0 {
 		t.state, j.unknownReason = unknown, protocol.ReasonNoResult
 		c.decide("task-unknown", j, m.Task, from, m.Result.Error)
@@ -171,7 +171,7 @@
 	t := &j.tasks[m.Task]
 	if m.Result.OK() {
 		t.state, t.result = ran, m.Result
-		c.queue.RecordDuration(from, j.queueItem.Estimate, time.Duration(m.Result.ServeMicros)*time.Microsecond)
+		c.queue.RecordDuration(from, c.queue.EstimateAt(&j.queueItem, from), time.Duration(m.Result.ServeMicros)*time.Microsecond)
 		return
 	}
 	t.failures++
--- a/coordinator/straggler.go
+++ b/coordinator/straggler.go
@@ -42,7 +42,7 @@
 		if t.state != sent || t.stopSent {
 			continue
 		}
-		allowed := max(c.queue.ExpectedDuration(t.agent, j.queueItem.Estimate)*stragglerFactor, stragglerFloor) << len(j.avoidedAgents)
+		allowed := max(c.queue.ExpectedDuration(t.agent, c.queue.EstimateAt(&j.queueItem, t.agent))*stragglerFactor, stragglerFloor) << len(j.avoidedAgents)
 		if now.Sub(t.sentAt) <= allowed {
 			continue
 		}
--- a/dispatcher/agent.go
+++ b/dispatcher/agent.go
@@ -48,6 +48,7 @@
 	suspension          time.Duration   // length of the last suspension; zero after a success
 	onProbation         bool            // gets one task at a time until one succeeds
 	running             int             // starts sent without a reported outcome
+	places              []*place        // that it belongs to
 }
 
 // updateFreeCapacity computes freeCapacity from the last Load and the unreported
@@ -110,11 +111,13 @@
 	d.largestCapacity = d.largestCapacity.Max(capacity)
 	if a := d.agents[name]; a != nil {
 		a.capacity, a.labels = capacity, labels
+		d.assignPlaces()
 		return
 	}
 	a := &agent{name: name, capacity: capacity, labels: labels, slowness: 1}
 	d.agents[name] = a
 	d.agentList = append(d.agentList, a)
+	d.assignPlaces()
 }
 
 // RemoveAgent removes an agent.
@@ -123,6 +126,7 @@
 	for i, a := range d.agentList {
 		if a.name == name {
 			d.agentList = append(d.agentList[:i], d.agentList[i+1:]...)
+			d.assignPlaces()
 			return
 		}
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -29,6 +29,9 @@
 type Settings struct {
 	AgingRate float64  // seconds of remaining work offset by each second of waiting, per agent; default 0.05
 	Baseline  Baseline // simple policy used instead of the regular one, for comparisons; default: none
+
+	RemoteFactor float64 // how many times longer a task takes on an agent without its preferred label; default 1.5
+	LocalityWait bool    // jobs may wait for capacity on agents with their preferred label
 }
 
 // Job describes a job to the queue. All its tasks count as having the same need
@@ -50,6 +53,7 @@
 	late     bool    // whether it can no longer meet its due time
 	started  bool    // whether a task was started
 	queued   bool
+	wait     wait // for capacity on an agent with the preferred label
 }
 
 // Dispatcher holds the queue of one service and the free capacity of its
@@ -71,6 +75,12 @@
 	meanSeconds     float64         // moving average of task durations over all agents
 	largestCapacity sizer.Resources // largest amount of each resource that any agent ever had
 	lastAgentIndex  int             // index in agentList of the agent used last, for BaselineRoundRobin
+
+	places         map[string]*place // preferred labels of queued jobs, if jobs may wait for them
+	localityCounts LocalityCounts
+	scan           uint64  // number of the scan of the queue
+	headroom       bool    // whether hasHeadroom at the beginning of the scan
+	aheadElsewhere float64 // work of jobs without a place that the scan has passed by
 }
 
 // Init prepares the Dispatcher.
@@ -173,9 +183,10 @@
 // queue. If the job is queued already, Add updates the numbers and its position.
 // A job without waiting tasks is removed.
 func (d *Dispatcher[J]) Add(j *Job[J], waiting, unfinished int) {
-	d.Remove(j)
+	d.remove(j)
 	j.Waiting, j.Unfinished = waiting, unfinished
 	if waiting == 0 {
+		d.endWait(j, false)
 		return
 	}
 	if j.sequence == 0 {
@@ -187,10 +198,16 @@
 	d.waiting += waiting
 	d.waitingWork += d.jobWork(j)
 	d.jobs.ReplaceOrInsert(j)
+	d.preferPlace(j)
 }
 
 // Remove removes a job from the queue. It does nothing if the job is not queued.
 func (d *Dispatcher[J]) Remove(j *Job[J]) {
+	d.remove(j)
+	d.endWait(j, false)
+}
+
+func (d *Dispatcher[J]) remove(j *Job[J]) {
 	if !j.queued {
 		return
 	}
@@ -247,6 +264,7 @@
 		weight := min(elapsed/d.rateObserved, 1)
 		d.startRate += weight * (d.startedWork/elapsed - d.startRate)
 	}
+	d.updatePlaceRates(elapsed)
 	d.rateUpdatedAt, d.startedWork = now, 0
 }
 
@@ -288,16 +306,24 @@
 	}
 	var chosen *agent
 	scanned := 0
+	d.scan++
+	d.aheadElsewhere = 0
 	hasHeadroom := d.hasHeadroom()
+	d.headroom = hasHeadroom
 	d.jobs.Ascend(func(candidate *Job[J]) bool {
 		scanned++
 		if candidate.late && !candidate.started && !hasHeadroom {
 			return false
 		}
-		if a := d.bestAgent(now, candidate, eligible); a != nil {
+		if a := d.chooseAgent(now, candidate, eligible); a != nil {
 			j, chosen = candidate, a
+			return false
+		}
+		d.passBy(candidate)
+		if candidate.wait.active {
+			scanned-- // other jobs may use the capacity elsewhere; maxWaitingForPlace bounds their number
 		}
-		return chosen == nil && scanned < maxScannedJobs
+		return scanned < maxScannedJobs
 	})
 	if chosen == nil {
 		return nil, "", false
@@ -307,6 +333,8 @@
 	d.waiting--
 	d.waitingWork -= d.taskWork(j)
 	d.startedWork += d.taskWork(j)
+	d.countPlaceStart(j, chosen)
+	d.endWaitByStart(now, j, chosen)
 	d.markStarted(j)
 	return j, chosen.name, true
 }
@@ -341,11 +369,11 @@
 	return float64(free) >= lateHeadroom*float64(total)
 }
 
-// bestAgent returns the agent with enough free capacity on which the job's next
+// bestAgent returns the one of the agents with enough free capacity on which the job's next
 // task is expected to end soonest, nil if there is none. While a job can still
 // meet its due time, agents too slow for that are skipped: it is better to wait
 // for another agent.
-func (d *Dispatcher[J]) bestAgent(now time.Time, j *Job[J], eligible func(J, string) bool) *agent {
+func (d *Dispatcher[J]) bestAgent(now time.Time, j *Job[J], agents []*agent, eligible func(J, string) bool) *agent {
 	if b := d.Settings.Baseline; b != "" && b != BaselineArrival {
 		return d.chooseBaseline(j, eligible)
 	}
@@ -356,7 +384,7 @@
 	}
 	var bestAgent *agent
 	var leastCost float64
-	for _, a := range d.agentList {
+	for _, a := range agents {
 		if !a.available() || !a.freeCapacity.Covers(j.Need) || j.RequiredLabel != "" && !slices.Contains(a.labels, j.RequiredLabel) {
 			continue
 		}
@@ -365,7 +393,7 @@
 		}
 		cost := a.cost(estimate)
 		if j.PreferredLabel != "" && !slices.Contains(a.labels, j.PreferredLabel) {
-			cost *= remoteDataFactor
+			cost *= d.remoteFactor()
 		}
 		if (bestAgent == nil || cost < leastCost) && (eligible == nil || eligible(j.Value, a.name)) {
 			bestAgent, leastCost = a, cost
@@ -374,10 +402,6 @@
 	return bestAgent
 }
 
-// remoteDataFactor is how many times longer a task takes on an agent without its
-// preferred label, that is, away from its data. The platform specifies it.
-const remoteDataFactor = 1.5
-
 // TooLarge reports whether the need of a task exceeds, in any resource, the
 // capacity of every agent seen so far. It is false before the first agent.
 func (d *Dispatcher[J]) TooLarge(need sizer.Resources) bool {
--- /dev/null
+++ b/dispatcher/locality.go
@@ -0,0 +1,372 @@
+package dispatcher
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	defaultRemoteFactor = 1.5                  // the platform's usual factor
+	placeWindow         = 1.0                  // seconds over which a place's rates are averaged: a rack starts fewer tasks than all agents
+	minPlaceStarts      = 8                    // starts at a place before its rates are used
+	maxPlaces           = 128                  // labels whose rates are kept
+	placeRetention      = time.Minute          // a place that no job has preferred for this long may be replaced by another
+	maxWaitingForPlace  = 64                   // jobs that wait for a place; bounds the cost of a scan, which goes on past them
+	waitRecheck         = 5 * time.Millisecond // interval at which a waiting job is compared with the agents elsewhere
+	waitBiasWeight      = 0.05                 // weight of a new sample in a place's wait bias: covers about its last twenty waits
+	maxWaitBiasSample   = 4.0                  // largest sample of the wait bias, and inverse of the smallest
+)
+
+// LocalityCounts counts the waits of jobs for capacity at their places.
+type LocalityCounts struct {
+	Waiting int `json:"waiting"`  // jobs that wait now
+	Begun   int `json:"begun"`    // waits begun
+	PaidOff int `json:"paid-off"` // waits after which the job's waiting tasks started at the place
+	GivenUp int `json:"given-up"` // waits after which a task started elsewhere or the job ended
+}
+
+// LocalityCounts returns the number of waits.
+func (d *Dispatcher[J]) LocalityCounts() LocalityCounts { return d.localityCounts }
+
+// Places returns the number of preferred labels whose rates are kept.
+func (d *Dispatcher[J]) Places() int { return len(d.places) }
+
+// place is a preferred label and the agents that have it. Its state is bounded: two
+// rates and one learned factor.
+type place struct {
+	label       string
+	agents      []*agent
+	preferredAt time.Time // when a job that prefers it was last queued
+	starts      int       // starts there, up to minPlaceStarts
+	startedWork float64   // work started there since the last Tick, by tasks of any job
+	startedCPU  float64   // CPU of the tasks started there since the last Tick
+	workRate    float64   // work started there per second
+	cpuRate     float64   // CPU of the tasks started there per second
+	observed    float64   // seconds over which the rates were observed, at most placeWindow
+	wanted      bool      // a job found no free capacity there since the last Tick
+	logBias     float64   // moving average of the logarithms of actual divided by expected wait
+	scan        uint64    // scan in which ahead was set
+	ahead       float64   // work that the scan has passed by and that waits for the place
+}
+
+// wait is the state of a job that waits for capacity at its place. Entry: continueWait.
+// Exit: endWait, when a task starts elsewhere, the last waiting task starts, or the job
+// is removed. Latest time: latest, which is set once for each job.
+type wait struct {
+	active   bool
+	begun    time.Time // zero: not begun
+	expected float64   // seconds until the last waiting task starts at the place, as expected at the beginning
+	latest   time.Time // the job does not wait any longer; zero: it has not waited yet
+	recheck  time.Time // until then only agents at the place are considered
+}
+
+// forecast compares starting a task at its place with starting it elsewhere now. Times
+// are in seconds.
+type forecast struct {
+	wait     float64 // until the job's last waiting task can start at the place
+	local    float64 // duration at the place
+	remote   float64 // duration elsewhere
+	slack    float64 // time until the job is due; infinite without a due time
+	headroom bool    // enough capacity is free that the longer duration elsewhere delays no other job
+}
+
+func (f forecast) localInTime() bool  { return f.wait+f.local*(1+dueTimeMargin) <= f.slack }
+func (f forecast) remoteInTime() bool { return f.remote <= f.slack }
+
+// waitPays reports whether waiting pays. Meeting the due time comes first. Otherwise, the
+// job waits if it would end earlier that way, or if the capacity that it uses for longer
+// elsewhere would be missing to other jobs.
+func (f forecast) waitPays() bool {
+	if f.localInTime() != f.remoteInTime() {
+		return f.localInTime()
+	}
+	return !f.headroom || f.wait+f.local < f.remote
+}
+
+// remoteFactor returns how many times longer a task takes away from its data.
+func (d *Dispatcher[J]) remoteFactor() float64 {
+	if d.Settings.RemoteFactor >= 1 {
+		return d.Settings.RemoteFactor
+	}
+	return defaultRemoteFactor
+}
+
+// EstimateAt returns the duration that a task of the job is expected to take on an agent
+// of average speed: its estimate, and longer if the agent is away from the job's data and
+// tasks wait for places. Without the latter it is always the estimate.
+func (d *Dispatcher[J]) EstimateAt(j *Job[J], name string) time.Duration {
+	if !d.Settings.LocalityWait || j.PreferredLabel == "" {
+		return j.Estimate
+	}
+	a := d.agents[name]
+	if a == nil || slices.Contains(a.labels, j.PreferredLabel) {
+		return j.Estimate
+	}
+	return time.Duration(float64(j.Estimate) * d.remoteFactor())
+}
+
+// placeOf returns the place that the job prefers, nil if jobs do not wait for places or
+// too many places are in use.
+func (d *Dispatcher[J]) placeOf(j *Job[J]) *place {
+	if !d.Settings.LocalityWait || j.PreferredLabel == "" {
+		return nil
+	}
+	return d.places[j.PreferredLabel]
+}
+
+// preferPlace adds the place that a queued job prefers.
+func (d *Dispatcher[J]) preferPlace(j *Job[J]) {
+	if !d.Settings.LocalityWait || d.Settings.Baseline != "" || j.PreferredLabel == "" {
+		return
+	}
+	p := d.places[j.PreferredLabel]
+	if p == nil {
+		if len(d.places) >= maxPlaces && !d.removeUnusedPlace(j.Arrived) {
+			return
+		}
+		p = &place{label: j.PreferredLabel}
+		if d.places == nil {
+			d.places = make(map[string]*place)
+		}
+		d.places[p.label] = p
+		d.assignPlaces()
+	}
+	p.preferredAt = j.Arrived
+}
+
+// removeUnusedPlace removes a place that no job has preferred for placeRetention.
+func (d *Dispatcher[J]) removeUnusedPlace(now time.Time) bool {
+	for label, p := range d.places {
+		if now.Sub(p.preferredAt) > placeRetention {
+			delete(d.places, label)
+			return true
+		}
+	}
+	return false
+}
+
+// assignPlaces assigns the agents to the places. It must be called when agents, their
+// labels or the places change.
+func (d *Dispatcher[J]) assignPlaces() {
+	if len(d.places) == 0 {
+		return
+	}
+	for _, p := range d.places {
+		p.agents = nil
+	}
+	for _, a := range d.agentList {
+		a.places = nil
+		for _, label := range a.labels {
+			if p := d.places[label]; p != nil && !slices.Contains(a.places, p) {
+				a.places = append(a.places, p)
+				p.agents = append(p.agents, a)
+			}
+		}
+	}
+}
+
+// updatePlaceRates updates the rates of the places. A low sample counts only if a job
+// wanted capacity that the place did not have: without demand it says nothing about
+// what the place can handle.
+func (d *Dispatcher[J]) updatePlaceRates(elapsed float64) {
+	for _, p := range d.places {
+		if p.wanted || p.startedCPU/elapsed > p.cpuRate {
+			p.observed = min(p.observed+elapsed, placeWindow)
+			weight := min(elapsed/p.observed, 1)
+			p.workRate += weight * (p.startedWork/elapsed - p.workRate)
+			p.cpuRate += weight * (p.startedCPU/elapsed - p.cpuRate)
+		}
+		p.startedWork, p.startedCPU, p.wanted = 0, 0, false
+	}
+}
+
+// countPlaceStart counts a start for the rates of the agent's places.
+func (d *Dispatcher[J]) countPlaceStart(j *Job[J], a *agent) {
+	for _, p := range a.places {
+		p.starts = min(p.starts+1, minPlaceStarts)
+		p.startedWork += d.taskWork(j)
+		p.startedCPU += float64(j.Need.CPU)
+	}
+}
+
+// passBy counts the work of a job that the scan has passed by as ahead of the later ones.
+func (d *Dispatcher[J]) passBy(j *Job[J]) {
+	if !d.Settings.LocalityWait {
+		return
+	}
+	p := d.placeOf(j)
+	if p == nil {
+		d.aheadElsewhere += d.jobWork(j)
+		return
+	}
+	if p.scan != d.scan {
+		p.scan, p.ahead = d.scan, 0
+	}
+	p.ahead += d.jobWork(j)
+	p.wanted = true
+}
+
+// chooseAgent returns the agent for the job's next task, nil if it cannot start now or
+// waits for capacity at its place.
+func (d *Dispatcher[J]) chooseAgent(now time.Time, j *Job[J], eligible func(J, string) bool) *agent {
+	p := d.placeOf(j)
+	if p == nil {
+		return d.bestAgent(now, j, d.agentList, eligible)
+	}
+	if j.wait.active && now.Before(j.wait.recheck) {
+		return d.bestAgent(now, j, p.agents, eligible)
+	}
+	a := d.bestAgent(now, j, d.agentList, eligible)
+	if a == nil || slices.Contains(a.places, p) || !d.postpones(now, j, p, a, eligible) {
+		return a
+	}
+	return nil
+}
+
+// postpones reports whether the job does not start its next task on a, which is away from
+// its place p, now. Either it waits for p, or it has waited as long as it may and would be
+// late on a: then it needs headroom, as late jobs do. Without a usable agent at p, or
+// without samples of p, it starts. The task compared is the last one waiting, since the job
+// ends with it: if too many tasks wait, some start elsewhere until the rest are better off
+// waiting.
+func (d *Dispatcher[J]) postpones(now time.Time, j *Job[J], p *place, a *agent, eligible func(J, string) bool) bool {
+	slowness, usable := p.meanSlowness(j.Need.CPU, func(b *agent) bool { return usableFor(j, b, eligible) })
+	wait, known := d.placeWait(j, p)
+	if !usable || !known {
+		return false
+	}
+	estimate := d.expectedSeconds(j.Estimate)
+	f := forecast{
+		wait: wait, local: estimate * slowness, remote: estimate * a.slowness * d.remoteFactor(), slack: math.Inf(1), headroom: d.headroom,
+	}
+	if !j.Due.IsZero() {
+		f.slack = j.Due.Sub(now).Seconds()
+	}
+	if f.waitPays() && d.mayWait(now, j, f) {
+		d.continueWait(now, j, f)
+		return true
+	}
+	if j.started || f.headroom || f.remoteInTime() {
+		return false
+	}
+	d.endWait(j, false)
+	return true
+}
+
+// mayWait reports whether the job may begin its wait or continue it. The latest time of
+// the wait is set once: when it has taken as long as it was to save, or when the job
+// begins to count as late, whichever is later.
+func (d *Dispatcher[J]) mayWait(now time.Time, j *Job[J], f forecast) bool {
+	w := &j.wait
+	if !w.active && d.localityCounts.Waiting >= maxWaitingForPlace {
+		return false
+	}
+	if w.latest.IsZero() {
+		w.latest = now.Add(seconds(f.remote - f.local))
+		if start := d.latestStart(j); !j.Due.IsZero() && w.latest.Before(start) {
+			w.latest = start
+		}
+	}
+	return now.Before(w.latest)
+}
+
+// usableFor reports whether tasks of the job can run on the agent once it has free capacity.
+func usableFor[J any](j *Job[J], a *agent, eligible func(J, string) bool) bool {
+	return a.suspendedUntil.IsZero() && !a.onProbation && a.capacity.Covers(j.Need) &&
+		(j.RequiredLabel == "" || slices.Contains(a.labels, j.RequiredLabel)) && (eligible == nil || eligible(j.Value, a.name))
+}
+
+// meanSlowness returns the average slowness of the usable agents of the place, weighted by
+// the number of tasks with the need that fit them. It reports whether there are any.
+func (p *place) meanSlowness(need int, usable func(*agent) bool) (slowness float64, ok bool) {
+	sum, weights := 0.0, 0.0
+	for _, a := range p.agents {
+		if usable(a) {
+			weight := float64(a.capacity.CPU / max(need, 1))
+			sum += weight * a.slowness
+			weights += weight
+		}
+	}
+	if weights == 0 {
+		return 1, false
+	}
+	return sum / weights, true
+}
+
+// placeWait estimates the seconds until the job's last waiting task starts at the place:
+// the work ahead of it by the place's rate, and the time until capacity for one task is
+// released. Tasks of other jobs take the part of the place's capacity that its share of all
+// starts suggests. Known is false without enough samples.
+func (d *Dispatcher[J]) placeWait(j *Job[J], p *place) (seconds float64, known bool) {
+	if p.starts < minPlaceStarts || p.workRate <= 0 || p.cpuRate <= 0 {
+		return 0, false
+	}
+	ahead := float64(j.Waiting-1) * d.taskWork(j)
+	if p.scan == d.scan {
+		ahead += p.ahead
+	}
+	if d.startRate > 0 {
+		ahead += d.aheadElsewhere * min(p.workRate/d.startRate, 1)
+	}
+	return (ahead/p.workRate + float64(j.Need.CPU)/p.cpuRate) * math.Exp(p.logBias), true
+}
+
+// continueWait begins the job's wait, or continues it.
+func (d *Dispatcher[J]) continueWait(now time.Time, j *Job[J], f forecast) {
+	w := &j.wait
+	if !w.active {
+		w.active, w.begun, w.expected = true, now, f.wait
+		d.localityCounts.Begun++
+		d.localityCounts.Waiting++
+	}
+	w.recheck = now.Add(waitRecheck)
+	if w.latest.Before(w.recheck) {
+		w.recheck = w.latest
+	}
+}
+
+// endWaitByStart ends the job's wait if its next task has started elsewhere or if no task
+// of it waits any more, and learns from it.
+func (d *Dispatcher[J]) endWaitByStart(now time.Time, j *Job[J], a *agent) {
+	p := d.placeOf(j)
+	if !j.wait.active || p == nil {
+		return
+	}
+	local := slices.Contains(a.places, p)
+	if local && j.Waiting > 0 {
+		return
+	}
+	waited := now.Sub(j.wait.begun).Seconds()
+	if local || waited > j.wait.expected {
+		p.addWaitSample(waited, j.wait.expected)
+	}
+	d.endWait(j, local)
+}
+
+// endWait ends the job's wait, if there is one.
+func (d *Dispatcher[J]) endWait(j *Job[J], paidOff bool) {
+	if !j.wait.active {
+		return
+	}
+	j.wait.active = false
+	d.localityCounts.Waiting--
+	if paidOff {
+		d.localityCounts.PaidOff++
+	} else {
+		d.localityCounts.GivenUp++
+	}
+}
+
+// addWaitSample learns how actual waits for the place compare with the expected ones. The
+// average is on a logarithmic scale and clamped, as an agent's slowness is.
+func (p *place) addWaitSample(waited, expected float64) {
+	const resolution = 0.001 // seconds; shorter waits do not differ
+	ratio := max(waited, resolution) / max(expected, resolution)
+	ratio = min(max(ratio, 1/maxWaitBiasSample), maxWaitBiasSample)
+	limit := math.Log(maxWaitBiasSample)
+	p.logBias = min(max(p.logBias+waitBiasWeight*math.Log(ratio), -limit), limit)
+}
+
+// seconds returns s seconds as a duration.
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/dispatcher/replay_test.go
@@ -0,0 +1,373 @@
+package dispatcher_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mustardlever.dev/mustardlever/dispatcher"
+	"mustardlever.dev/mustardlever/sizer"
+)
+
+// replayServer is a backend server of a replay.
+type replayServer struct {
+	name        string
+	cores       int
+	speed       float64
+	label       string
+	failing     float64 // fraction of its runs that fail, after a tenth of their duration
+	free        int     // thousandths of a core
+	receivedRun uint64
+}
+
+// replayKind is a kind of jobs of a replay.
+type replayKind struct {
+	name     string
+	perSec   float64
+	tasks    int
+	estimate time.Duration
+	cpu      int // thousandths of a core
+	prefer   func(r *rand.Rand) string
+}
+
+// replay runs jobs on servers in simulated time, with one entry and reports that are
+// never out of date. It is deterministic.
+type replay struct {
+	servers      []*replayServer
+	kinds        []replayKind
+	remoteFactor float64
+	duration     time.Duration
+	settings     dispatcher.Settings
+	alwaysWait   bool // a preferred label is required
+	attempts     int  // failures of one task after which its job fails; 0: 3
+	seed         uint64
+
+	d      dispatcher.Dispatcher[*replayJob]
+	byName map[string]*replayServer
+	events replayEvents
+	random *rand.Rand
+	runs   int
+	failed int // failed runs
+}
+
+type replayJob struct {
+	kind     string
+	label    string
+	arrived  time.Time
+	due      time.Time
+	item     dispatcher.Job[*replayJob]
+	waiting  int
+	running  int
+	left     int
+	failures int
+	avoided  []string
+	ended    bool
+	success  bool
+	end      time.Time
+}
+
+type replayEvent struct {
+	at     time.Time
+	number int
+	run    func(now time.Time)
+}
+
+type replayEvents []replayEvent
+
+func (e replayEvents) Len() int { return len(e) }
+func (e replayEvents) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].number < e[j].number
+}
+func (e replayEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *replayEvents) Push(x any)   { *e = append(*e, x.(replayEvent)) }
+func (e *replayEvents) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// usefulFactor is the multiple of its time until due after which a job earns nothing.
+const usefulFactor = 3
+
+func (r *replay) schedule(at time.Time, run func(time.Time)) {
+	r.runs++
+	heap.Push(&r.events, replayEvent{at, r.runs, run})
+}
+
+// play runs the replay and returns all its jobs.
+func (r *replay) play() []*replayJob {
+	r.random = rand.New(rand.NewPCG(r.seed, 1))
+	r.d.Settings = r.settings
+	r.d.Init(startTime)
+	r.byName = make(map[string]*replayServer)
+	for _, s := range r.servers {
+		s.free = 1000 * s.cores
+		r.byName[s.name] = s
+		r.d.AddAgent(s.name, sizer.Slots(s.cores), []string{s.label})
+		r.report(s)
+	}
+	var jobs []*replayJob
+	arrivals := rand.New(rand.NewPCG(r.seed, 2))
+	for _, k := range r.kinds {
+		for at := 0.0; ; {
+			at += arrivals.ExpFloat64() / k.perSec
+			if at > r.duration.Seconds() {
+				break
+			}
+			j := r.newJob(k, startTime.Add(time.Duration(at*float64(time.Second))), arrivals)
+			jobs = append(jobs, j)
+			r.schedule(j.arrived, func(now time.Time) { r.d.Add(&j.item, j.waiting, j.waiting) })
+			r.schedule(j.arrived.Add(usefulFactor*j.due.Sub(j.arrived)), func(now time.Time) { r.end(now, j, false) })
+		}
+	}
+	for t := startTime; t.Before(startTime.Add(r.duration + 20*time.Second)); t = t.Add(20 * time.Millisecond) {
+		r.schedule(t, func(now time.Time) { r.d.Tick(now) })
+	}
+	for len(r.events) > 0 {
+		e := heap.Pop(&r.events).(replayEvent)
+		e.run(e.at)
+		r.dispatch(e.at)
+	}
+	return jobs
+}
+
+func (r *replay) newJob(k replayKind, at time.Time, arrivals *rand.Rand) *replayJob {
+	j := &replayJob{kind: k.name, arrived: at, waiting: k.tasks, left: k.tasks, due: at.Add(k.estimate*8/5 + 60*time.Millisecond)}
+	if k.prefer != nil {
+		j.label = k.prefer(arrivals)
+	}
+	j.item = dispatcher.Job[*replayJob]{Value: j, Arrived: at, Due: j.due, Need: sizer.Resources{CPU: k.cpu}, Estimate: k.estimate, PreferredLabel: j.label}
+	if r.alwaysWait {
+		j.item.RequiredLabel = j.label
+	}
+	return j
+}
+
+func (r *replay) report(s *replayServer) {
+	r.d.Report(s.name, dispatcher.Load{Free: sizer.Resources{CPU: s.free}, Received: s.receivedRun})
+}
+
+func (r *replay) eligible(j *replayJob, name string) bool { return !slices.Contains(j.avoided, name) }
+
+func (r *replay) dispatch(now time.Time) {
+	for {
+		item, name, ok := r.d.Next(now, r.eligible)
+		if !ok {
+			return
+		}
+		j, s := item.Value, r.byName[name]
+		j.waiting--
+		j.running++
+		s.receivedRun++
+		s.free -= item.Need.CPU
+		seconds := item.Estimate.Seconds() / s.speed * (0.9 + 0.2*r.random.Float64())
+		if j.label != "" && j.label != s.label {
+			seconds *= r.remoteFactor
+		}
+		fails := r.random.Float64() < s.failing
+		if fails {
+			seconds /= 10
+		}
+		r.schedule(now.Add(time.Duration(seconds*float64(time.Second))), func(now time.Time) { r.finish(now, j, s, seconds, fails) })
+	}
+}
+
+func (r *replay) finish(now time.Time, j *replayJob, s *replayServer, seconds float64, fails bool) {
+	s.free += j.item.Need.CPU
+	r.report(s)
+	r.d.RecordOutcome(s.name)
+	j.running--
+	if fails {
+		r.failed++
+		r.d.RecordFailure(now, s.name)
+	} else {
+		r.d.RecordDuration(s.name, r.d.EstimateAt(&j.item, s.name), time.Duration(seconds*float64(time.Second)))
+	}
+	switch {
+	case j.ended:
+		return
+	case fails:
+		j.failures++
+		if len(j.avoided) < 2 && !slices.Contains(j.avoided, s.name) {
+			j.avoided = append(j.avoided, s.name)
+		}
+		if j.failures >= max(r.attempts, 3) {
+			r.end(now, j, false)
+			return
+		}
+		j.waiting++
+	default:
+		j.left--
+	}
+	if j.left == 0 {
+		r.end(now, j, true)
+		return
+	}
+	r.d.Add(&j.item, j.waiting, j.waiting+j.running)
+}
+
+func (r *replay) end(now time.Time, j *replayJob, success bool) {
+	if j.ended {
+		return
+	}
+	j.ended, j.success, j.end = true, success, now
+	r.d.Remove(&j.item)
+}
+
+// replaySummary describes the completion of a group of jobs. Jobs that did not complete
+// count with the time at which they ended.
+type replaySummary struct {
+	jobs    int
+	mean    time.Duration
+	p99     time.Duration
+	inTime  float64 // fraction that met the due time
+	worth   float64 // mean of 1 for a job in time, 0.2 for a late one, 0 for one that did not complete
+	refused float64
+}
+
+func (s replaySummary) String() string {
+	return fmt.Sprintf("jobs %5d mean %4d ms p99 %4d ms in time %.3f worth %.3f not completed %.3f", s.jobs, s.mean.Milliseconds(), s.p99.Milliseconds(), s.inTime, s.worth, s.refused)
+}
+
+func summarize(jobs []*replayJob, include func(*replayJob) bool) replaySummary {
+	var times []time.Duration
+	var s replaySummary
+	for _, j := range jobs {
+		if !include(j) {
+			continue
+		}
+		times = append(times, j.end.Sub(j.arrived))
+		switch {
+		case !j.success:
+			s.refused++
+		case j.end.After(j.due):
+			s.worth += 0.2
+		default:
+			s.worth++
+			s.inTime++
+		}
+	}
+	s.jobs = len(times)
+	if s.jobs == 0 {
+		return s
+	}
+	slices.Sort(times)
+	var sum time.Duration
+	for _, t := range times {
+		sum += t
+	}
+	n := float64(s.jobs)
+	s.mean, s.p99 = sum/time.Duration(s.jobs), times[(len(times)-1)*99/100]
+	s.inTime, s.worth, s.refused = s.inTime/n, s.worth/n, s.refused/n
+	return s
+}
+
+// rackServers returns servers of four cores in racks of five.
+func rackServers(racks int, speeds ...float64) []*replayServer {
+	var servers []*replayServer
+	for i := range 5 * racks {
+		servers = append(servers, &replayServer{name: fmt.Sprintf("server-%02d", i), cores: 4, speed: speeds[i%len(speeds)], label: fmt.Sprintf("rack-%d", i/5)})
+	}
+	return servers
+}
+
+// preferHotRack returns rack 0 for half of the jobs, and other racks for the rest.
+func preferHotRack(racks int) func(*rand.Rand) string {
+	return func(r *rand.Rand) string {
+		if r.IntN(2) == 0 {
+			return "rack-0"
+		}
+		return fmt.Sprintf("rack-%d", 1+r.IntN(racks-1))
+	}
+}
+
+const replayRacks = 6
+
+// hotRackReplay has 30 servers in 6 racks. A kind with preferred racks, half of them rack
+// 0, and two kinds without use the given multiple of the capacity, if all run locally.
+func hotRackReplay(load, remoteFactor float64, speeds ...float64) *replay {
+	work := func(share float64, tasks int, seconds float64, cores float64) float64 {
+		capacity := 0.0
+		for i := range 5 * replayRacks {
+			capacity += 4 * speeds[i%len(speeds)]
+		}
+		return load * share * capacity / (float64(tasks) * seconds * cores)
+	}
+	return &replay{
+		servers: rackServers(replayRacks, speeds...), remoteFactor: remoteFactor, duration: 20 * time.Second, seed: 7,
+		kinds: []replayKind{
+			{name: "racks", perSec: work(0.3, 2, 0.2, 1.4), tasks: 2, estimate: 200 * time.Millisecond, cpu: 1400, prefer: preferHotRack(replayRacks)},
+			{name: "short", perSec: work(0.3, 8, 0.06, 1), tasks: 8, estimate: 60 * time.Millisecond, cpu: 1000},
+			{name: "long", perSec: work(0.4, 4, 0.9, 1), tasks: 4, estimate: 900 * time.Millisecond, cpu: 1000},
+		},
+	}
+}
+
+func (r *replay) withPolicy(policy string) *replay {
+	r.settings.RemoteFactor = r.remoteFactor
+	switch policy {
+	case "always":
+		r.alwaysWait = true
+	case "locality-wait":
+		r.settings.LocalityWait = true
+	}
+	return r
+}
+
+func hotRack(j *replayJob) bool    { return j.label == "rack-0" }
+func otherRacks(j *replayJob) bool { return j.label != "" && j.label != "rack-0" }
+func noRack(j *replayJob) bool     { return j.label == "" }
+func anyJob(*replayJob) bool       { return true }
+
+// Half of one kind's jobs want one rack, beside kinds without a preference. Without waits
+// (as before), they take the capacity of the neighbors for several times as long. With
+// unconditional waits, the jobs of the hot rack end later than necessary while other racks
+// have free capacity. The bounds are those of the design: while the load is below the
+// capacity, all jobs together end as early as under the better of the two policies, within
+// 5%; neighbors end no later than without waits under any load.
+func TestHotRack(t *testing.T) {
+	for _, speeds := range [][]float64{{1}, {0.6, 1, 1.6}} {
+		for _, factor := range []float64{2, 3} {
+			for _, load := range []float64{0.6, 0.8, 0.95} {
+				t.Run(fmt.Sprintf("speeds-%d/factor-%v/load-%v", len(speeds), factor, load), func(t *testing.T) {
+					all := make(map[string]replaySummary)
+					neighbors := make(map[string]replaySummary)
+					for _, policy := range []string{"never", "always", "locality-wait"} {
+						r := hotRackReplay(load, factor, speeds...).withPolicy(policy)
+						jobs := r.play()
+						t.Logf("%-13s hot rack     %v", policy, summarize(jobs, hotRack))
+						t.Logf("%-13s other racks  %v", policy, summarize(jobs, otherRacks))
+						t.Logf("%-13s no rack      %v", policy, summarize(jobs, noRack))
+						t.Logf("%-13s all          %v; waits %+v", policy, summarize(jobs, anyJob), r.d.LocalityCounts())
+						all[policy], neighbors[policy] = summarize(jobs, anyJob), summarize(jobs, func(j *replayJob) bool { return !hotRack(j) })
+						require.Zero(t, r.d.LocalityCounts().Waiting)
+					}
+					require.LessOrEqual(t, neighbors["locality-wait"].mean, neighbors["never"].mean)
+					require.GreaterOrEqual(t, neighbors["locality-wait"].worth, neighbors["never"].worth)
+					require.LessOrEqual(t, all["locality-wait"].mean, all["never"].mean)
+					if load < 0.9 {
+						require.LessOrEqual(t, all["locality-wait"].mean.Seconds(), 1.05*min(all["always"].mean, all["never"].mean).Seconds())
+					}
+				})
+			}
+		}
+	}
+}
+
+// Jobs without a preferred label are decided as before, with the setting or without.
+func TestJobsWithoutPreferenceAreDecidedAsBefore(t *testing.T) {
+	var ends [2][]time.Time
+	for i, policy := range []string{"never", "locality-wait"} {
+		r := hotRackReplay(0.95, 3, 0.6, 1, 1.6).withPolicy(policy)
+		r.kinds[0].prefer, r.duration = nil, 5*time.Second
+		for _, j := range r.play() {
+			ends[i] = append(ends[i], j.end)
+		}
+	}
+	require.Equal(t, ends[0], ends[1])
+}
