dispatcher: runs away from the data need more free capacity

Change: a job that would be late elsewhere starts there only while half of the capacity is free (before: 30%, and jobs with a started task always); while less than a fifth is free, it waits for its place unless that stalls. The latest time of a wait is set for each task.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -90,7 +90,8 @@
 	places         map[string]*place // preferred labels of queued jobs, if jobs may wait for them
 	localityCounts LocalityCounts
 	scan           uint64  // number of the scan of the queue
-	headroom       bool    // whether hasHeadroom at the beginning of the scan
+	freeCPU        int     // free CPU of the agents that may get tasks, at the beginning of the scan
+	totalCPU       int     // CPU of all agents
 	aheadElsewhere float64 // work of jobs without a place that the scan has passed by
 }
 
@@ -322,8 +323,8 @@
 	scanned := 0
 	d.scan++
 	d.aheadElsewhere = 0
-	hasHeadroom := d.hasHeadroom()
-	d.headroom = hasHeadroom
+	d.updateFreeTotal()
+	hasHeadroom := d.hasFree(lateHeadroom)
 	d.jobs.Ascend(func(candidate *Job[J]) bool {
 		scanned++
 		if candidate.late && !candidate.started && !hasHeadroom {
@@ -370,18 +371,22 @@
 	}
 }
 
-// hasHeadroom reports whether enough capacity is free to start late jobs without
-// delaying the next timely jobs past their due time. Running tasks are not
-// preempted.
-func (d *Dispatcher[J]) hasHeadroom() bool {
-	free, total := 0, 0
+// updateFreeTotal computes freeCPU and totalCPU.
+func (d *Dispatcher[J]) updateFreeTotal() {
+	d.freeCPU, d.totalCPU = 0, 0
 	for _, a := range d.agentList {
-		total += a.capacity.CPU
+		d.totalCPU += a.capacity.CPU
 		if a.available() {
-			free += max(a.freeCapacity.CPU, 0)
+			d.freeCPU += max(a.freeCapacity.CPU, 0)
 		}
 	}
-	return float64(free) >= lateHeadroom*float64(total)
+}
+
+// hasFree reports whether the fraction of the total capacity was free at the beginning of
+// the scan. With lateHeadroom, late jobs can start without delaying the next timely jobs
+// past their due time. Running tasks are not preempted.
+func (d *Dispatcher[J]) hasFree(fraction float64) bool {
+	return float64(d.freeCPU) >= fraction*float64(d.totalCPU)
 }
 
 // bestAgent returns the one of the agents with enough free capacity on which the job's next
@@ -397,6 +402,7 @@
 	if !j.Due.IsZero() && !j.late && now.Before(d.latestStart(j)) {
 		maxSeconds = j.Due.Sub(now).Seconds()
 	}
+	spread := d.hasFree(lateHeadroom) // otherwise every agent's capacity is needed
 	var bestAgent *agent
 	var leastCost float64
 	for _, a := range agents {
@@ -407,7 +413,7 @@
 			continue
 		}
 		cost := a.cost(estimate)
-		if d.headroom && a.failurePenalty > 1 {
+		if spread && a.failurePenalty > 1 {
 			cost *= a.failurePenalty
 		}
 		if j.PreferredLabel != "" && !slices.Contains(a.labels, j.PreferredLabel) {
--- a/dispatcher/locality.go
+++ b/dispatcher/locality.go
@@ -14,6 +14,9 @@
 	placeRetention      = time.Minute          // a place that no job has preferred for this long may be replaced by another
 	maxWaitingForPlace  = 64                   // jobs that wait for a place, or for an agent known to succeed; bounds the cost of a scan, which goes on past them
 	waitRecheck         = 5 * time.Millisecond // interval at which a waiting job is compared with the agents elsewhere
+	scarceFraction      = 0.2                  // free fraction of the capacity below which runs elsewhere make other jobs late
+	remoteHeadroom      = 0.5                  // free fraction of the capacity from which runs elsewhere delay no other job: more than lateHeadroom, since they take longer
+	maxWaitFactor       = 5.0                  // multiple of the duration elsewhere beyond which a place is regarded as stalled
 	waitBiasWeight      = 0.05                 // weight of a new sample in a place's wait bias: covers about its last twenty waits
 	maxWaitBiasSample   = 4.0                  // largest sample of the wait bias, and inverse of the smallest
 )
@@ -52,7 +55,7 @@
 
 // wait is the state of a job that waits for capacity at its place. Entry: continueWait.
 // Exit: endWait, when a task starts elsewhere, the last waiting task starts, or the job
-// is removed. Latest time: latest, which is set once for each job.
+// is removed. Latest time: latest, which is set once for each task.
 type wait struct {
 	active   bool
 	begun    time.Time // zero: not begun
@@ -68,20 +71,35 @@
 	local    float64 // duration at the place
 	remote   float64 // duration elsewhere
 	slack    float64 // time until the job is due; infinite without a due time
-	headroom bool    // enough capacity is free that the longer duration elsewhere delays no other job
+	scarce   bool    // less than scarceFraction of the capacity is free
+	headroom bool    // at least remoteHeadroom of the capacity is free
 }
 
 func (f forecast) localInTime() bool  { return f.wait+f.local*(1+dueTimeMargin) <= f.slack }
 func (f forecast) remoteInTime() bool { return f.remote <= f.slack }
 
-// waitPays reports whether waiting pays. Meeting the due time comes first. Otherwise, the
-// job waits if it would end earlier that way, or if the capacity that it uses for longer
-// elsewhere would be missing to other jobs.
+// placeStalls reports whether the place releases so little capacity that it must not hold
+// jobs back, as when its servers hang.
+func (f forecast) placeStalls() bool { return f.wait > maxWaitFactor*f.remote }
+
+// waitPays reports whether waiting pays. While capacity is scarce it does: the longer run
+// elsewhere would make other jobs late. Otherwise meeting the due time comes first, then
+// the capacity that other jobs need, then the earlier end.
 func (f forecast) waitPays() bool {
+	if f.scarce || f.localInTime() == f.remoteInTime() && !f.headroom {
+		return !f.placeStalls()
+	}
 	if f.localInTime() != f.remoteInTime() {
 		return f.localInTime()
 	}
-	return !f.headroom || f.wait+f.local < f.remote
+	return f.wait+f.local < f.remote
+}
+
+// mayRunElsewhere reports whether a job that does not wait may start elsewhere: if it would
+// be late there, only with headroom, as other late jobs, and while capacity is scarce only
+// if its place stalls.
+func (f forecast) mayRunElsewhere() bool {
+	return f.headroom || f.remoteInTime() && !f.scarce || f.placeStalls()
 }
 
 // remoteFactor returns how many times longer a task takes away from its data.
@@ -237,8 +255,8 @@
 }
 
 // postpones reports whether the job does not start its next task on a, which is away from
-// its place p, now. Either it waits for p, or it has waited as long as it may and would be
-// late on a: then it needs headroom, as late jobs do. Without a usable agent at p, or
+// its place p, now: it waits for p, or has waited as long as it may and must not run
+// elsewhere yet (see mayRunElsewhere). Without a usable agent at p, or
 // without samples of p, it starts. The task compared is the last one waiting, since the job
 // ends with it: if too many tasks wait, some start elsewhere until the rest are better off
 // waiting.
@@ -246,11 +264,13 @@
 	slowness, usable := p.meanSlowness(j.Need.CPU, func(b *agent) bool { return usableFor(j, b, eligible) })
 	wait, known := d.placeWait(j, p)
 	if !usable || !known {
+		Dbg["unknown"]++
 		return false
 	}
 	estimate := d.expectedSeconds(j.Estimate)
 	f := forecast{
-		wait: wait, local: estimate * slowness, remote: estimate * a.slowness * d.remoteFactor(), slack: math.Inf(1), headroom: d.headroom,
+		wait: wait, local: estimate * slowness, remote: estimate * a.slowness * d.remoteFactor(), slack: math.Inf(1),
+		scarce: !d.hasFree(scarceFraction), headroom: d.hasFree(remoteHeadroom),
 	}
 	if !j.Due.IsZero() {
 		f.slack = j.Due.Sub(now).Seconds()
@@ -259,7 +279,28 @@
 		d.continueWait(now, j, f)
 		return true
 	}
-	if j.started || f.headroom || f.remoteInTime() {
+	if f.headroom || f.remoteInTime() {
+		k := "notpay"
+		if f.waitPays() {
+			k = "latest"
+		}
+		if j.late {
+			k += " late"
+		}
+		if j.started {
+			k += " started"
+		}
+		if f.headroom {
+			k += " headroom"
+		}
+		if f.remoteInTime() {
+			k += " remoteok"
+		}
+		if f.localInTime() {
+			k += " localok"
+		}
+		Dbg[k]++
+		W[k] += f.wait
 		return false
 	}
 	d.endWait(j, false)
@@ -267,8 +308,8 @@
 }
 
 // mayWait reports whether the job may begin its wait or continue it. The latest time of
-// the wait is set once: when it has taken as long as it was to save, or when the job
-// begins to count as late, whichever is later.
+// the wait is set once for each task: when it has taken as long as it was to save, or when
+// the job begins to count as late, whichever is later.
 func (d *Dispatcher[J]) mayWait(now time.Time, j *Job[J], f forecast) bool {
 	w := &j.wait
 	if !w.active && d.localityCounts.Waiting >= maxWaitingForPlace {
@@ -347,6 +388,7 @@
 	}
 	local := slices.Contains(a.places, p)
 	if local && j.Waiting > 0 {
+		j.wait.latest = time.Time{}
 		return
 	}
 	waited := now.Sub(j.wait.begun).Seconds()
@@ -382,3 +424,6 @@
 
 // seconds returns s seconds as a duration.
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+var Dbg = map[string]int{}
+var W = map[string]float64{}
