--- a/dispatcher/replay_test.go
+++ b/dispatcher/replay_test.go
@@ -55,7 +55,8 @@
 	remoteFactor float64
 	duration     time.Duration
 	settings     dispatcher.Settings
-	entries      int  // 0: one
+	entries      int // 0: one
+	onTick       func(now time.Time)
 	alwaysWait   bool // a preferred label is required
 	seed         uint64
 
@@ -128,15 +129,7 @@
 	}
 	r.byName = make(map[string]*replayServer)
 	for i, s := range r.servers {
-		s.free = 1000 * s.cores
-		s.received, s.reported = make([]uint64, r.entries), make([]replayReport, r.entries)
-		r.byName[s.name] = s
-		for k := range min(r.entries, 6) {
-			e := (7*i + k) % r.entries
-			s.entries = append(s.entries, e)
-			r.d[e].AddAgent(s.name, sizer.Slots(s.cores), []string{s.label})
-			r.report(s, e)
-		}
+		r.addServer(i, s)
 	}
 	var jobs []*replayJob
 	arrivals := rand.New(rand.NewPCG(r.seed, 2))
@@ -165,6 +158,19 @@
 	return jobs
 }
 
+// addServer connects a server, the ith one, to its entries.
+func (r *replay) addServer(i int, s *replayServer) {
+	s.free = 1000 * s.cores
+	s.received, s.reported = make([]uint64, r.entries), make([]replayReport, r.entries)
+	r.byName[s.name] = s
+	for k := range min(r.entries, 6) {
+		e := (7*i + k) % r.entries
+		s.entries = append(s.entries, e)
+		r.d[e].AddAgent(s.name, sizer.Slots(s.cores), []string{s.label})
+		r.report(s, e)
+	}
+}
+
 func (r *replay) newJob(k replayKind, at time.Time, arrivals *rand.Rand) *replayJob {
 	j := &replayJob{kind: k.name, entry: r.chooseEntry(arrivals), arrived: at, pending: make([]int, k.tasks), left: k.tasks, due: at.Add(k.estimate*8/5 + 60*time.Millisecond)}
 	if k.prefer != nil {
@@ -196,6 +202,9 @@
 }
 
 func (r *replay) tick(now time.Time) {
+	if r.onTick != nil {
+		r.onTick(now)
+	}
 	for _, d := range r.d {
 		d.Tick(now)
 	}
@@ -591,3 +600,33 @@
 		}
 	}
 }
+
+// A server that is added under full load must be used within a second, and not be loaded
+// beyond its capacity although ten entries learn of it. Its profile tells all of them soon
+// that it is slow.
+func TestAddedServerIsUsedAtOnce(t *testing.T) {
+	r := failingReplay(0, 0, 1)
+	r.entries, r.duration, r.settings.ServerProfiles = 10, 3*time.Second, true
+	added := &replayServer{name: "added", cores: 4, speed: 0.6}
+	var runs, known int
+	r.onTick = func(now time.Time) {
+		switch now.Sub(startTime) {
+		case time.Second:
+			r.addServer(len(r.servers), added)
+			r.servers = append(r.servers, added)
+		case 2 * time.Second:
+			for _, n := range added.received {
+				runs += int(n)
+			}
+			for _, e := range added.entries {
+				if s := r.d[e].View(now, "added").Slowness; s > 1.3 && s < 2 {
+					known++
+				}
+			}
+		}
+		require.GreaterOrEqual(t, added.free, 0)
+	}
+	r.play()
+	require.Greater(t, runs, 20)
+	require.Equal(t, 6, known, "entries that know its speed")
+}
