--- a/dispatcher/locality.go
+++ b/dispatcher/locality.go
@@ -9,7 +9,7 @@
 const (
 	defaultRemoteFactor = 1.5                  // the platform's usual factor
 	placeWindow         = 1.0                  // seconds over which a place's rates are averaged: a rack starts fewer tasks than all agents
-	minPlaceStarts      = 8                    // starts at a place before its rates are used
+	minPlaceStarts      = 5                    // starts at a place before its rates are used
 	maxPlaces           = 128                  // labels whose rates are kept
 	placeRetention      = time.Minute          // a place that no job has preferred for this long may be replaced by another
 	maxWaitingForPlace  = 64                   // jobs that wait for a place, or for an agent known to succeed; bounds the cost of a scan, which goes on past them
