--- a/cmd/mustardctl/views.go
+++ b/cmd/mustardctl/views.go
@@ -39,9 +39,10 @@
 		fmt.Printf("%-20s agents %d, suspect %d, jobs %d, unfinished %d, waiting tasks %d, free cores %s\n",
 			v.Service, v.Counts.Agents, v.Counts.SuspectAgents, v.Counts.Jobs, v.Counts.Unfinished, v.Counts.Waiting, formatCores(v.Counts.FreeMillicores))
 		printZones(v)
+		printPlacement(v)
 		for _, a := range v.Agents {
-			fmt.Printf("  %-28s %-22s %-10s running %-4d free cores %s of %s, heard %s ago, speed %.2f%s\n", a.Agent, a.Address, a.Zone, a.Running,
-				formatCores(a.FreeCapacity.CPU), formatCores(a.Capacity.CPU), formatMillis(a.LastContactMillis), relativeSpeed(a.Slowness), formatHealth(a))
+			fmt.Printf("  %-28s %-22s %-10s running %-4d free cores %s of %s, heard %s ago, speed %.2f%s%s\n", a.Agent, a.Address, a.Zone, a.Running,
+				formatCores(a.FreeCapacity.CPU), formatCores(a.Capacity.CPU), formatMillis(a.LastContactMillis), relativeSpeed(a.Slowness), formatHealth(a), formatProfile(a))
 		}
 	}
 }
@@ -75,6 +76,8 @@
 		return ", evacuated"
 	case a.SuspendedMillis > 0:
 		return fmt.Sprintf(", paused for %s after %d failures", formatMillis(a.SuspendedMillis), a.ConsecutiveFailures)
+	case a.Excluded:
+		return ", excluded since its runs fail"
 	case a.OnProbation:
 		return ", on trial"
 	case a.ConsecutiveFailures > 0:
--- a/cmd/mustardleverd/hosted_agent.go
+++ b/cmd/mustardleverd/hosted_agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -26,7 +27,7 @@
 func serveHostedAgent(l fx.Lifecycle, p configurer.Process, log *logrus.Entry, r *recorder.Recorder, settings *reloader, metrics *counter.Counter) error {
 	a := &server.Agent{
 		Settings: server.AgentSettings{Identity: identity(p), Entries: p.Entries, Messenger: hostedMessengerSettings(), FollowEvacuations: p.Platform.EvacuationMillis > 0,
-			Starter: starter.Settings{ColdOverage: p.Platform.ColdOverage, ColdSlack: p.Platform.ColdSlack}},
+			Starter: starter.Settings{ColdOverage: p.Platform.ColdOverage, ColdSlack: p.Platform.ColdSlack, ReportProfiles: p.Platform.ServerProfiles}},
 		Log: log, Recorder: r,
 	}
 	settings.addEntries = a.AddEntries
@@ -103,6 +104,7 @@
 			Service: service, Address: r.Address, Capacity: r.Capacity, Labels: r.Labels,
 			Backend:   server.Backend{Start: leased.Run, Stop: leased.Stop},
 			StartedAt: r.StartedAt, ColdFor: time.Duration(r.ColdMillis) * time.Millisecond,
+			Incarnation: fmt.Sprintf("%s/%d", r.ID, r.StartedAt),
 		})
 	}
 	return leased
--- a/cmd/mustardleverd/hosted_entry.go
+++ b/cmd/mustardleverd/hosted_entry.go
@@ -13,7 +13,6 @@
 	"mustardlever.dev/mustardlever/conninspector"
 	"mustardlever.dev/mustardlever/coordinator"
 	"mustardlever.dev/mustardlever/counter"
-	"mustardlever.dev/mustardlever/dispatcher"
 	"mustardlever.dev/mustardlever/evacuator"
 	"mustardlever.dev/mustardlever/operator"
 	"mustardlever.dev/mustardlever/pausedetector"
@@ -50,6 +49,7 @@
 			if p.Platform.EvacuationMillis > 0 {
 				store.ObserveEvacuations = func(r evacuator.Report) { e.AdoptEvacuations(r, "store") }
 			}
+			go logPlacement(ctx, e, log)
 			go newHostedFollower(store, e, log).Run(ctx)
 			go newRegistrar(store, &registrar.Registration{Name: p.Name, Address: e.Identity().Address}, e, log).Run(ctx)
 			go limits.watch(ctx, log)
@@ -76,7 +76,7 @@
 			Identity: identity(p), Entries: p.Entries, AddAnnouncedServices: true, Messenger: hostedMessengerSettings(),
 			FollowEvacuations: p.Platform.EvacuationMillis > 0,
 			Coordinator: coordinator.Settings{MaxDeadline: hostedDefaultDeadline, UsefulFactor: hostedUsefulFactor, LeaseExpiryWait: hostedSessionTimeout + hostedStopTime + hostedRenewalCutoff + hostedLease,
-				Dispatcher: dispatcher.Settings{Baseline: baseline}},
+				Dispatcher: placementSettings(p.Platform)},
 		},
 		Log: log, Recorder: r,
 		DecodeRoutes:    func(document []byte) (*router.Table, error) { return platform.DecodeTable(document, time.Now()) },
@@ -90,6 +90,7 @@
 		},
 	}
 	registerEntryGauges(e, metrics)
+	registerPlacementGauges(e, metrics)
 	return e
 }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -186,6 +186,9 @@
 	Evacuated      int `json:"evacuated-agents,omitempty"` // agents in evacuated zones
 	AckedAgents    int `json:"witnessed-agents"`           // agents acknowledged by the backup that acknowledged the most
 	BackedOwners   int `json:"witnessed-owners"`           // owners for which this entry is the backup
+
+	Locality dispatcher.LocalityCounts `json:"locality,omitzero"`
+	Profiles dispatcher.ProfileCounts  `json:"profiles,omitzero"`
 }
 
 // Counts returns the current sizes.
@@ -193,6 +196,7 @@
 	counts := Counts{
 		Jobs: len(c.jobs), Unfinished: len(c.active), Waiting: c.queue.Waiting(),
 		FreeMillicores: c.queue.FreeCapacity().CPU, SuspectAgents: c.queue.SuspectAgents(), Agents: len(c.agents), Evacuated: c.queue.EvacuatedAgents(), BackedOwners: len(c.owners),
+		Locality: c.queue.LocalityCounts(), Profiles: c.queue.ProfileCounts(),
 	}
 	for _, b := range c.backups {
 		if !b.sealed {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -29,6 +29,11 @@
 type Settings struct {
 	AgingRate float64  // seconds of remaining work offset by each second of waiting, per agent; default 0.05
 	Baseline  Baseline // simple policy used instead of the regular one, for comparisons; default: none
+
+	RemoteFactor float64 // how many times longer a task takes on an agent without its preferred label; default 1.5
+	LocalityWait bool    // jobs may wait for capacity on agents with their preferred label
+
+	ServerProfiles bool // the profiles that agents report count for placement
 }
 
 // Job describes a job to the queue. All its tasks count as having the same need
@@ -44,12 +49,17 @@
 	PreferredLabel string          // tasks take less time on an agent with this label; empty: none
 	Waiting        int             // tasks not started yet
 	Unfinished     int             // tasks not finished yet
+	Failed         int             // of the waiting tasks, those that have failed before; used with Settings.ServerProfiles
+	AttemptsLeft   int             // fewest attempts left to one of these
+	ForFailed      bool            // set by Next: the start is for a task that has failed before
 
 	sequence uint64  // order of Add; breaks ties between equal keys
 	key      float64 // position in the queue, the smallest first; see rank
 	late     bool    // whether it can no longer meet its due time
 	started  bool    // whether a task was started
 	queued   bool
+	wait     wait // for capacity on an agent with the preferred label
+	retry    retryWait
 }
 
 // Dispatcher holds the queue of one service and the free capacity of its
@@ -72,6 +82,18 @@
 	meanSeconds     float64         // moving average of task durations over all agents
 	largestCapacity sizer.Resources // largest amount of each resource that any agent ever had
 	lastAgentIndex  int             // index in agentList of the agent used last, for BaselineRoundRobin
+
+	agedAt      time.Time // last update of the weight of own samples
+	succeeding  []*agent  // known to succeed by their profiles
+	failing     []*agent  // nearly all of their runs fail by their profiles
+	retryCounts RetryCounts
+
+	places         map[string]*place // preferred labels of queued jobs, if jobs may wait for them
+	localityCounts LocalityCounts
+	scan           uint64  // number of the scan of the queue
+	freeCPU        int     // free CPU of the agents that may get tasks, at the beginning of the scan
+	totalCPU       int     // CPU of all agents
+	aheadElsewhere float64 // work of jobs without a place that the scan has passed by
 }
 
 // Init prepares the Dispatcher.
@@ -79,7 +101,7 @@
 	if d.Settings.AgingRate == 0 {
 		d.Settings.AgingRate = defaultAgingRate
 	}
-	d.epoch, d.rateUpdatedAt = now, now
+	d.epoch, d.rateUpdatedAt, d.agedAt = now, now, now
 	d.agents = make(map[string]*agent)
 	d.jobs = btree.NewG(treeDegree, func(a, b *Job[J]) bool {
 		return a.key < b.key || a.key == b.key && a.sequence < b.sequence
@@ -131,6 +153,7 @@
 // It must be called at short intervals.
 func (d *Dispatcher[J]) Tick(now time.Time) {
 	d.resumeSuspended(now)
+	d.ageOwnSamples(now)
 	d.updateStartRate(now)
 	d.demoteLateJobs(now)
 }
@@ -174,9 +197,11 @@
 // queue. If the job is queued already, Add updates the numbers and its position.
 // A job without waiting tasks is removed.
 func (d *Dispatcher[J]) Add(j *Job[J], waiting, unfinished int) {
-	d.Remove(j)
+	d.remove(j)
 	j.Waiting, j.Unfinished = waiting, unfinished
 	if waiting == 0 {
+		d.endWait(j, false)
+		d.endRetryWait(j, false)
 		return
 	}
 	if j.sequence == 0 {
@@ -188,10 +213,17 @@
 	d.waiting += waiting
 	d.waitingWork += d.jobWork(j)
 	d.jobs.ReplaceOrInsert(j)
+	d.preferPlace(j)
 }
 
 // Remove removes a job from the queue. It does nothing if the job is not queued.
 func (d *Dispatcher[J]) Remove(j *Job[J]) {
+	d.remove(j)
+	d.endWait(j, false)
+	d.endRetryWait(j, false)
+}
+
+func (d *Dispatcher[J]) remove(j *Job[J]) {
 	if !j.queued {
 		return
 	}
@@ -248,6 +280,7 @@
 		weight := min(elapsed/d.rateObserved, 1)
 		d.startRate += weight * (d.startedWork/elapsed - d.startRate)
 	}
+	d.updatePlaceRates(elapsed)
 	d.rateUpdatedAt, d.startedWork = now, 0
 }
 
@@ -289,16 +322,24 @@
 	}
 	var chosen *agent
 	scanned := 0
-	hasHeadroom := d.hasHeadroom()
+	d.scan++
+	d.aheadElsewhere = 0
+	d.updateFreeTotal()
+	hasHeadroom := d.hasFree(lateHeadroom)
 	d.jobs.Ascend(func(candidate *Job[J]) bool {
 		scanned++
 		if candidate.late && !candidate.started && !hasHeadroom {
 			return false
 		}
-		if a := d.bestAgent(now, candidate, eligible); a != nil {
+		if a := d.chooseAgent(now, candidate, eligible); a != nil {
 			j, chosen = candidate, a
+			return false
 		}
-		return chosen == nil && scanned < maxScannedJobs
+		d.passBy(candidate)
+		if candidate.wait.active || candidate.retry.active {
+			scanned-- // other jobs may use the capacity that it passes by; maxWaitingForPlace bounds their number
+		}
+		return scanned < maxScannedJobs
 	})
 	if chosen == nil {
 		return nil, "", false
@@ -308,6 +349,9 @@
 	d.waiting--
 	d.waitingWork -= d.taskWork(j)
 	d.startedWork += d.taskWork(j)
+	d.countPlaceStart(j, chosen)
+	d.endWaitByStart(now, j, chosen)
+	d.endRetryByStart(j, chosen)
 	d.markStarted(j)
 	return j, chosen.name, true
 }
@@ -328,28 +372,32 @@
 	}
 }
 
-// hasHeadroom reports whether enough capacity is free to start late jobs without
-// delaying the next timely jobs past their due time. Running tasks are not
-// preempted.
-func (d *Dispatcher[J]) hasHeadroom() bool {
-	free, total := 0, 0
+// updateFreeTotal computes freeCPU and totalCPU.
+func (d *Dispatcher[J]) updateFreeTotal() {
+	d.freeCPU, d.totalCPU = 0, 0
 	for _, a := range d.agentList {
 		if a.evacuated {
 			continue
 		}
-		total += a.capacity.CPU
+		d.totalCPU += a.capacity.CPU
 		if a.available() {
-			free += max(a.freeCapacity.CPU, 0)
+			d.freeCPU += max(a.freeCapacity.CPU, 0)
 		}
 	}
-	return float64(free) >= lateHeadroom*float64(total)
 }
 
-// bestAgent returns the agent with enough free capacity on which the job's next
+// hasFree reports whether the fraction of the total capacity was free at the beginning of
+// the scan. With lateHeadroom, late jobs can start without delaying the next timely jobs
+// past their due time. Running tasks are not preempted.
+func (d *Dispatcher[J]) hasFree(fraction float64) bool {
+	return float64(d.freeCPU) >= fraction*float64(d.totalCPU)
+}
+
+// bestAgent returns the one of the agents with enough free capacity on which the job's next
 // task is expected to end soonest, nil if there is none. While a job can still
 // meet its due time, agents too slow for that are skipped: it is better to wait
 // for another agent.
-func (d *Dispatcher[J]) bestAgent(now time.Time, j *Job[J], eligible func(J, string) bool) *agent {
+func (d *Dispatcher[J]) bestAgent(now time.Time, j *Job[J], agents []*agent, eligible func(J, string) bool) *agent {
 	if b := d.Settings.Baseline; b != "" && b != BaselineArrival {
 		return d.chooseBaseline(j, eligible)
 	}
@@ -358,9 +406,10 @@
 	if !j.Due.IsZero() && !j.late && now.Before(d.latestStart(j)) {
 		maxSeconds = j.Due.Sub(now).Seconds()
 	}
+	spread := d.hasFree(lateHeadroom) // otherwise every agent's capacity is needed
 	var bestAgent *agent
 	var leastCost float64
-	for _, a := range d.agentList {
+	for _, a := range agents {
 		if !a.available() || !a.freeCapacity.Covers(j.Need) || j.RequiredLabel != "" && !slices.Contains(a.labels, j.RequiredLabel) {
 			continue
 		}
@@ -368,8 +417,11 @@
 			continue
 		}
 		cost := a.cost(estimate)
+		if spread && a.failurePenalty > 1 {
+			cost *= a.failurePenalty
+		}
 		if j.PreferredLabel != "" && !slices.Contains(a.labels, j.PreferredLabel) {
-			cost *= remoteDataFactor
+			cost *= d.remoteFactor()
 		}
 		if (bestAgent == nil || cost < leastCost) && (eligible == nil || eligible(j.Value, a.name)) {
 			bestAgent, leastCost = a, cost
@@ -378,10 +430,6 @@
 	return bestAgent
 }
 
-// remoteDataFactor is how many times longer a task takes on an agent without its
-// preferred label, that is, away from its data. The platform specifies it.
-const remoteDataFactor = 1.5
-
 // TooLarge reports whether the need of a task exceeds, in any resource, the
 // capacity of every agent seen so far. It is false before the first agent.
 func (d *Dispatcher[J]) TooLarge(need sizer.Resources) bool {
--- a/protocol/message.go
+++ b/protocol/message.go
@@ -189,7 +189,8 @@
 	Request      Request `json:"request"`
 	SessionBound bool    `json:"bound,omitempty"`
 
-	RequiredLabel string `json:"required-label,omitempty"`
+	RequiredLabel  string `json:"required-label,omitempty"`
+	ExpectedMillis int64  `json:"expected-ms,omitempty"` // duration on a server of average speed, if it differs from the request's estimate
 }
 
 // Refusal is the reason why an agent did not start a task and never will.
--- a/server/backend.go
+++ b/server/backend.go
@@ -36,8 +36,9 @@
 	Labels   []string
 	Backend  Backend
 
-	StartedAt int64         // identifies the incarnation of the backend server; 0: unknown
-	ColdFor   time.Duration // time that the backend server needs to warm up; 0: it is warm
+	StartedAt   int64         // identifies the incarnation of the backend server; 0: unknown
+	ColdFor     time.Duration // time that the backend server needs to warm up; 0: it is warm
+	Incarnation string        // identifies the incarnation of the backend server; empty: a new one with each offer
 }
 
 func (a *Agent) newShard(offer Offer) *agentShard {
@@ -46,6 +47,7 @@
 	s.starter.Self, s.starter.Service = a.hub.Self.Incarnation, offer.Service
 	s.starter.Address, s.starter.Capacity, s.starter.Labels = offer.Address, offer.Capacity, offer.Labels
 	s.starter.Init()
+	s.starter.SetServerIdentity(offer.Incarnation)
 	return s
 }
 
@@ -67,6 +69,7 @@
 		shard.startedAt = offer.StartedAt
 		st.SetCold(time.Now(), offer.ColdFor)
 		if known {
+			st.SetServerIdentity(offer.Incarnation)
 			st.UpdateOffer(offer.Address, offer.Capacity, offer.Labels)
 			return
 		}
--- a/starter/start.go
+++ b/starter/start.go
@@ -46,6 +46,7 @@
 	r := &acceptedRun{
 		Run: Run{ID: s.lastRunID, Requester: from, Ticket: m.Ticket, Task: m.Task, Attempt: m.Attempt, Request: m.Request, RequiredLabel: m.RequiredLabel},
 		key: key, record: record, need: need, sessionBound: m.SessionBound,
+		serverIncarnation: s.profiler.Incarnation(), expected: expectedDuration(m),
 	}
 	s.runs[r.ID] = r
 	if s.unresponsive || !s.admission.canStart(s.Capacity, need) {
@@ -223,6 +224,7 @@
 	if r == nil {
 		return
 	}
+	s.recordRun(r, result)
 	r.record.state, r.record.result = stateDone, result
 	s.reportOutcome(r)
 	if !r.sessionBound {
