--- a/cmd/mustardleverd/hosted_entry.go
+++ b/cmd/mustardleverd/hosted_entry.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net"
+	"errors"
 	"net/http"
 	"time"
 
@@ -13,6 +13,7 @@
 	"mustardlever.dev/mustardlever/conninspector"
 	"mustardlever.dev/mustardlever/coordinator"
 	"mustardlever.dev/mustardlever/counter"
+	"mustardlever.dev/mustardlever/evacuator"
 	"mustardlever.dev/mustardlever/operator"
 	"mustardlever.dev/mustardlever/pausedetector"
 	"mustardlever.dev/mustardlever/platform"
@@ -25,14 +26,15 @@
 
 // serveHostedEntry runs an entry on the users' platform.
 func serveHostedEntry(l fx.Lifecycle, p configurer.Process, log *logrus.Entry, r *recorder.Recorder, settings *reloader, metrics *counter.Counter) error {
-	linkListener, err := net.Listen("tcp", p.LinkAddress)
+	limits := newLimits(p, metrics)
+	linkListener, err := limits.listenLinks(p.LinkAddress)
 	if err != nil {
 		return err
 	}
 	e := newHostedEntry(p, log, r, metrics)
 	settings.addEntries = e.AddEntries
 	callerServer := newCallerServer(&platform.ClientHandler{Submit: e.SubmitSync, Cancel: e.Cancel, LookupPath: e.LookupPath})
-	readinessServer := &http.Server{Handler: readinessHandler(e), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	readinessServer := newReadinessServer(readinessHandler(e))
 	source := entrySource(e, r, metrics)
 	source.Configuration = e.Configuration
 	operatorServer := operator.New(source)
@@ -45,14 +47,17 @@
 			store := newStore(p, log, metrics)
 			store.ConfigurationProgress = e.RecordSourceProgress
 			go logPlacement(ctx, e, log)
+			if p.Platform.EvacuationMillis > 0 {
+				store.ObserveEvacuations = func(r evacuator.Report) { e.AdoptEvacuations(r, "store") }
+			}
 			go newHostedFollower(store, e, log).Run(ctx)
 			go newRegistrar(store, &registrar.Registration{Name: p.Name, Address: e.Identity().Address}, e, log).Run(ctx)
-			for s, address := range map[*http.Server]string{callerServer: p.CallerAddress, readinessServer: p.Platform.ReadyAddress, operatorServer: p.OperatorAddress} {
-				if err := serve(s, address); err != nil {
-					return err
-				}
-			}
-			return nil
+			go limits.watch(ctx, log)
+			return errors.Join(
+				limits.serve(callerServer, p.CallerAddress, limits.budget.Callers),
+				limits.serve(readinessServer, p.Platform.ReadyAddress, limits.budget.Readiness),
+				limits.serve(operatorServer, p.OperatorAddress, limits.budget.Operators),
+			)
 		},
 		OnStop: func(context.Context) error {
 			defer cancel()
@@ -69,6 +74,7 @@
 	e := &server.Entry{
 		Settings: server.EntrySettings{
 			Identity: identity(p), Entries: p.Entries, AddAnnouncedServices: true, Messenger: hostedMessengerSettings(),
+			FollowEvacuations: p.Platform.EvacuationMillis > 0,
 			Coordinator: coordinator.Settings{MaxDeadline: hostedDefaultDeadline, UsefulFactor: hostedUsefulFactor, LeaseExpiryWait: hostedSessionTimeout + hostedStopTime + hostedRenewalCutoff + hostedLease,
 				Dispatcher: placementSettings(p.Platform)},
 		},
--- a/coordinator/progress.go
+++ b/coordinator/progress.go
@@ -47,7 +47,7 @@
 // An agent on which a task of the job failed or was a straggler is not used while
 // there are others.
 func (c *Coordinator) eligible(j *job, agent string) bool {
-	if j.avoids(agent) && c.queue.Agents() > len(j.avoidedAgents) {
+	if j.avoids(agent) && c.queue.Agents()-c.queue.EvacuatedAgents() > len(j.avoidedAgents) {
 		return false
 	}
 	if j.backup == "" {
@@ -75,7 +75,7 @@
 	a.inFlight[j][i] = true
 	c.send(a.name, protocol.Message{Start: &protocol.Start{
 		Agent: a.name, Ticket: j.ticket(c.Self), Task: i, Attempt: j.tasks[i].attempt,
-		Request: j.requests[i], SessionBound: j.restartable, ExpectedMillis: c.expectedMillis(j, i, a),
+		Request: j.requests[i], SessionBound: j.restartable, RequiredLabel: j.queueItem.RequiredLabel, ExpectedMillis: c.expectedMillis(j, i, a),
 	}})
 }
 
--- a/dispatcher/agent.go
+++ b/dispatcher/agent.go
@@ -43,6 +43,7 @@
 	suspendedUntil      time.Time // gets no task before; zero: not suspended
 	onProbation         bool      // gets one task at a time until one succeeds
 	excluded            bool      // gets no tasks, since by its profile nearly all of them fail
+	evacuated           bool      // gets no task, see SetEvacuated
 	running             int       // starts sent without a reported outcome
 	slowness            float64   // expected ratio of a task's duration to its estimate: the exponential of logSlowness
 	consecutiveFailures int       // failed tasks since the last success
@@ -90,7 +91,7 @@
 
 // available reports whether the agent may get a task now.
 func (a *agent) available() bool {
-	return a.suspendedUntil.IsZero() && !a.excluded && (!a.onProbation || a.running == 0)
+	return !a.evacuated && a.suspendedUntil.IsZero() && !a.excluded && (!a.onProbation || a.running == 0)
 }
 
 // addSample updates the slowness with a task that took ratio times its estimate.
@@ -131,6 +132,7 @@
 
 // RemoveAgent removes an agent.
 func (d *Dispatcher[J]) RemoveAgent(name string) {
+	d.SetEvacuated(name, false)
 	delete(d.agents, name)
 	for i, a := range d.agentList {
 		if a.name == name {
@@ -208,10 +210,11 @@
 
 // Suspend suspends an agent. The duration doubles with each suspension since the
 // last success, up to maxSuspension. At most half of the agents, rounded up, are
-// suspended at once: when all of them fail, the cause is elsewhere.
+// suspended at once: when all of them fail, the cause is elsewhere. Agents in evacuated
+// zones do not count.
 func (d *Dispatcher[J]) Suspend(now time.Time, name string) {
 	a := d.agents[name]
-	if a == nil || !a.suspendedUntil.IsZero() || 2*(d.suspendedAgents()+1) > len(d.agentList)+1 {
+	if a == nil || !a.suspendedUntil.IsZero() || 2*(d.suspendedAgents()+1) > len(d.agentList)-d.EvacuatedAgents()+1 {
 		return
 	}
 	a.suspension = min(max(2*a.suspension, minSuspension), maxSuspension)
@@ -219,11 +222,11 @@
 	d.classifyAgents()
 }
 
-// suspendedAgents returns the number of suspended agents.
+// suspendedAgents returns the number of suspended agents outside evacuated zones.
 func (d *Dispatcher[J]) suspendedAgents() int {
 	n := 0
 	for _, a := range d.agentList {
-		if !a.suspendedUntil.IsZero() {
+		if !a.suspendedUntil.IsZero() && !a.evacuated {
 			n++
 		}
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -71,6 +71,7 @@
 	jobs            *btree.BTreeG[*Job[J]]
 	agents          map[string]*agent
 	agentList       []*agent
+	evacuatedAgents int // agents in evacuated zones
 	lastSequence    uint64
 	waiting         int             // number of waiting tasks
 	waitingWork     float64         // work of all waiting tasks, in thousandths of a core times seconds
@@ -375,6 +376,9 @@
 func (d *Dispatcher[J]) updateFreeTotal() {
 	free, total := 0, 0
 	for _, a := range d.agentList {
+		if a.evacuated {
+			continue
+		}
 		total += a.capacity.CPU
 		if a.available() {
 			free += max(a.freeCapacity.CPU, 0)
--- a/dispatcher/locality.go
+++ b/dispatcher/locality.go
@@ -264,7 +264,6 @@
 	slowness, usable := p.meanSlowness(j.Need.CPU, func(b *agent) bool { return usableFor(j, b, eligible) })
 	wait, known := d.placeWait(j, p)
 	if !usable || !known {
-		Dbg["unknown"]++
 		return false
 	}
 	estimate := d.expectedSeconds(j.Estimate)
@@ -279,28 +278,7 @@
 		d.continueWait(now, j, f)
 		return true
 	}
-	if f.headroom || f.remoteInTime() {
-		k := "notpay"
-		if f.waitPays() {
-			k = "latest"
-		}
-		if j.late {
-			k += " late"
-		}
-		if j.started {
-			k += " started"
-		}
-		if f.headroom {
-			k += " headroom"
-		}
-		if f.remoteInTime() {
-			k += " remoteok"
-		}
-		if f.localInTime() {
-			k += " localok"
-		}
-		Dbg[k]++
-		W[k] += f.wait
+	if f.mayRunElsewhere() {
 		return false
 	}
 	d.endWait(j, false)
@@ -326,7 +304,7 @@
 
 // usableFor reports whether tasks of the job can run on the agent once it has free capacity.
 func usableFor[J any](j *Job[J], a *agent, eligible func(J, string) bool) bool {
-	return a.suspendedUntil.IsZero() && !a.onProbation && !a.excluded && a.capacity.Covers(j.Need) &&
+	return !a.evacuated && a.suspendedUntil.IsZero() && !a.onProbation && !a.excluded && a.capacity.Covers(j.Need) &&
 		(j.RequiredLabel == "" || slices.Contains(a.labels, j.RequiredLabel)) && (eligible == nil || eligible(j.Value, a.name))
 }
 
@@ -424,6 +402,3 @@
 
 // seconds returns s seconds as a duration.
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
-var Dbg = map[string]int{}
-var W = map[string]float64{}
--- a/dispatcher/locality_test.go
+++ b/dispatcher/locality_test.go
@@ -103,6 +103,10 @@
 			d.Suspend(now, "near-1")
 			d.Suspend(now, "near-2")
 		},
+		"evacuated": func(d *dispatcher.Dispatcher[string], now time.Time) {
+			d.SetEvacuated("near-1", true)
+			d.SetEvacuated("near-2", true)
+		},
 		"too small": func(d *dispatcher.Dispatcher[string], now time.Time) {
 			d.AddAgent("near-1", sizer.Resources{CPU: 500}, []string{"a"})
 			d.AddAgent("near-2", sizer.Resources{CPU: 500}, []string{"a"})
--- a/starter/start.go
+++ b/starter/start.go
@@ -34,6 +34,9 @@
 		need = sizer.Slots(1)
 	}
 	if reason := s.refusalReason(from, key, m, need); reason != "" {
+		if reason == protocol.RefusalEvacuated {
+			s.evacuatedStarts++
+		}
 		s.refuseStart(from, key, m, reason)
 		return
 	}
@@ -41,7 +44,8 @@
 	s.putRecord(key, m.Ticket.Sequence, m.Task, record)
 	s.lastRunID++
 	r := &acceptedRun{
-		Run: Run{s.lastRunID, from, m.Ticket, m.Task, m.Attempt, m.Request}, key: key, record: record, need: need, sessionBound: m.SessionBound,
+		Run: Run{ID: s.lastRunID, Requester: from, Ticket: m.Ticket, Task: m.Task, Attempt: m.Attempt, Request: m.Request, RequiredLabel: m.RequiredLabel},
+		key: key, record: record, need: need, sessionBound: m.SessionBound,
 		serverIncarnation: s.profiler.Incarnation(), expected: expectedDuration(m),
 	}
 	s.runs[r.ID] = r
@@ -49,7 +53,14 @@
 		s.admission.enqueue(r)
 		return
 	}
+	s.load.countStart(s.Capacity, s.admission.used, need)
 	s.admission.reserve(r)
+	s.startRun(r)
+}
+
+// startRun starts a run whose capacity is reserved.
+func (s *Starter) startRun(r *acceptedRun) {
+	r.Used = s.admission.used
 	s.decisions.Starts = append(s.decisions.Starts, r.Run)
 }
 
@@ -58,11 +69,23 @@
 	if s.unresponsive {
 		return
 	}
-	for r := s.admission.startNext(s.Capacity); r != nil; r = s.admission.startNext(s.Capacity) {
-		s.decisions.Starts = append(s.decisions.Starts, r.Run)
+	for s.admitsNext() {
+		used := s.admission.used
+		r := s.admission.startNext(s.Capacity)
+		if r == nil {
+			return
+		}
+		s.load.countStart(s.Capacity, used, r.need)
+		s.startRun(r)
 	}
 }
 
+// admitsNext reports whether a warm-up permits the oldest queued task.
+func (s *Starter) admitsNext() bool {
+	queue := s.admission.queuedRuns
+	return len(queue) > 0 && s.load.admits(s.Capacity, s.admission.used, queue[0].need)
+}
+
 // handleStop stops session-bound tasks at the request of their owner.
 func (s *Starter) handleStop(from string, m *protocol.Stop) {
 	if m.Ticket.Owner == "" {
@@ -123,14 +146,27 @@
 		return protocol.RefusalSealed
 	case s.draining || s.releasing[from]:
 		return protocol.RefusalDraining
+	case s.evacuated:
+		return protocol.RefusalEvacuated
+	case !hasLabel(s.Labels, m.RequiredLabel):
+		return protocol.RefusalLabel
 	case s.recordCount >= s.Settings.MaxStartRecords, !s.canAccept(need):
 		return protocol.RefusalNoCapacity
 	}
 	return ""
 }
 
-// canAccept reports whether a task can be started or queued.
+// hasLabel reports whether a backend server with the given labels meets the required one.
+func hasLabel(labels []string, required string) bool {
+	return required == "" || slices.Contains(labels, required)
+}
+
+// canAccept reports whether a task can be started or queued. Nothing is queued for a cold
+// backend server: the queue would outlast several steps.
 func (s *Starter) canAccept(need sizer.Resources) bool {
+	if s.load.limited {
+		return !s.unresponsive && s.admission.canStart(s.Capacity, need) && s.load.admits(s.Capacity, s.admission.used, need)
+	}
 	return !s.unresponsive && s.admission.canStart(s.Capacity, need) || s.admission.canQueue(s.Capacity, need)
 }
 
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -27,6 +27,9 @@
 	MaxStartRecords int           // when this many are kept, further starts are refused; default 200,000
 	OwnerRetention  time.Duration // how long the start records of a lost owner are kept; default 10 min
 	ReportProfiles  bool          // report what the runs tell of the backend server
+
+	ColdOverage float64 // bound of the load of a cold backend server, as a multiple of its fair share; 0: cold servers are treated as others
+	ColdSlack   int     // tasks that are started above that bound in each warm-up
 }
 
 // Output is a message to an entry incarnation.
@@ -44,6 +47,9 @@
 	Task      int
 	Attempt   int
 	Request   protocol.Request
+
+	RequiredLabel string          // label that the backend server must have; empty: any
+	Used          sizer.Resources // by this and all other running tasks when it starts
 }
 
 // Decisions are the pending decisions of a Starter: messages to send, tasks to
@@ -95,6 +101,9 @@
 	releasing        map[string]bool      // entries whose session will be closed: they get no more capacity
 	draining         bool
 	unresponsive     bool // the backend server may not answer: no capacity is offered or used
+	evacuated        bool // the zone is evacuated: nothing is started
+	evacuatedStarts  int  // starts refused for that reason
+	load             admittedLoad
 	runs             map[uint64]*acceptedRun
 	lastRunID        uint64
 	reportedLosses   []reportedLoss // oldest first
@@ -178,10 +187,18 @@
 // UpdateOffer changes the address, capacity and labels, for example after a restart
 // of the backend server, and announces them to the entries. It also ends draining and
 // treats the backend server as responsive again. The caller has to finish the runs
-// that were started before the restart.
+// that were started before the restart. Queued tasks whose label the backend server no
+// longer has, or which no longer fit at all, are refused.
 func (s *Starter) UpdateOffer(address string, capacity sizer.Resources, labels []string) {
 	s.Address, s.Capacity, s.Labels = address, capacity, labels
 	s.draining, s.unresponsive = false, false
+	for _, r := range s.admission.removeWithoutLabel(labels) {
+		s.refuseQueued(r, protocol.RefusalLabel)
+	}
+	for _, r := range s.admission.removeLargerThan(capacity) {
+		s.refuseQueued(r, protocol.RefusalNoCapacity)
+	}
+	s.startQueued()
 	for e := range s.entries {
 		if !s.unannounced[e] {
 			s.announce(e)
