--- a/cmd/mustardctl/views.go
+++ b/cmd/mustardctl/views.go
@@ -38,8 +38,8 @@
 	for _, v := range views {
 		fmt.Printf("%-20s agents %d, suspect %d, jobs %d, unfinished %d, waiting tasks %d, free cores %s\n",
 			v.Service, v.Counts.Agents, v.Counts.SuspectAgents, v.Counts.Jobs, v.Counts.Unfinished, v.Counts.Waiting, formatCores(v.Counts.FreeMillicores))
-		printZones(v)
 		printPlacement(v)
+		printZones(v)
 		for _, a := range v.Agents {
 			fmt.Printf("  %-28s %-22s %-10s running %-4d free cores %s of %s, heard %s ago, speed %.2f%s%s\n", a.Agent, a.Address, a.Zone, a.Running,
 				formatCores(a.FreeCapacity.CPU), formatCores(a.Capacity.CPU), formatMillis(a.LastContactMillis), relativeSpeed(a.Slowness), formatHealth(a), formatProfile(a))
--- a/dispatcher/locality.go
+++ b/dispatcher/locality.go
@@ -278,7 +278,7 @@
 		d.continueWait(now, j, f)
 		return true
 	}
-	if f.headroom || f.remoteInTime() {
+	if f.mayRunElsewhere() {
 		return false
 	}
 	d.endWait(j, false)
@@ -304,7 +304,7 @@
 
 // usableFor reports whether tasks of the job can run on the agent once it has free capacity.
 func usableFor[J any](j *Job[J], a *agent, eligible func(J, string) bool) bool {
-	return a.suspendedUntil.IsZero() && !a.onProbation && !a.excluded && !a.evacuated && a.capacity.Covers(j.Need) &&
+	return !a.evacuated && a.suspendedUntil.IsZero() && !a.onProbation && !a.excluded && a.capacity.Covers(j.Need) &&
 		(j.RequiredLabel == "" || slices.Contains(a.labels, j.RequiredLabel)) && (eligible == nil || eligible(j.Value, a.name))
 }
 
--- a/dispatcher/profile.go
+++ b/dispatcher/profile.go
@@ -135,7 +135,7 @@
 
 // classifyAgents determines the agents that are known to succeed, and excludes those
 // nearly all of whose runs fail: they are always free, and would get most tasks under full
-// load. If more than half of the agents are suspended or would be excluded,
+// load. If more than half of the agents outside evacuated zones are suspended or would be excluded,
 // none is excluded: the others could not take their load. A profile without runs fades
 // within seconds, which ends the exclusion.
 func (d *Dispatcher[J]) classifyAgents() {
@@ -148,6 +148,7 @@
 		a.excluded = false
 		a.failurePenalty = min(1/(1-min(a.failureFraction(), 0.99)), maxFailurePenalty)
 		switch {
+		case a.evacuated:
 		case a.knownToSucceed():
 			d.succeeding = append(d.succeeding, a)
 		case a.failureFraction()*100 >= failingPercent && a.suspendedUntil.IsZero():
@@ -155,7 +156,7 @@
 		}
 	}
 	d.failing = failing
-	if n := len(failing); n == 0 || 2*(n+d.suspendedAgents()) > len(d.agentList) {
+	if n := len(failing); n == 0 || 2*(n+d.suspendedAgents()) > len(d.agentList)-d.evacuatedAgents {
 		return
 	}
 	for _, a := range failing {
