limiter: silent links give way sooner; notes on limits

Cause: beside 100 links that say nothing, an agent that restarts waits for room until each of them has been open for 1 s, and its own hello times out after 2 s.

Change: a link that has sent nothing is evicted after 0.2 s if room is needed.

--- a/cmd/mustardleverd/limits.go
+++ b/cmd/mustardleverd/limits.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -12,6 +13,11 @@
 	"mustardlever.dev/mustardlever/limiter"
 )
 
+// answerTimeout is the longest time in which a client must receive an answer that is
+// ready at once, as those of operators. They may be large, and a client that does not
+// read would keep them in memory. Callers' answers are small and may take long.
+const answerTimeout = 30 * time.Second
+
 // limits applies the budget of a process on the platform to its listeners.
 type limits struct {
 	budget *limiter.Budget
@@ -40,6 +46,9 @@
 		return err
 	}
 	limiter.Guard(s)
+	if pool != l.budget.Callers {
+		s.WriteTimeout = answerTimeout
+	}
 	go s.Serve(pool.Listener(listener))
 	return nil
 }
--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -63,6 +63,9 @@
 	// linkGrace protects a link that has not identified itself: its hello may be queued
 	// behind those of all agents after a restart.
 	linkGrace = time.Second
+	// silentLinkGrace protects a link that has sent nothing. An agent sends its hello at
+	// once, so it has arrived when the link is accepted.
+	silentLinkGrace = 200 * time.Millisecond
 	// backlog is the number of connections that the kernel holds before they are accepted.
 	// Each has up to receiveBuffer of data. An ordinary entry accepts 100 in a second.
 	backlog       = 1024
@@ -102,7 +105,8 @@
 	b.Operators = single("operators", connectionCost, operatorDescriptors, operatorsShare)
 	b.Reports = single("reports", connectionCost, reportDescriptors, reportsShare)
 	b.Links = single("links", linkCost, linkDescriptors, linksShare)
-	b.Links.plain, b.Links.patient, b.Links.ledger.Grace = true, true, linkGrace
+	b.Links.plain, b.Links.patient = true, true
+	b.Links.ledger.Grace, b.Links.ledger.SilentGrace = linkGrace, silentLinkGrace
 	return b
 }
 
--- a/limiter/ledger.go
+++ b/limiter/ledger.go
@@ -84,6 +84,7 @@
 	MaxConnections int           // default: bounded only by the limit of Connections
 	MaxLarge       int           // requests that are being read and not small; default: unlimited
 	Grace          time.Duration // age up to which a small request is not evicted; default 250 ms
+	SilentGrace    time.Duration // the same, of a connection that has sent nothing; default Grace
 
 	limits [accounts]int64
 	shared bool // all accounts draw on the limit of Connections
@@ -279,7 +280,7 @@
 	for _, queue := range []*list.List{l.idle, l.large, l.small} {
 		v := l.next(queue, taken, h, a)
 		switch {
-		case v == nil, queue == l.small && now.Sub(v.since) < cmp.Or(l.Grace, smallGrace):
+		case v == nil, queue == l.small && now.Sub(v.since) < l.graceOf(v):
 		case queue != l.idle && !small && !v.since.Before(h.since):
 		default:
 			return v
@@ -288,6 +289,14 @@
 	return nil
 }
 
+// graceOf returns the age up to which a small request is not evicted.
+func (l *Ledger) graceOf(h *Holder) time.Duration {
+	if h.received == 0 && l.SilentGrace > 0 {
+		return l.SilentGrace
+	}
+	return cmp.Or(l.Grace, smallGrace)
+}
+
 // next returns the holder in a queue to evict next, other than h and those taken, or
 // nil.
 func (l *Ledger) next(queue *list.List, taken map[*Holder]bool, h *Holder, a Account) *Holder {
--- a/limiter/ledger_test.go
+++ b/limiter/ledger_test.go
@@ -108,6 +108,18 @@
 	require.Equal(t, []*Holder{first}, l.TakeEvicted())
 }
 
+// Guards against an agent's link that waits for room until silent links have used up the
+// grace of those that sent a hello.
+func TestSilentConnectionIsEvictedSooner(t *testing.T) {
+	l := newTestLedger()
+	l.MaxConnections, l.Grace, l.SilentGrace = 2, time.Second, 200*time.Millisecond
+	talking, silent := open(t, l, start), open(t, l, at(time.Millisecond))
+	l.Receive(talking, 100)
+	require.Equal(t, Refused, l.Open(at(150*time.Millisecond), new(Holder), 1000))
+	require.Equal(t, Granted, l.Open(at(300*time.Millisecond), new(Holder), 1000))
+	require.Equal(t, []*Holder{silent}, l.TakeEvicted())
+}
+
 // Guards against large requests that take the processor from ordinary callers.
 func TestLargeRequestsAreFew(t *testing.T) {
 	l := newTestLedger()
