limiter: say which costs are estimates

Cause: comments gave figures for a fifth of a core that were not measured.

Change: they say what is estimated or chosen. No code changes.

Measured: go test ./limiter ./platform passes.

--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -46,10 +46,9 @@
 	readinessDescriptors = 0.05
 	reportDescriptors    = 0.10
 
-	// Requests that are not small and are read at the same time. Each has a share of the
-	// processor: on a fifth of a core, parsing 16 KiB of chunks of 4 bytes takes 3 ms, for
-	// which ordinary callers wait. Jobs have bodies of about 1 KiB, and an agent gets the
-	// reports of one backend server.
+	// Requests that are not small and are read at the same time. Each takes processor time
+	// from ordinary callers, most with very small chunks. Jobs have bodies of about 1 KiB,
+	// and an agent gets the reports of one backend server. The numbers are chosen.
 	maxLargeCallers = 64
 	maxLargeOthers  = 16
 
--- a/limiter/cost.go
+++ b/limiter/cost.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// connectionCost is the cost of a connection without a request: two goroutines, the
-	// buffers of net/http, and receiveBuffer with the kernel's own overhead.
+	// connectionCost is the cost of a connection without a request, by estimate: two
+	// goroutines and the buffers of net/http, 24 KiB, and receiveBuffer twice.
 	connectionCost = 40 << 10
 	// linkCost is the cost of a link whose peer has not identified itself, beside the bytes
 	// that it sent: a connection and the buffer of its stream.
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// grantTimeout limits the wait for evicted connections to end. Their goroutines wake at
-	// once; on a saturated fifth of a core some hundred of them took less.
+	// grantTimeout limits the wait for evicted connections to end. Their goroutines are
+	// woken by the eviction and only have to run.
 	grantTimeout = time.Second
 	// openRetry and openTimeout apply to a new link while no other may be evicted: it waits
 	// instead of being refused, since it may be that of an agent.
