--- a/cmd/mustardleverd/hosted_entry.go
+++ b/cmd/mustardleverd/hosted_entry.go
@@ -46,10 +46,10 @@
 			publishVariables(e.Traffic(), r)
 			store := newStore(p, log, metrics)
 			store.ConfigurationProgress = e.RecordSourceProgress
+			go logPlacement(ctx, e, log)
 			if p.Platform.EvacuationMillis > 0 {
 				store.ObserveEvacuations = func(r evacuator.Report) { e.AdoptEvacuations(r, "store") }
 			}
-			go logPlacement(ctx, e, log)
 			go newHostedFollower(store, e, log).Run(ctx)
 			go newRegistrar(store, &registrar.Registration{Name: p.Name, Address: e.Identity().Address}, e, log).Run(ctx)
 			go limits.watch(ctx, log)
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -26,10 +26,10 @@
 	MaxResultBytes  int           // bytes of results retained for backups; default 16 MiB
 	MaxStartRecords int           // when this many are kept, further starts are refused; default 200,000
 	OwnerRetention  time.Duration // how long the start records of a lost owner are kept; default 10 min
+	ReportProfiles  bool          // report what the runs tell of the backend server
 
-	ColdOverage    float64 // bound of the load of a cold backend server, as a multiple of its fair share; 0: cold servers are treated as others
-	ColdSlack      int     // tasks that are started above that bound in each warm-up
-	ReportProfiles bool    // report what the runs tell of the backend server
+	ColdOverage float64 // bound of the load of a cold backend server, as a multiple of its fair share; 0: cold servers are treated as others
+	ColdSlack   int     // tasks that are started above that bound in each warm-up
 }
 
 // Output is a message to an entry incarnation.
