mustardctl: job plan explains where a job would go

Cause: operators could not see why a task goes to an agent, waits or is refused without submitting a job and reading logs.

Change: POST /v1/plan at an entry's operator address. The dispatcher takes its decisions on a copy of its state, the coordinator uses the checks of RunSync, and the reply is the one that a submission gets. For that, Next, bestAgent, RunSync and abort are divided into functions that both use; their decisions are unchanged.

--- a/cmd/mustardctl/job.go
+++ b/cmd/mustardctl/job.go
@@ -143,10 +143,11 @@
 func jobCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "job",
-		Usage: "show or cancel a job by its ticket",
+		Usage: "show or cancel a job by its ticket, or explain where a job would go",
 		Commands: []*cli.Command{
 			{Name: "show", ArgsUsage: "TICKET", Flags: []cli.Flag{entryFlag(), jsonFlag()}, Action: ticketAction((*submitter.Client).Find)},
 			{Name: "cancel", ArgsUsage: "TICKET", Flags: []cli.Flag{entryFlag(), jsonFlag()}, Action: ticketAction((*submitter.Client).Cancel)},
+			planCommand(),
 		},
 	}
 }
--- a/cmd/mustardctl/main.go
+++ b/cmd/mustardctl/main.go
@@ -24,6 +24,8 @@
   mustardctl submit --entry http://127.0.0.1:7201 --service access-desk --file job.json --json
   mustardctl job show --entry http://127.0.0.1:7201 TICKET
   mustardctl job cancel --entry http://127.0.0.1:7201 TICKET
+  mustardctl job plan --operator 127.0.0.1:7301 examples/plan.json
+  mustardctl -o json job plan --operator 127.0.0.1:7301 --service access-desk job.json
   mustardctl process --operator 127.0.0.1:7301 --operator 127.0.0.1:7302
   mustardctl services --operator 127.0.0.1:7301
   mustardctl jobs --operator 127.0.0.1:7301 --operator 127.0.0.1:7302
--- a/cmd/mustardleverd/hosted_entry.go
+++ b/cmd/mustardleverd/hosted_entry.go
@@ -37,6 +37,7 @@
 	readinessServer := newReadinessServer(readinessHandler(e))
 	source := entrySource(e, r, metrics)
 	source.Configuration = e.Configuration
+	source.Plan = func(r server.PlanRequest) (server.PlanView, error) { return e.Plan(r, platform.DecodePlanned) }
 	operatorServer := operator.New(source)
 	ctx, cancel := context.WithCancel(context.Background())
 	l.Append(fx.Hook{
--- a/coordinator/ending.go
+++ b/coordinator/ending.go
@@ -30,6 +30,18 @@
 	}
 }
 
+// stoppedAnswer returns the answer to a stopped job. It has a retry delay if nothing ran.
+func (c *Coordinator) stoppedAnswer(j *job) *Answer {
+	a := j.newAnswer(StateFailed, j.stopReason)
+	if !a.MayHaveRun() {
+		a.RetryAfter = c.retryAfter()
+		if j.stopReason == protocol.ReasonEvacuated {
+			a.RetryAfter = evacuatedRetryAfter
+		}
+	}
+	return a
+}
+
 // abort ends a job with session-bound tasks: it is answered at once, and its
 // running tasks are stopped.
 func (c *Coordinator) abort(now time.Time, j *job) {
@@ -46,14 +58,7 @@
 	c.removeStarts(j)
 	j.replaceState(sent, unknown)
 	j.replaceState(leaseExpiring, unknown)
-	a := j.newAnswer(StateFailed, j.stopReason)
-	if !a.MayHaveRun() {
-		a.RetryAfter = c.retryAfter()
-		if j.stopReason == protocol.ReasonEvacuated {
-			a.RetryAfter = evacuatedRetryAfter
-		}
-	}
-	c.end(now, j, a)
+	c.end(now, j, c.stoppedAnswer(j))
 }
 
 // removeStarts removes all outstanding starts of a job.
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -128,6 +128,18 @@
 
 // newJob adds a job whose tasks are all pending. It does not queue it.
 func (c *Coordinator) newJob(now time.Time, key jobKey, spec Job) *job {
+	j := c.buildJob(now, key, spec)
+	c.jobs[key] = j
+	c.active[j] = true
+	if j.name != "" {
+		c.byName[j.name] = j
+	}
+	c.decide("job-submitted", j, -1, "", "")
+	return j
+}
+
+// buildJob returns a job that is not held yet.
+func (c *Coordinator) buildJob(now time.Time, key jobKey, spec Job) *job {
 	deadline := c.Settings.MaxDeadline
 	if spec.DeadlineMillis > 0 {
 		deadline = min(deadline, time.Duration(spec.DeadlineMillis)*time.Millisecond)
@@ -141,11 +153,5 @@
 		j.tasks[i].attempt = spec.Restart.FirstAttempt
 	}
 	j.queueItem = spec.newQueueItem(now, j)
-	c.jobs[key] = j
-	c.active[j] = true
-	if j.name != "" {
-		c.byName[j.name] = j
-	}
-	c.decide("job-submitted", j, -1, "", "")
 	return j
 }
--- a/coordinator/progress.go
+++ b/coordinator/progress.go
@@ -21,14 +21,7 @@
 
 // dispatch starts waiting tasks while agents have free capacity.
 func (c *Coordinator) dispatch(now time.Time) {
-	var checked *job
-	startable := false
-	eligible := func(j *job, agent string) bool {
-		if j != checked {
-			checked, startable = j, j.startable(now)
-		}
-		return startable && c.eligible(j, agent)
-	}
+	eligible := c.eligibility(now)
 	for {
 		j, name, ok := c.queue.Next(now, eligible)
 		if !ok {
@@ -38,6 +31,19 @@
 	}
 }
 
+// eligibility returns the function that reports whether an agent may be used for a job
+// now. It examines each job once as long as the calls for a job follow one another.
+func (c *Coordinator) eligibility(now time.Time) func(j *job, agent string) bool {
+	var checked *job
+	startable := false
+	return func(j *job, agent string) bool {
+		if j != checked {
+			checked, startable = j, j.startable(now)
+		}
+		return startable && c.eligible(j, agent)
+	}
+}
+
 // startable reports whether tasks of the job may be started now: its deadline has not
 // passed, and a caller waits for it. Otherwise it ends soon.
 func (j *job) startable(now time.Time) bool { return now.Before(j.deadline) && !j.abandoned() }
--- a/coordinator/sync.go
+++ b/coordinator/sync.go
@@ -21,20 +21,16 @@
 // answer if it is available at once. If RunSync returns an error, no task was or
 // will be started.
 func (c *Coordinator) RunSync(now time.Time, spec Job) (uint64, *Answer, error) {
-	if c.IsCancelled != nil && c.IsCancelled(spec.Name) {
-		return 0, &Answer{State: StateFailed, Reason: protocol.ReasonJobCancelled}, nil
+	if a := c.cancelledAnswer(spec.Name); a != nil {
+		return 0, a, nil
 	}
 	if j := c.byName[spec.Name]; j != nil {
 		j.callersLeft = append(j.callersLeft, spec.CallerLeft)
 		return j.key.sequence, nil, nil // the caller joins the unfinished job
 	}
 	held, overloaded := c.stoppedNames[spec.Name] > 0, c.overloaded()
-	switch {
-	case held: // tasks of an earlier copy may run: the caller must not take it for refused
-	case c.draining:
-		return 0, nil, &Error{Op: "run", Kind: KindDraining, Detail: "the entry is draining"}
-	case overloaded:
-		return 0, nil, &Error{Op: "run", Kind: KindOverload, Detail: "the queue or the job table is full"}
+	if err := c.admissionError(held, overloaded); err != nil {
+		return 0, nil, err
 	}
 	number := c.nextSequence
 	c.nextSequence++
@@ -43,19 +39,11 @@
 	if held {
 		c.holdBack(j)
 	}
-	givenUp, undecided := c.hasExhaustedTask(now, j)
+	reason, undecided := c.arrivalStopReason(now, j, overloaded)
 	j.suspended = undecided
 	switch {
-	case c.draining:
-		c.stop(now, j, protocol.ReasonStopping)
-	case overloaded:
-		c.stop(now, j, protocol.ReasonOverload)
-	case c.queue.TooLarge(j.queueItem.Need):
-		c.stop(now, j, protocol.ReasonNoFit)
-	case givenUp:
-		c.stop(now, j, protocol.ReasonServersLost)
-	case c.onlyEvacuated(now, j):
-		c.stop(now, j, protocol.ReasonEvacuated)
+	case reason != "":
+		c.stop(now, j, reason)
 	case held: // queued when the stops have taken effect
 	default:
 		c.enqueue(j)
@@ -64,6 +52,47 @@
 	return number, j.answer, nil
 }
 
+// cancelledAnswer returns the answer to a job that was cancelled, nil if it was not.
+func (c *Coordinator) cancelledAnswer(name string) *Answer {
+	if c.IsCancelled == nil || !c.IsCancelled(name) {
+		return nil
+	}
+	return &Answer{State: StateFailed, Reason: protocol.ReasonJobCancelled}
+}
+
+// admissionError returns why a new job is not accepted, nil if it is. Held means that tasks
+// of an earlier copy may run: the caller must not take the job for refused.
+func (c *Coordinator) admissionError(held, overloaded bool) error {
+	switch {
+	case held:
+		return nil
+	case c.draining:
+		return &Error{Op: "run", Kind: KindDraining, Detail: "the entry is draining"}
+	case overloaded:
+		return &Error{Op: "run", Kind: KindOverload, Detail: "the queue or the job table is full"}
+	}
+	return nil
+}
+
+// arrivalStopReason returns why an accepted job ends on arrival, "" if it does not.
+// Undecided means that it waits until it is known whether a task of it is given up.
+func (c *Coordinator) arrivalStopReason(now time.Time, j *job, overloaded bool) (reason protocol.Reason, undecided bool) {
+	givenUp, undecided := c.hasExhaustedTask(now, j)
+	switch {
+	case c.draining:
+		reason = protocol.ReasonStopping
+	case overloaded:
+		reason = protocol.ReasonOverload
+	case c.queue.TooLarge(j.queueItem.Need):
+		reason = protocol.ReasonNoFit
+	case givenUp:
+		reason = protocol.ReasonServersLost
+	case c.onlyEvacuated(now, j):
+		reason = protocol.ReasonEvacuated
+	}
+	return reason, undecided
+}
+
 // CancelSync ends a synchronous job whose caller no longer waits.
 func (c *Coordinator) CancelSync(now time.Time, sequence uint64) {
 	if j := c.jobs[jobKey{c.Self, sequence}]; j != nil {
@@ -107,11 +136,13 @@
 // the capacity that other jobs leave. It is aborted as soon as the queue needs
 // more time to drain than the job has left, so that its caller learns of it early.
 func (c *Coordinator) cannotMeetDueTime(now time.Time, j *job) bool {
-	if c.Settings.UsefulFactor <= 0 || !j.restartable || j.queueItem.Due.IsZero() || j.queueItem.Waiting == 0 {
+	if j.queueItem.Waiting == 0 {
+		return false
+	}
+	remaining, limited := c.usefulWait(now, j)
+	if !limited {
 		return false
 	}
-	usefulTime := time.Duration(c.Settings.UsefulFactor * float64(j.queueItem.Due.Sub(j.submittedAt)))
-	remaining := j.submittedAt.Add(usefulTime).Sub(now) - j.queueItem.Estimate
 	if remaining < 0 {
 		return true
 	}
@@ -119,6 +150,16 @@
 	return known && j.queueItem.Late() && !j.mayHaveRun() && drainSeconds > remaining.Seconds()
 }
 
+// usefulWait returns how long the job's next task may wait for the answer to be of use.
+// Limited is false if that has no limit.
+func (c *Coordinator) usefulWait(now time.Time, j *job) (remaining time.Duration, limited bool) {
+	if c.Settings.UsefulFactor <= 0 || !j.restartable || j.queueItem.Due.IsZero() {
+		return 0, false
+	}
+	usefulTime := time.Duration(c.Settings.UsefulFactor * float64(j.queueItem.Due.Sub(j.submittedAt)))
+	return j.submittedAt.Add(usefulTime).Sub(now) - j.queueItem.Estimate, true
+}
+
 // mayHaveRun reports whether any task may have been executed.
 func (j *job) mayHaveRun() bool {
 	for i := range j.tasks {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -60,6 +60,7 @@
 	queued   bool
 	wait     wait // for capacity on an agent with the preferred label
 	retry    retryWait
+	compared *comparison // set by Plan: receives what the job's place was compared with
 }
 
 // Dispatcher holds the queue of one service and the free capacity of its
@@ -103,9 +104,12 @@
 	}
 	d.epoch, d.rateUpdatedAt, d.agedAt = now, now, now
 	d.agents = make(map[string]*agent)
-	d.jobs = btree.NewG(treeDegree, func(a, b *Job[J]) bool {
-		return a.key < b.key || a.key == b.key && a.sequence < b.sequence
-	})
+	d.jobs = btree.NewG(treeDegree, before[J])
+}
+
+// before reports whether a comes before b in the queue.
+func before[J any](a, b *Job[J]) bool {
+	return a.key < b.key || a.key == b.key && a.sequence < b.sequence
 }
 
 // Late reports whether the job can no longer meet its due time.
@@ -317,10 +321,19 @@
 // task as started and reserves its capacity on the agent. Eligible reports
 // whether an agent may be used for a job; nil allows every agent.
 func (d *Dispatcher[J]) Next(now time.Time, eligible func(J, string) bool) (j *Job[J], name string, ok bool) {
-	if d.jobs.Len() == 0 {
+	j, chosen := d.choose(now, eligible)
+	if chosen == nil {
 		return nil, "", false
 	}
-	var chosen *agent
+	d.start(now, j, chosen)
+	return j, chosen.name, true
+}
+
+// choose chooses a job and an agent for one of its waiting tasks, nil if none can start.
+func (d *Dispatcher[J]) choose(now time.Time, eligible func(J, string) bool) (j *Job[J], chosen *agent) {
+	if d.jobs.Len() == 0 {
+		return nil, nil
+	}
 	scanned := 0
 	d.scan++
 	d.aheadElsewhere = 0
@@ -341,9 +354,11 @@
 		}
 		return scanned < maxScannedJobs
 	})
-	if chosen == nil {
-		return nil, "", false
-	}
+	return j, chosen
+}
+
+// start counts a task of the job as started on chosen.
+func (d *Dispatcher[J]) start(now time.Time, j *Job[J], chosen *agent) {
 	chosen.addStart(j.Need)
 	j.Waiting--
 	d.waiting--
@@ -353,7 +368,6 @@
 	d.endWaitByStart(now, j, chosen)
 	d.endRetryByStart(j, chosen)
 	d.markStarted(j)
-	return j, chosen.name, true
 }
 
 // markStarted records that a task of the job was started. Its other tasks then
@@ -402,27 +416,15 @@
 		return d.chooseBaseline(j, eligible)
 	}
 	estimate := d.expectedSeconds(j.Estimate)
-	maxSeconds := math.Inf(1)
-	if !j.Due.IsZero() && !j.late && now.Before(d.latestStart(j)) {
-		maxSeconds = j.Due.Sub(now).Seconds()
-	}
+	maxSeconds := d.maxRunSeconds(now, j)
 	spread := d.hasFree(lateHeadroom) // otherwise every agent's capacity is needed
 	var bestAgent *agent
 	var leastCost float64
 	for _, a := range agents {
-		if !a.available() || !a.freeCapacity.Covers(j.Need) || j.RequiredLabel != "" && !slices.Contains(a.labels, j.RequiredLabel) {
-			continue
-		}
-		if estimate*a.slowness > maxSeconds {
+		if !canStart(j, a) || estimate*a.slowness > maxSeconds {
 			continue
 		}
-		cost := a.cost(estimate)
-		if spread && a.failurePenalty > 1 {
-			cost *= a.failurePenalty
-		}
-		if j.PreferredLabel != "" && !slices.Contains(a.labels, j.PreferredLabel) {
-			cost *= d.remoteFactor()
-		}
+		cost := d.taskCost(j, a, estimate, spread)
 		if (bestAgent == nil || cost < leastCost) && (eligible == nil || eligible(j.Value, a.name)) {
 			bestAgent, leastCost = a, cost
 		}
@@ -430,6 +432,39 @@
 	return bestAgent
 }
 
+// maxRunSeconds returns the time that a task of the job may take for the job to meet its due
+// time. It is infinite for a job without a due time, and for one that can no longer meet it.
+func (d *Dispatcher[J]) maxRunSeconds(now time.Time, j *Job[J]) float64 {
+	if !j.Due.IsZero() && !j.late && now.Before(d.latestStart(j)) {
+		return j.Due.Sub(now).Seconds()
+	}
+	return math.Inf(1)
+}
+
+// canStart reports whether a task of the job can start on the agent now, by the agent's
+// state, free capacity and labels.
+func canStart[J any](j *Job[J], a *agent) bool {
+	return a.available() && a.freeCapacity.Covers(j.Need) && (j.RequiredLabel == "" || slices.Contains(a.labels, j.RequiredLabel))
+}
+
+// taskCost returns the cost by which agents are compared for a task of the job. Spread
+// means that the agent's failures by its profile count.
+func (d *Dispatcher[J]) taskCost(j *Job[J], a *agent, estimate float64, spread bool) float64 {
+	cost := a.cost(estimate)
+	if spread && a.failurePenalty > 1 {
+		cost *= a.failurePenalty
+	}
+	if !near(j, a) {
+		cost *= d.remoteFactor()
+	}
+	return cost
+}
+
+// near reports whether the agent is close to the job's data, or the job prefers no label.
+func near[J any](j *Job[J], a *agent) bool {
+	return j.PreferredLabel == "" || slices.Contains(a.labels, j.PreferredLabel)
+}
+
 // TooLarge reports whether the need of a task exceeds, in any resource, the
 // capacity of every agent seen so far. It is false before the first agent.
 func (d *Dispatcher[J]) TooLarge(need sizer.Resources) bool {
--- a/dispatcher/locality.go
+++ b/dispatcher/locality.go
@@ -274,6 +274,9 @@
 	if !j.Due.IsZero() {
 		f.slack = j.Due.Sub(now).Seconds()
 	}
+	if j.compared != nil {
+		*j.compared = comparison{forecast: f, elsewhere: a.name, known: true}
+	}
 	if f.waitPays() && d.mayWait(now, j, f) {
 		d.continueWait(now, j, f)
 		return true
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -10,6 +10,7 @@
 //	GET /v1/jobs       unfinished jobs of each service (entries)
 //	GET /v1/configuration  the configuration in use (entries)
 //	GET /v1/backend-server  the backend server and its active runs (agents on the users' platform)
+//	POST /v1/plan      where a job would go now (entries on the users' platform)
 //	GET /v1/events     recorded events; query owner, number, service, kind, since
 package operator
 
@@ -73,6 +74,7 @@
 	Jobs          func() []server.JobsView
 	Configuration func() server.ConfigurationView
 	BackendServer func() executor.View
+	Plan          func(server.PlanRequest) (server.PlanView, error) // changes no state
 	Recorder      *recorder.Recorder
 }
 
@@ -93,6 +95,9 @@
 	servePage(g, "/v1/jobs", s.Jobs)
 	servePage(g, "/v1/configuration", s.Configuration)
 	servePage(g, "/v1/backend-server", s.BackendServer)
+	if s.Plan != nil {
+		g.POST(planPath, s.servePlan)
+	}
 	return &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
--- a/server/error.go
+++ b/server/error.go
@@ -16,6 +16,7 @@
 	KindBadRequest     Kind = "bad-request"
 	KindTooLarge       Kind = "too-large"
 	KindOwnerLost      Kind = "owner-lost"
+	KindNoRoute        Kind = "no-route"
 	KindUnsupported    Kind = "unsupported" // the job needs a feature that is not supported
 )
 
