server: tests of cancels run after the simulation of restarts

Cause: TestNoTaskRunsTwiceAtTheSameTime stood still in 1 of 10 runs of the package and in 1 of 6 runs beside only the tests of cancels: they use real connections and ran before it, and the JSON-RPC library keeps channels of earlier calls, which block the clock of a synctest bubble. The stack shows such a call as the only one that does not wait durably.

Change: the file's name puts them after it, as with shard_test.go. No check changes.

--- a/server/cancel_test.go
+++ b/server/submission_cancel_test.go
@@ -1,5 +1,10 @@
 package server
 
+// The tests of this file use real connections. The JSON-RPC library keeps channels of earlier
+// calls for later ones; one that was made outside a synctest bubble blocks the bubble's clock.
+// They therefore have to run after TestNoTaskRunsTwiceAtTheSameTime, which the name of the
+// file ensures, as for shard_test.go.
+
 import (
 	"strconv"
 	"sync"
