Requests that a cut of the network held up wait for the end of their connection

Change: package cutdetector: all peers were silent for 0.5 s or more. Then the first request on each connection that is older than the end of the silence waits 25 ms, after which the kernel is asked whether the caller has left, as before. That ends after the length of the cut and 0.5 s, which the doubling of retransmission times implies, at most 30 s. A request after an answer does not wait. Metric requests_held_up. No message and no call.

--- a/cmd/mustardleverd/gauges.go
+++ b/cmd/mustardleverd/gauges.go
@@ -33,6 +33,7 @@
 	registerSessionGauge(metrics, "sessions_with_entries", protocol.RoleEntry, e.Peers)
 	registerSessionGauge(metrics, "sessions_with_agents", protocol.RoleAgent, e.Peers)
 	registerPanicGauge(metrics, e.Traffic())
+	metrics.Gauge("requests_held_up", func() float64 { return float64(e.HeldUpRequests()) })
 	metrics.Gauge("cancels_in_force", func() float64 { n, _ := e.CancelCounts(); return float64(n) })
 	metrics.Gauge("cancels_not_kept", func() float64 { _, n := e.CancelCounts(); return float64(n) })
 	metrics.Gauge("agents", sum(func(c coordinator.Counts) int { return c.Agents }))
--- a/conninspector/inspector.go
+++ b/conninspector/inspector.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -16,10 +17,28 @@
 // connKey is the context key of the connection of a request.
 type connKey struct{}
 
-// WithConn returns a context that carries the connection. It is meant for
+// inspected is the connection of a request.
+type inspected struct {
+	net.Conn
+	lastRequest atomic.Int64 // Unix ns; before the first request: the begin of the connection
+}
+
+// WithConn returns a context that carries the connection, which begins now. It is meant for
 // http.Server.ConnContext.
 func WithConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
+	i := &inspected{Conn: c}
+	i.lastRequest.Store(time.Now().UnixNano())
+	return context.WithValue(ctx, connKey{}, i)
+}
+
+// LastRequest records a request on the connection that ctx carries. It returns the time of
+// the request before, or that of the begin of the connection, or zero if ctx carries none.
+func LastRequest(ctx context.Context) time.Time {
+	i, ok := ctx.Value(connKey{}).(*inspected)
+	if !ok {
+		return time.Time{}
+	}
+	return time.Unix(0, i.lastRequest.Swap(time.Now().UnixNano()))
 }
 
 // HungUp reports whether the peer has closed or reset the connection that ctx carries,
@@ -49,7 +68,11 @@
 // inspect calls f with the descriptor of the connection that ctx carries, if it is an
 // open socket.
 func inspect(ctx context.Context, f func(fd int)) {
-	c, ok := ctx.Value(connKey{}).(syscall.Conn)
+	i, ok := ctx.Value(connKey{}).(*inspected)
+	if !ok {
+		return
+	}
+	c, ok := i.Conn.(syscall.Conn)
 	if !ok {
 		return
 	}
--- a/server/entry.go
+++ b/server/entry.go
@@ -55,6 +55,7 @@
 	shards     shardTable
 	calls      pendingCalls
 	cancels    cancels
+	cuts       cuts
 	ctx        context.Context
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
@@ -224,6 +225,7 @@
 			e.applyAndWake(s, func(c *coordinator.Coordinator, now time.Time) { c.Tick(now) })
 		}
 		e.fetchRoutes(time.Now())
+		e.observeContact(time.Now())
 	}
 }
 
--- a/server/sync.go
+++ b/server/sync.go
@@ -21,6 +21,7 @@
 	Deadline   time.Duration                            // how long the caller waits; 0: unspecified
 	Decode     func(id string) (coordinator.Job, error) // decodes the job; id is the path without the prefix of the route
 	CallerLeft func() bool                              // reports whether the caller has closed its connection; nil: only the context shows it
+	Since      time.Time                                // last sign of the caller on its connection before this request; zero: not known
 	Age        func() time.Duration                     // time since the request arrived, also while it was not read; nil: time since SubmitSync was called
 }
 
@@ -89,6 +90,7 @@
 	}
 	job.Restart = coordinator.RestartPolicy{MaxAttempts: route.MaxAttempts, FirstAttempt: firstAttemptNumber(startedAt)}
 	job.Due, job.Priority = route.Due(job.LongestEstimate()), route.Priority
+	e.awaitEndOfConnection(ctx, request.Since)
 	remaining := request.remaining(startedAt)
 	if reply, gone := request.callerGone(ctx, remaining); gone {
 		return e.finishSync(request, route, startedAt, reply, nil)
