Divide an agent's free capacity among entries by their backlog

With ten entries each agent told six of them of the same free capacity, and they sent starts for it: 7 to 14% of the starts were refused in a replay of ten entries with uneven arrivals on 59 agents, and an entry kept the capacity that its own tasks released, however long the queues elsewhere were.

While share-demand is set and more entries are known than a process connects to, starts carry the work that waits at the entry and the need of its next task, and entries report both to a few agents while work waits. The agent offers each part of its free capacity to one entry only: in proportion to the backlogs, or to the recent use if no entry has one. Late jobs that wait for headroom are no backlog, and headroom counts what is offered elsewhere. Servers that are just fast enough without the time to the start are skipped, since an entry that sees a part of the capacity would choose them more often.

With the setting off the recorded decisions are unchanged.

--- a/cmd/mustardleverd/hosted_entry.go
+++ b/cmd/mustardleverd/hosted_entry.go
@@ -69,6 +69,7 @@
 	e := &server.Entry{
 		Settings: server.EntrySettings{
 			Identity: identity(p), Entries: p.Entries, AddAnnouncedServices: true, Messenger: hostedMessengerSettings(),
+			ShareDemand: p.Platform.ShareDemand,
 			Coordinator: coordinator.Settings{MaxDeadline: hostedDefaultDeadline, UsefulFactor: hostedUsefulFactor, LeaseExpiryWait: hostedSessionTimeout + hostedStopTime + hostedRenewalCutoff + hostedLease,
 				Dispatcher: dispatcher.Settings{Baseline: baseline}},
 		},
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -88,6 +88,9 @@
 	// session; nil: there are none.
 	ConnectedEntries func() []string
 
+	// SharesDemand reports whether entries share their demand now; nil: never.
+	SharesDemand func() bool
+
 	startedAt          time.Time
 	nextSequence       uint64          // sequence number of the next ticket
 	issued             []ticketRange   // tickets that have not expired, oldest first
@@ -110,6 +113,7 @@
 	queue              dispatcher.Dispatcher[*job]
 	losses             lossTable
 	leaseExpiring      map[*job]bool // jobs that wait for tasks on lost agents to stop
+	sharing            bool          // entries share their demand, as of the last Tick
 	draining           bool
 	handedOver         bool      // unfinished jobs were handed over to their backups
 	lastClosedAt       time.Time // when closedBelow was last updated
--- a/coordinator/progress.go
+++ b/coordinator/progress.go
@@ -70,6 +70,7 @@
 	c.send(a.name, protocol.Message{Start: &protocol.Start{
 		Agent: a.name, Ticket: j.ticket(c.Self), Task: i, Attempt: j.tasks[i].attempt,
 		Request: j.requests[i], SessionBound: j.restartable,
+		Backlog: c.backlogForStart(now, a.name),
 	}})
 }
 
--- a/coordinator/tick.go
+++ b/coordinator/tick.go
@@ -36,6 +36,7 @@
 		c.advanceClosedBelow()
 	}
 	c.dispatch(now)
+	c.reportDemand(now)
 }
 
 // checkJob applies the time limits of a job.
--- a/dispatcher/agent.go
+++ b/dispatcher/agent.go
@@ -24,6 +24,10 @@
 type Load struct {
 	Free     sizer.Resources `json:"free"`
 	Received uint64          `json:"received"`
+
+	// OfferedElsewhere is free capacity, in thousandths of a core, that is not part of
+	// Free because it was offered to other entries.
+	OfferedElsewhere int `json:"offered-elsewhere,omitempty"`
 }
 
 // unreportedStart is a start that the agent's last Load did not include.
@@ -38,6 +42,9 @@
 	capacity            sizer.Resources
 	labels              []string
 	reportedFree        sizer.Resources // from the last Load
+	offeredElsewhere    int             // from the last Load
+	reportedBacklog     int             // work of the last Backlog sent to it
+	backlogReportedAt   time.Time       // zero: none was sent
 	startsSent          uint64          // number of starts sent; also the sequence number of the last one
 	unreported          []unreportedStart
 	freeCapacity        sizer.Resources // reportedFree minus the unreported starts
@@ -66,7 +73,7 @@
 		k++
 	}
 	a.unreported = a.unreported[k:]
-	a.reportedFree = l.Free
+	a.reportedFree, a.offeredElsewhere = l.Free, l.OfferedElsewhere
 	a.updateFreeCapacity()
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -64,12 +64,16 @@
 	lastSequence    uint64
 	waiting         int             // number of waiting tasks
 	waitingWork     float64         // work of all waiting tasks, in thousandths of a core times seconds
+	heldBackWork    float64         // the part of waitingWork of late jobs without a started task
+	headroom        bool            // whether late jobs could start at the last call of Next
 	startedWork     float64         // work started since rateUpdatedAt
 	startRate       float64         // work started per second while tasks wait
 	rateObserved    float64         // seconds over which startRate was observed, at most rateWindow
 	rateUpdatedAt   time.Time       // time of the last update of startRate
 	meanSeconds     float64         // moving average of task durations over all agents
 	largestCapacity sizer.Resources // largest amount of each resource that any agent ever had
+	firstToReport   int             // index in agentList of the agent that learns of a backlog first
+	reportsBacklog  bool            // ReportBacklog was called since StopReportingBacklog
 	lastAgentIndex  int             // index in agentList of the agent used last, for BaselineRoundRobin
 }
 
@@ -85,6 +89,9 @@
 	})
 }
 
+// heldBack reports whether the job starts only while there is headroom.
+func (j *Job[J]) heldBack() bool { return j.late && !j.started }
+
 // Late reports whether the job can no longer meet its due time.
 func (j *Job[J]) Late() bool { return j.late }
 
@@ -157,6 +164,7 @@
 	for _, j := range late {
 		d.jobs.Delete(j)
 		j.late = true
+		d.heldBackWork += d.jobWork(j)
 		j.key = d.rank(j)
 		d.jobs.ReplaceOrInsert(j)
 	}
@@ -186,6 +194,9 @@
 	j.queued = true
 	d.waiting += waiting
 	d.waitingWork += d.jobWork(j)
+	if j.heldBack() {
+		d.heldBackWork += d.jobWork(j)
+	}
 	d.jobs.ReplaceOrInsert(j)
 }
 
@@ -198,6 +209,9 @@
 	j.queued = false
 	d.waiting -= j.Waiting
 	d.waitingWork -= d.jobWork(j)
+	if j.heldBack() {
+		d.heldBackWork -= d.jobWork(j)
+	}
 }
 
 // jobWork returns the work of the job's waiting tasks, in thousandths of a core
@@ -288,10 +302,10 @@
 	}
 	var chosen *agent
 	scanned := 0
-	hasHeadroom := d.hasHeadroom()
+	d.headroom = d.hasHeadroom()
 	d.jobs.Ascend(func(candidate *Job[J]) bool {
 		scanned++
-		if candidate.late && !candidate.started && !hasHeadroom {
+		if candidate.heldBack() && !d.headroom {
 			return false
 		}
 		if a := d.bestAgent(now, candidate, eligible); a != nil {
@@ -303,6 +317,9 @@
 		return nil, "", false
 	}
 	chosen.addStart(j.Need)
+	if j.heldBack() {
+		d.heldBackWork -= d.jobWork(j) // markStarted ends it
+	}
 	j.Waiting--
 	d.waiting--
 	d.waitingWork -= d.taskWork(j)
@@ -335,7 +352,7 @@
 	for _, a := range d.agentList {
 		total += a.capacity.CPU
 		if a.available() {
-			free += max(a.freeCapacity.CPU, 0)
+			free += max(a.freeCapacity.CPU, 0) + max(a.offeredElsewhere, 0)
 		}
 	}
 	return float64(free) >= lateHeadroom*float64(total)
@@ -352,7 +369,7 @@
 	estimate := d.expectedSeconds(j.Estimate)
 	maxSeconds := math.Inf(1)
 	if !j.Due.IsZero() && !j.late && now.Before(d.latestStart(j)) {
-		maxSeconds = j.Due.Sub(now).Seconds()
+		maxSeconds = j.Due.Sub(now).Seconds() - d.startDelay()
 	}
 	var bestAgent *agent
 	var leastCost float64
--- a/protocol/message.go
+++ b/protocol/message.go
@@ -62,6 +62,7 @@
 	Outcome       *Outcome       `json:"outcome,omitempty"`
 	Stop          *Stop          `json:"stop,omitempty"`
 	Load          *Load          `json:"load,omitempty"`
+	Backlog       *Backlog       `json:"backlog,omitempty"`
 	Close         *Close         `json:"close,omitempty"`
 	Seal          *Seal          `json:"seal,omitempty"`
 	Sealed        *Sealed        `json:"sealed,omitempty"`
@@ -166,8 +167,15 @@
 	Attempt      int     `json:"attempt,omitempty"` // increases each time the task is reassigned
 	Request      Request `json:"request"`
 	SessionBound bool    `json:"bound,omitempty"`
+
+	Backlog *Backlog `json:"backlog,omitempty"` // after this start; nil: the sender does not share its demand
 }
 
+// Backlog (entry to agent) reports the work that waits at the sender. While entries
+// share their demand, it comes with each start, at intervals while work waits, and once
+// when none does any more.
+type Backlog = dispatcher.Backlog
+
 // Refusal is the reason why an agent did not start a task and never will.
 type Refusal string
 
--- a/server/entry.go
+++ b/server/entry.go
@@ -27,6 +27,7 @@
 	AddAnnouncedServices bool                 // add services announced by agents, with the settings in Coordinator
 	Coordinator          coordinator.Settings // settings of added services
 	Messenger            messenger.Settings
+	ShareDemand          bool // entries share their demand while none is connected to all agents; see sharesDemand
 }
 
 // maxServices limits the services of an entry: with this many, it adds no more
--- a/server/shard.go
+++ b/server/shard.go
@@ -61,6 +61,7 @@
 	shard.coordinator.Settings = settings
 	shard.coordinator.Self, shard.coordinator.Zone, shard.coordinator.Service = e.hub.Self.Incarnation, e.hub.Self.Zone, name
 	shard.coordinator.ConnectedEntries = e.connectedEntries
+	shard.coordinator.SharesDemand = e.sharesDemand
 	shard.coordinator.Init(pausedetector.Now())
 	return shard
 }
--- a/starter/load.go
+++ b/starter/load.go
@@ -11,9 +11,9 @@
 // updateLoad returns the load to report to an entry, and stores its free capacity
 // as the last one reported to that entry.
 func (s *Starter) updateLoad(entry string) dispatcher.Load {
-	free := s.freeCapacity()
+	free := s.freeFor(entry)
 	s.reportedFree[entry] = free
-	return dispatcher.Load{Free: free, Received: s.receivedStarts[entry]}
+	return dispatcher.Load{Free: free, Received: s.receivedStarts[entry], OfferedElsewhere: s.offeredElsewhere(entry)}
 }
 
 // SetUnresponsive sets whether the backend server is unresponsive, and reports the
@@ -24,6 +24,7 @@
 		return
 	}
 	s.unresponsive = unresponsive
+	s.division.withdrawAll()
 	s.startQueued()
 	for range s.reportOrder {
 		s.SendLoad()
@@ -48,9 +49,10 @@
 	if s.draining {
 		return
 	}
-	free := s.freeCapacity()
+	s.division.tick()
+	s.offerFree("")
 	for i, e := range s.reportOrder {
-		if s.reportedFree[e] != free && !s.unannounced[e] {
+		if s.reportedFree[e] != s.freeFor(e) && !s.unannounced[e] {
 			s.reportOrder = append(slices.Delete(s.reportOrder, i, i+1), e)
 			load := s.updateLoad(e)
 			s.send(e, protocol.Message{Load: &load})
--- a/starter/simulation_test.go
+++ b/starter/simulation_test.go
@@ -32,20 +32,32 @@
 	events     map[int][]func()         // by the step in which they happen
 	jobs       map[uint64]*simulatedJob // by ticket number
 
-	starts, refusals, reports int
+	starts, refusals, reports, backlogReports int
+
+	sharesBacklog bool          // entries report their backlog to the agents
+	chooseEntry   func() string // entry of the next job; nil: any with the same probability
+	perAgent      int           // entries that each agent is connected to; 0: all
+	capacities    []int         // by speed class, in thousandths of a core
+	needs         []int         // each job's tasks need one of these, in thousandths of a core
+	refusesLate   bool          // entries refuse jobs that can no longer end in time to be of use
 }
 
 type simulatedJob struct {
 	dispatcher.Job[*simulatedJob]
 	number     uint64
+	tasks      int
 	unstarted  int // tasks to start, including refused ones
 	unfinished int // tasks without a result
 	starts     int // starts sent
+	entry      string
+	endedAt    time.Time
+	refused    bool
 }
 
 type simulatedAgent struct {
 	starter.Starter
-	slowness float64 // factor by which tasks take longer than estimated
+	slowness  float64  // factor by which tasks take longer than estimated
+	connected []string // entries
 }
 
 var simulationStart = time.Unix(1_000_000, 0)
@@ -53,6 +65,7 @@
 func newSimulation(entries, agents int) *simulation {
 	s := &simulation{
 		rng: rand.New(rand.NewPCG(1, 2)), entries: map[string]*dispatcher.Dispatcher[*simulatedJob]{},
+		capacities: []int{32000, 32000, 48000}, needs: []int{taskCPU},
 		agents: map[string]*simulatedAgent{}, events: map[int][]func(){}, jobs: map[uint64]*simulatedJob{},
 	}
 	for i := range entries {
@@ -71,10 +84,18 @@
 // class has the largest capacity.
 func (s *simulation) addAgent(name string, speedClass int) {
 	a := &simulatedAgent{slowness: []float64{1 / 0.6, 1, 1 / 1.6}[speedClass]}
-	a.Self, a.Capacity = name, sizer.Resources{CPU: []int{32000, 32000, 48000}[speedClass]}
+	a.Self, a.Capacity = name, sizer.Resources{CPU: s.capacities[speedClass]}
 	a.Init()
 	s.agents[name], s.agentNames = a, append(s.agentNames, name)
-	for _, e := range s.entryNames {
+	a.connected = s.entryNames
+	if s.perAgent > 0 {
+		var connected []string
+		for _, i := range s.rng.Perm(len(s.entryNames))[:s.perAgent] {
+			connected = append(connected, s.entryNames[i])
+		}
+		a.connected = connected
+	}
+	for _, e := range a.connected {
 		a.EntryConnected(e)
 		s.entries[e].AddAgent(name, a.Capacity, nil)
 		for range 100 {
@@ -122,7 +143,9 @@
 		d.RecordOutcome(agent)
 		j := s.jobs[m.Outcome.Ticket.Sequence]
 		if m.Outcome.Refusal == "" {
-			j.unfinished--
+			if j.unfinished--; j.unfinished == 0 {
+				j.endedAt = s.now()
+			}
 		} else {
 			s.refusals++
 			j.unstarted++
@@ -144,7 +167,7 @@
 		j.Value.starts++
 		a, m := s.agents[name], protocol.Message{Start: &protocol.Start{
 			Agent: name, Ticket: protocol.Ticket{Sequence: j.Value.number}, Task: j.Value.starts, SessionBound: true,
-			Request: protocol.Request{Need: j.Need},
+			Request: protocol.Request{Need: j.Need}, Backlog: s.backlog(entry, name),
 		}}
 		s.schedule(1, func() {
 			a.Receive(entry, m)
@@ -165,6 +188,11 @@
 		for s.rng.Float64() < arrivalProbability {
 			s.submit()
 		}
+		for i, entry := range s.entryNames {
+			if (s.step+i)%reportInterval == 0 {
+				s.tickEntry(entry)
+			}
+		}
 		for i, name := range s.agentNames {
 			if (s.step+i)%reportInterval == 0 {
 				s.agents[name].SendLoad()
@@ -182,12 +210,22 @@
 	case x < 0.28:
 		work, tasks = 900*time.Millisecond, 4
 	}
-	j := &simulatedJob{number: uint64(len(s.jobs) + 1), unstarted: tasks, unfinished: tasks}
+	need := s.needs[0]
+	if len(s.needs) > 1 {
+		need = s.needs[s.rng.IntN(len(s.needs))]
+	}
+	j := &simulatedJob{number: uint64(len(s.jobs) + 1), tasks: tasks, unstarted: tasks, unfinished: tasks}
 	j.Job = dispatcher.Job[*simulatedJob]{
-		Value: j, Arrived: s.now(), Due: s.now().Add(work*8/5 + 60*time.Millisecond), Estimate: work, Need: sizer.Resources{CPU: taskCPU},
+		Value: j, Arrived: s.now(), Due: s.now().Add(work*8/5 + 60*time.Millisecond), Estimate: work, Need: sizer.Resources{CPU: need},
+	}
+	entry := ""
+	if s.chooseEntry != nil {
+		entry = s.chooseEntry()
+	} else {
+		entry = s.entryNames[s.rng.IntN(len(s.entryNames))]
 	}
+	j.entry = entry
 	s.jobs[j.number] = j
-	entry := s.entryNames[s.rng.IntN(len(s.entryNames))]
 	s.entries[entry].Add(&j.Job, tasks, tasks)
 	s.startTasks(entry)
 }
--- a/starter/start.go
+++ b/starter/start.go
@@ -20,6 +20,11 @@
 		return // the session that delivered the start is closed
 	}
 	s.receivedStarts[from]++
+	if m.Backlog != nil {
+		s.division.report(from, *m.Backlog)
+	} else {
+		s.division.remove(from)
+	}
 	if m.Ticket.Owner == "" {
 		m.Ticket.Owner = from
 	}
@@ -44,11 +49,13 @@
 		Run: Run{s.lastRunID, from, m.Ticket, m.Task, m.Attempt, m.Request}, key: key, record: record, need: need, sessionBound: m.SessionBound,
 	}
 	s.runs[r.ID] = r
+	s.division.recordStart(from, need)
 	if s.unresponsive || !s.admission.canStart(s.Capacity, need) {
 		s.admission.enqueue(r)
 		return
 	}
 	s.admission.reserve(r)
+	s.offerFree("")
 	s.decisions.Starts = append(s.decisions.Starts, r.Run)
 }
 
@@ -229,6 +236,7 @@
 		s.admission.release(r)
 	}
 	s.startQueued()
+	s.offerFree(r.Requester)
 	s.announceIfIdle(r.Requester)
 	return r
 }
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -78,6 +78,7 @@
 	Labels   []string
 
 	admission        admissionQueue
+	division         division
 	receivedStarts   map[string]uint64          // number of starts received in the session with each entry
 	reportedFree     map[string]sizer.Resources // free capacity last reported to each entry
 	tables           map[tableKey]*recordTable
@@ -174,6 +175,7 @@
 func (s *Starter) UpdateOffer(address string, capacity sizer.Resources, labels []string) {
 	s.Address, s.Capacity, s.Labels = address, capacity, labels
 	s.draining, s.unresponsive = false, false
+	s.division.withdrawAll()
 	for e := range s.entries {
 		if !s.unannounced[e] {
 			s.announce(e)
@@ -186,6 +188,7 @@
 // of them have ended, and queued tasks that no longer fit at all are refused.
 func (s *Starter) SetCapacity(capacity sizer.Resources) {
 	s.Capacity = capacity
+	s.division.withdrawAll()
 	for _, r := range s.admission.removeLargerThan(capacity) {
 		s.refuseQueued(r, protocol.RefusalNoCapacity)
 	}
@@ -214,6 +217,7 @@
 	delete(s.reportedFree, entry)
 	delete(s.unannounced, entry)
 	delete(s.releasing, entry)
+	s.division.remove(entry)
 	s.lostAt[entry] = now
 	for _, r := range s.runs {
 		if r.sessionBound && r.Requester == entry {
@@ -230,6 +234,7 @@
 		return
 	}
 	s.releasing[entry] = true
+	s.division.remove(entry)
 	s.reportOrder = slices.DeleteFunc(s.reportOrder, func(e string) bool { return e == entry })
 	if !s.unannounced[entry] {
 		s.announce(entry)
@@ -253,6 +258,7 @@
 		return
 	}
 	s.draining = true
+	s.division.withdrawAll()
 	for _, r := range s.admission.clear() {
 		s.refuseQueued(r, protocol.RefusalDraining)
 	}
@@ -268,6 +274,8 @@
 	switch {
 	case m.Start != nil:
 		s.handleStart(from, m.Start)
+	case m.Backlog != nil:
+		s.handleBacklog(from, m.Backlog)
 	case m.Stop != nil:
 		s.handleStop(from, m.Stop)
 	case m.Seal != nil:
