coordinator: decide on arrival by the demand of all entries

While more than six entries are known from the demand that they exchange: a job is refused when it arrives if the work ahead of it, at its entry and over all entries, makes it too late to be of use, or makes it late while no headroom is in sight. Under overload a share of the arriving work that grows with the common drain time is shed, the lowest priority first, the same share of large and of small jobs, more of those with long tasks. A job that becomes late later is refused at once if no headroom is in sight, and the decision says how the drain time has changed. Retry-After is the common drain time of the job's priority and those before.

Known entries, age of the demand, estimated start and share that is shed are gauges; refusals are decisions, by cause. With the setting off, or at most six known entries, the recorded decisions are unchanged.

--- a/cmd/mustardleverd/gauges.go
+++ b/cmd/mustardleverd/gauges.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"fmt"
+	"strconv"
 	"time"
 
 	"mustardlever.dev/mustardlever/coordinator"
 	"mustardlever.dev/mustardlever/counter"
+	"mustardlever.dev/mustardlever/estimator"
 	"mustardlever.dev/mustardlever/executor"
 	"mustardlever.dev/mustardlever/messenger"
 	"mustardlever.dev/mustardlever/protocol"
@@ -33,6 +36,7 @@
 	registerSessionGauge(metrics, "sessions_with_entries", protocol.RoleEntry, e.Peers)
 	registerSessionGauge(metrics, "sessions_with_agents", protocol.RoleAgent, e.Peers)
 	registerPanicGauge(metrics, e.Traffic())
+	registerDemandGauges(e, metrics)
 	metrics.Gauge("agents", sum(func(c coordinator.Counts) int { return c.Agents }))
 	metrics.Gauge("suspect_agents", sum(func(c coordinator.Counts) int { return c.SuspectAgents }))
 	metrics.Gauge("waiting_tasks", sum(func(c coordinator.Counts) int { return c.Waiting }))
@@ -40,6 +44,34 @@
 	metrics.Gauge("room_cores", func() float64 { return sum(func(c coordinator.Counts) int { return c.FreeMillicores })() / 1000 })
 }
 
+// registerDemandGauges registers the gauges of the demand of all entries: of the service
+// of which the most entries are known, since a process serves few.
+func registerDemandGauges(e *server.Entry, metrics *counter.Counter) {
+	gauge := func(name string, value func(*coordinator.DemandView) float64) {
+		metrics.Gauge(name, func() float64 {
+			var known *coordinator.DemandView
+			for _, v := range e.Services() {
+				if d := v.Counts.SharedDemand; d != nil && (known == nil || d.Entries > known.Entries) {
+					known = d
+				}
+			}
+			if known == nil {
+				return 0
+			}
+			return value(known)
+		})
+	}
+	gauge("demand_known_entries", func(d *coordinator.DemandView) float64 { return float64(d.Entries) })
+	gauge("demand_decides", func(d *coordinator.DemandView) float64 { return boolToFloat(d.Decides) })
+	gauge("demand_oldest_age_seconds", func(d *coordinator.DemandView) float64 { return float64(d.OldestAgeMillis) / 1000 })
+	gauge("demand_ignored", func(d *coordinator.DemandView) float64 { return float64(d.Ignored) })
+	for level := range estimator.Levels {
+		label := fmt.Sprintf("{priority=%q}", strconv.Itoa(level))
+		gauge("estimated_start_seconds"+label, func(d *coordinator.DemandView) float64 { return float64(d.StartMillis[level]) / 1000 })
+		gauge("shed_share"+label, func(d *coordinator.DemandView) float64 { return d.ShedShare[level] })
+	}
+}
+
 // registerSessionGauge registers the number of peers of a role that have a session
 // with this process.
 func registerSessionGauge(metrics *counter.Counter, name string, role protocol.Role, peers func() []protocol.Identity) {
--- a/cmd/mustardleverd/hosted_entry.go
+++ b/cmd/mustardleverd/hosted_entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -70,7 +71,7 @@
 		Settings: server.EntrySettings{
 			Identity: identity(p), Entries: p.Entries, AddAnnouncedServices: true, Messenger: hostedMessengerSettings(),
 			ShareDemand: p.Platform.ShareDemand,
-			Coordinator: coordinator.Settings{MaxDeadline: hostedDefaultDeadline, UsefulFactor: hostedUsefulFactor, LeaseExpiryWait: hostedSessionTimeout + hostedStopTime + hostedRenewalCutoff + hostedLease,
+			Coordinator: coordinator.Settings{MaxDeadline: hostedDefaultDeadline, UsefulFactor: hostedUsefulFactor, ShareAbove: maxEntries, LeaseExpiryWait: hostedSessionTimeout + hostedStopTime + hostedRenewalCutoff + hostedLease,
 				Dispatcher: dispatcher.Settings{Baseline: baseline}},
 		},
 		Log: log, Recorder: r,
@@ -97,7 +98,7 @@
 		return
 	}
 	fields := log.WithFields(logrus.Fields{"service": service, "job": d.Name, "task": d.Task, "peer": d.Peer, "cause": d.Reason})
-	if d.Kind == "start-refused" {
+	if d.Kind == "start-refused" || strings.HasPrefix(d.Kind, "refused-") {
 		fields.Info("Entry decides: " + d.Kind + ".")
 		return
 	}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -19,6 +19,7 @@
 	MaxResultBytes  int           // maximum size of the results of ended jobs, in bytes; default 48 MiB
 	UsefulFactor    float64       // multiple of the time until due after which the caller has no use for an answer; default: no limit
 	LeaseExpiryWait time.Duration // time after the loss of an agent by which its session-bound tasks have stopped; default 2 s
+	ShareAbove      int           // number of known entries above which the demand of all decides; default 6
 	Dispatcher      dispatcher.Settings
 }
 
@@ -32,6 +33,7 @@
 	setDefault(&s.MaxJobs, 200_000)
 	setDefault(&s.MaxResultBytes, 48<<20)
 	setDefault(&s.LeaseExpiryWait, 2*time.Second)
+	setDefault(&s.ShareAbove, 6)
 	return s
 }
 
@@ -88,7 +90,8 @@
 	// session; nil: there are none.
 	ConnectedEntries func() []string
 
-	// SharesDemand reports whether entries share their demand now; nil: never.
+	// SharesDemand reports whether entries exchange their demand now; nil: never. They
+	// act by it while more than Settings.ShareAbove entries are known from it.
 	SharesDemand func() bool
 
 	startedAt          time.Time
@@ -113,7 +116,8 @@
 	queue              dispatcher.Dispatcher[*job]
 	losses             lossTable
 	leaseExpiring      map[*job]bool // jobs that wait for tasks on lost agents to stop
-	sharing            bool          // entries share their demand, as of the last Tick
+	sharing            bool          // the demand of all entries decides, as of the last Tick
+	demand             sharedDemand
 	draining           bool
 	handedOver         bool      // unfinished jobs were handed over to their backups
 	lastClosedAt       time.Time // when closedBelow was last updated
@@ -147,6 +151,7 @@
 	c.leaseExpiring = make(map[*job]bool)
 	c.queue.Settings = c.Settings.Dispatcher
 	c.queue.Init(now)
+	c.demand.table.Self = c.Self
 }
 
 // TakeDecisions returns the messages, job ends and decisions since the last call, and
@@ -182,6 +187,9 @@
 	Agents         int `json:"agents"`
 	AckedAgents    int `json:"witnessed-agents"` // agents acknowledged by the backup that acknowledged the most
 	BackedOwners   int `json:"witnessed-owners"` // owners for which this entry is the backup
+
+	// SharedDemand is set while entries exchange their demand.
+	SharedDemand *DemandView `json:"shared-demand,omitempty"`
 }
 
 // Counts returns the current sizes.
@@ -195,6 +203,7 @@
 			counts.AckedAgents = max(counts.AckedAgents, len(b.acked))
 		}
 	}
+	counts.SharedDemand = c.demandView()
 	return counts
 }
 
@@ -222,6 +231,8 @@
 		c.handleStartRecords(now, from, m.StartRecords)
 	case m.Close != nil:
 		c.handleClose(from, m.Close)
+	case m.Demand != nil:
+		c.demand.table.Merge(now, from, m.Demand)
 	case m.ServerLosses != nil:
 		c.handleServerLosses(now, from, m.ServerLosses)
 	}
--- a/coordinator/ending.go
+++ b/coordinator/ending.go
@@ -48,7 +48,7 @@
 	j.replaceState(leaseExpiring, unknown)
 	a := j.newAnswer(StateFailed, j.stopReason)
 	if !a.MayHaveRun() {
-		a.RetryAfter = c.retryAfter()
+		a.RetryAfter = c.retryAfter(j)
 	}
 	c.end(now, j, a)
 }
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -129,14 +129,15 @@
 	submittedAt time.Time
 	deadline    time.Time
 
-	name          string        // name set by the caller
-	callersLeft   []func() bool // Job.CallerLeft of each caller
-	restartable   bool          // synchronous job: its tasks are session-bound and may be restarted
-	maxAttempts   int           // number of failures of one task after which the job fails
-	starts        int           // number of starts sent
-	firstSentAt   time.Time     // when the first start was sent
-	avoidedAgents []string      // agents on which a task of this job failed or was a straggler
-	suspended     bool          // nothing is started while it is undecided whether a task is given up
+	name           string        // name set by the caller
+	callersLeft    []func() bool // Job.CallerLeft of each caller
+	restartable    bool          // synchronous job: its tasks are session-bound and may be restarted
+	maxAttempts    int           // number of failures of one task after which the job fails
+	starts         int           // number of starts sent
+	firstSentAt    time.Time     // when the first start was sent
+	avoidedAgents  []string      // agents on which a task of this job failed or was a straggler
+	drainOnArrival time.Duration // drain time of all entries when the job arrived; zero: not known
+	suspended      bool          // nothing is started while it is undecided whether a task is given up
 
 	awaitingSeal   bool            // taken over, and the seal is not complete
 	stopReason     protocol.Reason // why no further task is started; empty: tasks are started
--- a/coordinator/recorded_decisions_test.go
+++ b/coordinator/recorded_decisions_test.go
@@ -35,10 +35,19 @@
 	agents  []*starter.Starter
 	events  map[int][]func()
 	log     []string
+	quiet   bool // nothing is added to the log
+
+	observeStart func(c *Coordinator, sequence uint64)
+	observeEnd   func(c *Coordinator, e JobEnd)
+	duration     func(agent int, estimate int64) int // of a task, in milliseconds
 }
 
 func newRecordedSystem(entries, agents int, configure func(*Coordinator)) *recordedSystem {
-	s := &recordedSystem{rng: rand.New(rand.NewPCG(7, 9)), events: make(map[int][]func())}
+	s := &recordedSystem{
+		rng: rand.New(rand.NewPCG(7, 9)), events: make(map[int][]func()),
+		observeStart: func(*Coordinator, uint64) {}, observeEnd: func(*Coordinator, JobEnd) {},
+		duration: func(agent int, estimate int64) int { return int(estimate) * (80 + 10*agent) / 100 },
+	}
 	for i := range entries {
 		c := &Coordinator{Self: fmt.Sprintf("entry-%d.1", i), Service: "s", Settings: Settings{UsefulFactor: 3}}
 		configure(c)
@@ -46,17 +55,21 @@
 		s.entries = append(s.entries, c)
 	}
 	for i := range agents {
-		a := &starter.Starter{Self: fmt.Sprintf("agent-%d.1", i), Service: "s", Capacity: sizer.Slots(4 + 2*(i%3))}
-		a.Init()
-		s.agents = append(s.agents, a)
-		for _, c := range s.entries {
-			a.EntryConnected(c.Self)
-		}
-		s.applyAgent(a)
+		s.addAgent(i, sizer.Slots(4+2*(i%3)), s.entries)
 	}
 	return s
 }
 
+func (s *recordedSystem) addAgent(i int, capacity sizer.Resources, entries []*Coordinator) {
+	a := &starter.Starter{Self: fmt.Sprintf("agent-%d.1", i), Service: "s", Capacity: capacity}
+	a.Init()
+	s.agents = append(s.agents, a)
+	for _, c := range entries {
+		a.EntryConnected(c.Self)
+	}
+	s.applyAgent(a)
+}
+
 func (s *recordedSystem) now() time.Time {
 	return testStart.Add(time.Duration(s.step) * time.Millisecond)
 }
@@ -65,8 +78,19 @@
 	s.events[s.step+steps] = append(s.events[s.step+steps], event)
 }
 
+func (s *recordedSystem) appendMessage(lines []string, from, to string, m protocol.Message) []string {
+	if s.quiet {
+		return lines
+	}
+	text, _ := json.Marshal(m)
+	return append(lines, from+" to "+to+" "+string(text))
+}
+
 // record adds lines to the log. Messages sent in one call have no defined order.
 func (s *recordedSystem) record(lines []string) {
+	if s.quiet {
+		return
+	}
 	slices.Sort(lines)
 	for _, l := range lines {
 		s.log = append(s.log, fmt.Sprintf("%d %s", s.step, l))
@@ -77,8 +101,7 @@
 	d := a.TakeDecisions()
 	var lines []string
 	for _, m := range d.Messages {
-		text, _ := json.Marshal(m.Message)
-		lines = append(lines, a.Self+" to "+m.To+" "+string(text))
+		lines = s.appendMessage(lines, a.Self, m.To, m.Message)
 		i := slices.IndexFunc(s.entries, func(c *Coordinator) bool { return c.Self == m.To })
 		s.schedule(1, func() {
 			s.entries[i].Receive(s.now(), a.Self, m.Message)
@@ -86,7 +109,7 @@
 		})
 	}
 	for _, r := range d.Starts {
-		length := int(r.Request.EstimateMillis) * (80 + 10*slices.Index(s.agents, a)) / 100
+		length := s.duration(slices.Index(s.agents, a), r.Request.EstimateMillis)
 		s.schedule(length, func() {
 			a.Finish(r.ID, &protocol.Result{Status: 200, ServeMicros: int64(length) * 1000})
 			s.applyAgent(a)
@@ -116,15 +139,23 @@
 		return cmp.Or(cmp.Compare(o.To, p.To), cmp.Compare(stopped(o), stopped(p)))
 	})
 	for _, o := range outputs {
-		text, _ := json.Marshal(o.Message)
-		lines = append(lines, c.Self+" to "+o.To+" "+string(text))
+		lines = s.appendMessage(lines, c.Self, o.To, o.Message)
+		if o.Message.Start != nil {
+			s.observeStart(c, o.Message.Start.Ticket.Sequence)
+		}
 		i := slices.IndexFunc(s.agents, func(a *starter.Starter) bool { return a.Self == o.To })
 		s.schedule(1, func() {
+			if i < 0 {
+				k := slices.IndexFunc(s.entries, func(c *Coordinator) bool { return c.Self == o.To })
+				s.entries[k].Receive(s.now(), c.Self, o.Message)
+				return
+			}
 			s.agents[i].Receive(c.Self, o.Message)
 			s.applyAgent(s.agents[i])
 		})
 	}
 	for _, e := range ends {
+		s.observeEnd(c, e)
 		lines = append(lines, fmt.Sprintf("%s ends %d %s %s %d %v", c.Self, e.Sequence, e.Answer.State, e.Answer.Reason, e.Answer.Starts, e.Answer.RetryAfter))
 	}
 	s.record(lines)
--- a/coordinator/sync.go
+++ b/coordinator/sync.go
@@ -53,6 +53,10 @@
 		c.stop(now, j, protocol.ReasonServersLost)
 	case held: // queued when the stops have taken effect
 	default:
+		if cause := c.refusalOnArrival(now, j); cause != "" {
+			c.refuseOnArrival(now, j, cause)
+			break
+		}
 		c.enqueue(j)
 		c.dispatch(now)
 	}
@@ -105,11 +109,13 @@
 	if c.Settings.UsefulFactor <= 0 || !j.restartable || j.queueItem.Due.IsZero() || j.queueItem.Waiting == 0 {
 		return false
 	}
-	usefulTime := time.Duration(c.Settings.UsefulFactor * float64(j.queueItem.Due.Sub(j.submittedAt)))
-	remaining := j.submittedAt.Add(usefulTime).Sub(now) - j.queueItem.Estimate
+	remaining := c.usefulStart(j).Sub(now)
 	if remaining < 0 {
 		return true
 	}
+	if c.sharing {
+		return j.queueItem.Late() && !j.mayHaveRun() && c.lateWithoutHeadroom(remaining)
+	}
 	drainSeconds, known := c.queue.DrainSeconds()
 	return known && j.queueItem.Late() && !j.mayHaveRun() && drainSeconds > remaining.Seconds()
 }
@@ -124,9 +130,13 @@
 	return false
 }
 
-// retryAfter returns the retry delay for a job that is refused now: the time in
-// which the queue drains at the current start rate, within bounds.
-func (c *Coordinator) retryAfter() time.Duration {
+// retryAfter returns the retry delay for a job that is refused now: the time in which
+// the work that comes before it, or the queue, drains at the current start rate, within
+// bounds.
+func (c *Coordinator) retryAfter(j *job) time.Duration {
+	if delay, known := c.sharedRetryAfter(j); known {
+		return min(max(delay, minRetryAfter), maxRetryAfter)
+	}
 	seconds, known := c.queue.DrainSeconds()
 	switch {
 	case !known:
--- a/coordinator/tick.go
+++ b/coordinator/tick.go
@@ -36,7 +36,7 @@
 		c.advanceClosedBelow()
 	}
 	c.dispatch(now)
-	c.reportDemand(now)
+	c.shareDemand(now)
 }
 
 // checkJob applies the time limits of a job.
@@ -47,7 +47,7 @@
 	case j.finalizeSentAt.IsZero() && !j.awaitingSeal && !now.Before(j.deadline):
 		c.stop(now, j, protocol.ReasonDeadline)
 	case c.cannotMeetDueTime(now, j):
-		c.stop(now, j, protocol.ReasonDueTimeUnreachable)
+		c.refuseWaiting(now, j)
 	case j.suspended:
 		c.checkLosses(now, j)
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -64,6 +64,8 @@
 	lastSequence    uint64
 	waiting         int             // number of waiting tasks
 	waitingWork     float64         // work of all waiting tasks, in thousandths of a core times seconds
+	workByLevel     [levels]float64 // parts of waitingWork, by level of priority
+	jobsByLevel     [levels]int     // waiting jobs
 	heldBackWork    float64         // the part of waitingWork of late jobs without a started task
 	headroom        bool            // whether late jobs could start at the last call of Next
 	startedWork     float64         // work started since rateUpdatedAt
@@ -193,10 +195,8 @@
 	j.key = d.rank(j)
 	j.queued = true
 	d.waiting += waiting
-	d.waitingWork += d.jobWork(j)
-	if j.heldBack() {
-		d.heldBackWork += d.jobWork(j)
-	}
+	d.jobsByLevel[level(j.Priority)]++
+	d.addWork(j, d.jobWork(j))
 	d.jobs.ReplaceOrInsert(j)
 }
 
@@ -208,10 +208,8 @@
 	d.jobs.Delete(j)
 	j.queued = false
 	d.waiting -= j.Waiting
-	d.waitingWork -= d.jobWork(j)
-	if j.heldBack() {
-		d.heldBackWork -= d.jobWork(j)
-	}
+	d.jobsByLevel[level(j.Priority)]--
+	d.addWork(j, -d.jobWork(j))
 }
 
 // jobWork returns the work of the job's waiting tasks, in thousandths of a core
@@ -317,12 +315,9 @@
 		return nil, "", false
 	}
 	chosen.addStart(j.Need)
-	if j.heldBack() {
-		d.heldBackWork -= d.jobWork(j) // markStarted ends it
-	}
+	d.addWork(j, -d.taskWork(j))
 	j.Waiting--
 	d.waiting--
-	d.waitingWork -= d.taskWork(j)
 	d.startedWork += d.taskWork(j)
 	d.markStarted(j)
 	return j, chosen.name, true
@@ -336,9 +331,14 @@
 		return
 	}
 	d.jobs.Delete(j)
+	if j.heldBack() {
+		d.heldBackWork -= d.jobWork(j)
+	}
 	j.started = true
 	j.queued = j.Waiting > 0
-	if j.queued {
+	if !j.queued {
+		d.jobsByLevel[level(j.Priority)]--
+	} else {
 		j.key = d.rank(j)
 		d.jobs.ReplaceOrInsert(j)
 	}
--- a/estimator/estimate.go
+++ b/estimator/estimate.go
@@ -51,6 +51,15 @@
 	return seconds(s.Total(Levels-1) / max(s.Rate-arrivalMargin*s.ArrivalsFrom(0), 0)), true
 }
 
+// DrainAlone returns the time in which all waiting work starts, without further arrivals;
+// zero if the rate is not known.
+func (s *Summary) DrainAlone() time.Duration {
+	if s.Rate <= 0 {
+		return 0
+	}
+	return seconds(s.Total(Levels-1) / s.Rate).Round(time.Millisecond)
+}
+
 // RetryAfter returns the time after which a refused job of a level should be submitted
 // again: that in which the work of its level and before starts, which is longer by as
 // much as more work arrives than is started. Known is false if the rate is not known.
--- a/protocol/message.go
+++ b/protocol/message.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"mustardlever.dev/mustardlever/dispatcher"
+	"mustardlever.dev/mustardlever/estimator"
 	"mustardlever.dev/mustardlever/sizer"
 )
 
@@ -76,6 +77,7 @@
 	Reply         *Reply         `json:"reply,omitempty"`
 	Entries       *Entries       `json:"entries,omitempty"`
 
+	Demand       []Demand     `json:"demand,omitempty"`
 	ServerLosses []ServerLoss `json:"server-losses,omitempty"`
 
 	Configuration        *Configuration        `json:"configuration,omitempty"`
@@ -176,6 +178,10 @@
 // when none does any more.
 type Backlog = dispatcher.Backlog
 
+// Demand (entry to entry) is the demand for a service at one entry. A message has that of
+// the sender and some that the sender has learned of.
+type Demand = estimator.Demand
+
 // Refusal is the reason why an agent did not start a task and never will.
 type Refusal string
 
