coordinator: refuse by the demand of all entries only while capacity is scarce

Work that waits for certain servers, and a rate of starts that was observed at a light load, looked like a long drain time although capacity was free. Entries exchange the share of the capacity that is in use, and refuse nothing while more than a quarter is free.

An entry also takes overload to go on only after as much work has arrived as was started for half a second, here and over all entries, averaged over 2 s: after a burst at one entry its rates lag.

--- a/coordinator/admission.go
+++ b/coordinator/admission.go
@@ -60,7 +60,11 @@
 	d.arrivedWork[level] += work
 	j.drainOnArrival = c.sharedDrain()
 	d.shedder.observe(latestStart, item.Estimate)
-	if d.shedder.sheds(level, work, item.Estimate, d.shedder.share(&d.summary, level)) {
+	scarce := scarcity(d.summary.Used)
+	if scarce == 0 {
+		return ""
+	}
+	if d.shedder.sheds(level, work, item.Estimate, scarce*d.shedder.share(&d.summary, level)) {
 		return causeShed
 	}
 	w := c.queue.Waits()
@@ -73,7 +77,7 @@
 	}
 	p := prospects{latestStart: latestStart, usefulStart: c.usefulStart(j).Sub(now)}
 	p.start, p.startKnown = d.summary.Start(level, own, work)
-	p.drain, p.drainKnown = d.summary.Drain()
+	p.drain, p.drainKnown = d.drain(now)
 	return p.refusalCause()
 }
 
@@ -108,9 +112,9 @@
 
 // lateWithoutHeadroom reports whether all capacity is in use until the answer of a late
 // job is of no use.
-func (c *Coordinator) lateWithoutHeadroom(remaining time.Duration) bool {
-	drain, known := c.demand.summary.Drain()
-	return known && drain > remaining
+func (c *Coordinator) lateWithoutHeadroom(now time.Time, remaining time.Duration) bool {
+	drain, known := c.demand.drain(now)
+	return known && drain > remaining && scarcity(c.demand.summary.Used) > 0
 }
 
 // sharedRetryAfter returns the retry delay by the demand of all entries. Callers of a
--- a/coordinator/admission_test.go
+++ b/coordinator/admission_test.go
@@ -138,6 +138,29 @@
 	}
 }
 
+// Guards against refusals while capacity is free: much work waits for servers with a label
+// that none has, and the little other work is served.
+func TestNothingIsShedWhileCapacityIsFree(t *testing.T) {
+	s := newUnevenSystem(true)
+	arrive := s.arrivals(0.1)
+	s.advance(4000, func() {
+		arrive()
+		if s.step%10 == 0 {
+			c := s.entries[s.rng.IntN(10)]
+			_, a, err := c.RunSync(s.now(), Job{
+				Name: fmt.Sprint("labeled-", s.step), Tasks: make([]protocol.Request, 20), RequiredLabel: "none",
+				Restart: RestartPolicy{MaxAttempts: 3, FirstAttempt: 1}, Due: time.Second, DeadlineMillis: 6500,
+			})
+			require.NoError(t, err)
+			require.Nil(t, a)
+		}
+	})
+	require.Greater(t, s.entries[0].demand.summary.Total(3), 100_000.0)
+	r := s.result(500, 3000)
+	t.Logf("%+v", r)
+	require.Zero(t, r.refused)
+}
+
 // Guards against refusals of high priority while work of low priority is accepted.
 func TestLowPriorityIsShedFirst(t *testing.T) {
 	s := newUnevenSystem(true)
--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -14,6 +14,8 @@
 	table       estimator.Table
 	summary     estimator.Summary // as of the last Tick
 	shedder     shedder
+	used        float64                       // share of the agents' capacity in use, averaged
+	growsSince  time.Time                     // since when as much work arrives as is started, here and over all entries; zero: it does not
 	arrivals    [estimator.Levels]averageRate // of work that arrives, by level
 	refusals    averageRate                   // of refused jobs
 	arrivedWork [estimator.Levels]float64     // since the last Tick
@@ -26,9 +28,9 @@
 	updatedAt time.Time
 }
 
-// rateWindow is the time over which arrivals are averaged: a few times the interval at
-// which entries exchange their demand.
-const rateWindow = 500 * time.Millisecond
+// rateWindow is the time over which arrivals are averaged. A burst that the next seconds
+// can serve must not look like overload.
+const rateWindow = 2000 * time.Millisecond
 
 // update adds what happened since the last update.
 func (r *averageRate) update(now time.Time, amount float64) {
@@ -66,6 +68,8 @@
 	if exchanges {
 		d.summary = d.table.Summarize(now)
 		c.sharing = d.summary.Entries > c.Settings.ShareAbove
+		d.updateGrowth(now)
+		d.used += usedWeight * (1 - c.queue.FreeShare() - d.used)
 	}
 	send := func(agent string, b protocol.Backlog) { c.send(agent, protocol.Message{Backlog: &b}) }
 	switch {
@@ -76,12 +80,36 @@
 	}
 }
 
+// overloadTime is how long as much work must arrive as is started before it is assumed to
+// go on. The measured rates follow a burst only after some hundred milliseconds.
+const overloadTime = 500 * time.Millisecond
+
+// updateGrowth updates growsSince.
+func (d *sharedDemand) updateGrowth(now time.Time) {
+	wait, known := d.summary.Drain(d.table.Own())
+	switch {
+	case !known || wait < math.MaxInt64:
+		d.growsSince = time.Time{}
+	case d.growsSince.IsZero():
+		d.growsSince = now
+	}
+}
+
+// drain estimates when work that needs otherwise unused capacity can start.
+func (d *sharedDemand) drain(now time.Time) (wait time.Duration, known bool) {
+	wait, known = d.summary.Drain(d.table.Own())
+	if known && wait == math.MaxInt64 && now.Sub(d.growsSince) < overloadTime {
+		return d.summary.DrainAlone(), true
+	}
+	return wait, known
+}
+
 // ownDemand returns the demand of this entry.
 func (c *Coordinator) ownDemand() protocol.Demand {
 	w := c.queue.Waits()
 	m := protocol.Demand{
 		Work: make([]int, estimator.Levels), Jobs: slices.Clone(w.Jobs[:]), Rate: roundUp(w.Rate),
-		Arrivals: make([]int, estimator.Levels), Refused: roundUp(c.demand.refusals.perSecond),
+		Used: int(1000 * min(max(c.demand.used, 0), 1)), Arrivals: make([]int, estimator.Levels), Refused: roundUp(c.demand.refusals.perSecond),
 	}
 	for level, work := range w.Work {
 		m.Work[level], m.Arrivals[level] = roundUp(work), roundUp(c.demand.arrivals[level].perSecond)
@@ -140,7 +168,7 @@
 		}
 		share := 0.0
 		if c.sharing {
-			share = c.demand.shedder.share(s, level)
+			share = scarcity(s.Used) * c.demand.shedder.share(s, level)
 		}
 		v.StartMillis, v.ShedShare = append(v.StartMillis, start), append(v.ShedShare, share)
 	}
--- a/coordinator/shedding.go
+++ b/coordinator/shedding.go
@@ -17,6 +17,18 @@
 	horizonWeight = 0.02 // of a new sample in the moving averages of horizon and duration: the last 50 jobs
 )
 
+const (
+	scarceBelow   = 0.15 // free share of the capacity below which it is scarce; under overload 6 to 10% are free, in fragments too small for a task
+	abundantAbove = 0.25 // free share above which nothing is refused, whatever waits: it needs certain servers
+	usedWeight    = 0.2  // of a new sample, each 20 ms, in the moving average of the share in use
+)
+
+// scarcity returns how scarce capacity is by the share that is in use: 0 while it is
+// abundant, 1 while it is scarce.
+func scarcity(used float64) float64 {
+	return min(max((abundantAbove-(1-used))/(abundantAbove-scarceBelow), 0), 1)
+}
+
 // causeShed is the cause of a refusal by load shedding.
 const causeShed = "shed"
 
--- a/coordinator/sync.go
+++ b/coordinator/sync.go
@@ -114,7 +114,7 @@
 		return true
 	}
 	if c.sharing {
-		return j.queueItem.Late() && !j.mayHaveRun() && c.lateWithoutHeadroom(remaining)
+		return j.queueItem.Late() && !j.mayHaveRun() && c.lateWithoutHeadroom(now, remaining)
 	}
 	drainSeconds, known := c.queue.DrainSeconds()
 	return known && j.queueItem.Late() && !j.mayHaveRun() && drainSeconds > remaining.Seconds()
--- a/dispatcher/ahead.go
+++ b/dispatcher/ahead.go
@@ -65,3 +65,13 @@
 // LatestStart returns the latest time at which the last task of the job can start for
 // the job to meet its due time.
 func (d *Dispatcher[J]) LatestStart(j *Job[J]) time.Time { return d.latestStart(j) }
+
+// FreeShare returns the share of the agents' capacity that is free, whichever entry it was
+// offered to. Suspended agents have none. Without agents it is 1, since nothing is known.
+func (d *Dispatcher[J]) FreeShare() float64 {
+	if len(d.agentList) == 0 {
+		return 1
+	}
+	d.hasHeadroom()
+	return d.freeShare
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -67,6 +67,7 @@
 	workByLevel     [levels]float64 // parts of waitingWork, by level of priority
 	jobsByLevel     [levels]int     // waiting jobs
 	heldBackWork    float64         // the part of waitingWork of late jobs without a started task
+	freeShare       float64         // share of the capacity that was free at the last call of hasHeadroom
 	headroom        bool            // whether late jobs could start at the last call of Next
 	startedWork     float64         // work started since rateUpdatedAt
 	startRate       float64         // work started per second while tasks wait
@@ -355,6 +356,7 @@
 			free += max(a.freeCapacity.CPU, 0) + max(a.offeredElsewhere, 0)
 		}
 	}
+	d.freeShare = float64(free) / float64(max(total, 1))
 	return float64(free) >= lateHeadroom*float64(total)
 }
 
--- a/dispatcher/view.go
+++ b/dispatcher/view.go
@@ -10,6 +10,7 @@
 type AgentView struct {
 	Capacity            sizer.Resources `json:"capacity"`
 	FreeCapacity        sizer.Resources `json:"room"`              // free capacity: as last reported, minus the unreported starts
+	OfferedElsewhere    int             `json:"offered-elsewhere"` // free capacity that it has offered to other entries, in thousandths of a core
 	UnreportedStarts    int             `json:"unreported-starts"` // starts that its last report did not include
 	Slowness            float64         `json:"slowness"`          // expected ratio of a task's duration to its estimate
 	ConsecutiveFailures int             `json:"failures-in-row"`   // failed tasks since the last success
@@ -24,7 +25,7 @@
 		return AgentView{}
 	}
 	v := AgentView{
-		Capacity: a.capacity, FreeCapacity: a.freeCapacity, UnreportedStarts: len(a.unreported), Slowness: a.slowness,
+		Capacity: a.capacity, FreeCapacity: a.freeCapacity, OfferedElsewhere: a.offeredElsewhere, UnreportedStarts: len(a.unreported), Slowness: a.slowness,
 		ConsecutiveFailures: a.consecutiveFailures, OnProbation: a.onProbation,
 	}
 	if !a.suspendedUntil.IsZero() {
--- a/estimator/demand.go
+++ b/estimator/demand.go
@@ -39,6 +39,7 @@
 	Rate      int    `json:"rate,omitempty"`     // of work started while work waits; 0: not known
 	Arrivals  []int  `json:"arrivals,omitempty"` // rate of work in jobs that arrive, refused ones included, by level
 	Refused   int    `json:"refused,omitempty"`  // jobs refused per second
+	Used      int    `json:"used,omitempty"`     // thousandths of the capacity of its agents that are in use
 }
 
 // plausible reports whether all figures are within bounds.
@@ -52,6 +53,6 @@
 			return false
 		}
 	}
-	return figure(d.Rate) && figure(d.Refused) &&
+	return figure(d.Rate) && d.Used >= 0 && d.Used <= 1000 && figure(d.Refused) &&
 		d.AgeMillis >= 0 && d.AgeMillis < MaxAge.Milliseconds()
 }
--- a/estimator/estimate.go
+++ b/estimator/estimate.go
@@ -42,9 +42,24 @@
 
 // Drain estimates when all waiting work will have started, while work goes on arriving:
 // the time at which work that needs otherwise unused capacity can start. It is the
-// maximum Duration if as much arrives as is started. Known is false if the rate is not
-// known.
-func (s *Summary) Drain() (wait time.Duration, known bool) {
+// maximum Duration if as much arrives as is started. The earlier of two estimates is
+// used, for the entry's own queue and for that of all entries. Known is false if neither
+// rate is known.
+func (s *Summary) Drain(own Demand) (wait time.Duration, known bool) {
+	alone := Summary{}
+	alone.add(&own)
+	ownWait, ownKnown := alone.drain()
+	wait, known = s.drain()
+	switch {
+	case !known:
+		return ownWait, ownKnown
+	case ownKnown:
+		return min(wait, ownWait), true
+	}
+	return wait, true
+}
+
+func (s *Summary) drain() (wait time.Duration, known bool) {
 	if s.Rate <= 0 {
 		return 0, false
 	}
--- a/estimator/estimate_test.go
+++ b/estimator/estimate_test.go
@@ -41,17 +41,19 @@
 // Guards against late jobs that wait for headroom that does not come.
 func TestDrain(t *testing.T) {
 	s := estimator.Summary{Work: [4]float64{0, 50_000, 0, 0}, Rate: 100_000, Arrivals: [4]float64{50_000, 50_000 / 0.9 * 0.1, 0, 0}}
-	wait, known := s.Drain()
+	wait, known := s.Drain(estimator.Demand{})
 	require.True(t, known)
 	require.Equal(t, time.Second, wait.Round(time.Millisecond))
 	s.Arrivals[1] = 100_000
-	wait, _ = s.Drain()
+	wait, _ = s.Drain(estimator.Demand{})
 	require.EqualValues(t, math.MaxInt64, wait, "as much arrives as is started")
+	wait, _ = s.Drain(estimator.Demand{Work: []int{1000}, Rate: 10_000, Arrivals: []int{0, 0}})
+	require.Equal(t, 100*time.Millisecond, wait, "only others are overloaded")
 	s.Work, s.Arrivals[0] = [4]float64{}, 0
-	wait, _ = s.Drain()
+	wait, _ = s.Drain(estimator.Demand{})
 	require.Zero(t, wait)
 	s.Rate = 0
-	_, known = s.Drain()
+	_, known = s.Drain(estimator.Demand{})
 	require.False(t, known)
 }
 
--- a/estimator/table.go
+++ b/estimator/table.go
@@ -41,6 +41,9 @@
 	return figures
 }
 
+// Own returns the demand of this entry, as last set.
+func (t *Table) Own() Demand { return t.own.Demand }
+
 // Merge records demands that a peer has sent. What an entry reports of itself replaces
 // whatever others have reported of it.
 func (t *Table) Merge(now time.Time, from string, demands []Demand) {
@@ -139,6 +142,7 @@
 	Work      [Levels]float64 // that waits
 	Rate      float64         // of work started; 0: not known
 	Arrivals  [Levels]float64 // rate of work that arrives
+	Used      float64         // share of the capacity in use, average of the entries
 }
 
 // Summarize returns the demand of all known entries.
@@ -150,6 +154,7 @@
 		s.add(&t.others[i].Demand)
 		s.OldestAge = max(s.OldestAge, now.Sub(t.others[i].measuredAt))
 	}
+	s.Used /= float64(s.Entries)
 	return s
 }
 
@@ -158,6 +163,7 @@
 		s.Work[level] += float64(work)
 	}
 	s.Rate += float64(d.Rate)
+	s.Used += float64(d.Used) / 1000
 	for level, rate := range d.Arrivals {
 		s.Arrivals[level] += float64(rate)
 	}
--- a/estimator/table_test.go
+++ b/estimator/table_test.go
@@ -62,7 +62,7 @@
 			if g.silent[t.Self] || !t.Due(g.now) {
 				continue
 			}
-			t.SetOwn(g.now, estimator.Demand{Work: []int{100_000, 200_000, 0, 0}, Jobs: []int{100, 100, 0, 0}, Arrivals: []int{300_000, 0, 0, 0}, Rate: 300_000, Refused: 10})
+			t.SetOwn(g.now, estimator.Demand{Work: []int{100_000, 200_000, 0, 0}, Jobs: []int{100, 100, 0, 0}, Arrivals: []int{300_000, 0, 0, 0}, Rate: 300_000, Refused: 10, Used: 950})
 			for _, peer := range t.Recipients(g.peers[i]) {
 				m := t.Share(g.now)
 				text, _ := json.Marshal(m)
@@ -132,6 +132,7 @@
 		"too many levels":   func(d *estimator.Demand) { d.Work = make([]int, 5) },
 		"too many arrivals": func(d *estimator.Demand) { d.Arrivals = make([]int, 100) },
 		"negative rate":     func(d *estimator.Demand) { d.Rate = -5 },
+		"more than all":     func(d *estimator.Demand) { d.Used = 1001 },
 		"negative age":      func(d *estimator.Demand) { d.AgeMillis = -1 },
 		"expired":           func(d *estimator.Demand) { d.AgeMillis = estimator.MaxAge.Milliseconds() },
 	} {
