--- a/starter/division.go
+++ b/starter/division.go
@@ -289,11 +289,18 @@
 // handleBacklog records the backlog that an entry reports between its starts, and
 // offers it free capacity.
 func (s *Starter) handleBacklog(from string, m *protocol.Backlog) {
-	if !s.entries[from] || s.releasing[from] {
+	s.recordBacklog(from, m)
+	s.offerFree("")
+}
+
+// recordBacklog records the backlog of an entry, nil if it does not share its demand. An
+// entry without a session, or one that is released, gets no offers.
+func (s *Starter) recordBacklog(from string, b *protocol.Backlog) {
+	if b == nil || !s.entries[from] || s.releasing[from] {
+		s.division.remove(from)
 		return
 	}
-	s.division.report(from, *m)
-	s.offerFree("")
+	s.division.report(from, *b)
 }
 
 // allShareDemand reports whether every entry with a session shares its demand. One that
--- a/starter/division_test.go
+++ b/starter/division_test.go
@@ -280,6 +280,11 @@
 	for name, end := range map[string]func(s sharedAgent){
 		"lost":     func(s sharedAgent) { s.EntryLost(simulationStart, entryA) },
 		"released": func(s sharedAgent) { s.ReleaseEntry(entryA) },
+		"released, and sends a start": func(s sharedAgent) {
+			s.ReleaseEntry(entryA)
+			s.start(entryA, 1, 1000)
+			s.report(entryA, 1000)
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSharedAgent()
--- a/starter/start.go
+++ b/starter/start.go
@@ -20,11 +20,7 @@
 		return // the session that delivered the start is closed
 	}
 	s.receivedStarts[from]++
-	if m.Backlog != nil {
-		s.division.report(from, *m.Backlog)
-	} else {
-		s.division.remove(from)
-	}
+	s.recordBacklog(from, m.Backlog)
 	if m.Ticket.Owner == "" {
 		m.Ticket.Owner = from
 	}
