--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -30,6 +30,7 @@
 	SlotsPerBackend int // capacity of each backend server in tasks; default 8
 	Coordinator     coordinator.Settings
 	Messenger       messenger.Settings
+	ShareDemand     bool
 	Log             *logrus.Entry // default: log output is discarded
 }
 
@@ -96,7 +97,7 @@
 			Entries:   c.entryAddresses,
 			TicketKey: []byte(ticketKey),
 			Services:  map[string]coordinator.Settings{Service: c.Settings.Coordinator},
-			Messenger: c.Settings.Messenger,
+			Messenger: c.Settings.Messenger, ShareDemand: c.Settings.ShareDemand,
 		},
 		Log:      c.Settings.Log.WithField("process", name),
 		Recorder: new(recorder.Recorder),
--- a/tests/layout_test.go
+++ b/tests/layout_test.go
@@ -16,7 +16,7 @@
 // method calls and return messages from TakeDecisions.
 func TestDecisionsImportNoTransport(t *testing.T) {
 	const module = "mustardlever.dev/mustardlever/"
-	for _, folder := range []string{"coordinator", "dispatcher", "starter", "leaser", "sizer", "protocol"} {
+	for _, folder := range []string{"coordinator", "dispatcher", "starter", "leaser", "sizer", "protocol", "estimator"} {
 		files, err := filepath.Glob("../" + folder + "/*.go")
 		require.NoError(t, err)
 		require.NotEmpty(t, files, folder)
