starter: a backlog that cannot use an agent keeps no capacity there

Work that waits for a label or for faster servers was offered capacity again and again, while an entry without a backlog learned of none: it could start in 81 of 300 intervals, now in more than 200. After three offers that it has not used, an entry counts as without a backlog for 200 ms or until its next start.

--- a/starter/division.go
+++ b/starter/division.go
@@ -14,6 +14,7 @@
 	smallLife   = 3   // same for an offer that is too small for the next task of its entry and waits for more
 	backlogLife = 25  // after which a backlog that was not renewed counts as none; entries renew theirs every 100 ms
 	unusedPause = 10  // during which an entry that let an offer lapse gets none for its backlog, unless it sends a start
+	maxLapses   = 3   // offers that an entry may let lapse; it then counts as without a backlog during unusedPause
 	finishSlack = 2   // tasks by which the entry whose task has ended may be ahead of others and still gets its capacity
 	rateDecay   = 0.9 // factor by which the remembered use of an entry shrinks with each call: averages over 200 ms
 	baseUse     = 100 // thousandths of a core that are added to the remembered use, so that idle entries get offers too
@@ -32,6 +33,7 @@
 	offered   sizer.Resources // free capacity that only this entry has been told of
 	offeredAt int             // when the offer last grew or was used
 	pausedTo  int             // comes after other entries with a backlog before
+	lapses    int             // offers that it has not used since its last start
 	changed   bool            // has to be told of its offer
 	withdrawn bool            // a part of its offer was withdrawn
 }
@@ -80,8 +82,12 @@
 	}
 }
 
-// waits reports whether work is known to wait at the entry.
-func (d *division) waits(s *share) bool { return s.work > 0 && d.now-s.updatedAt < backlogLife }
+// waits reports whether work is known to wait at the entry that can use this agent. What
+// waits for a label or for faster servers must not keep capacity from entries without a
+// backlog.
+func (d *division) waits(s *share) bool {
+	return s.work > 0 && d.now-s.updatedAt < backlogLife && (s.lapses < maxLapses || d.now >= s.pausedTo)
+}
 
 // recordStart counts an accepted start against the entry's offer and its share.
 func (d *division) recordStart(entry string, need sizer.Resources) {
@@ -89,7 +95,7 @@
 	if s == nil {
 		return
 	}
-	s.pausedTo, s.offeredAt = 0, d.now
+	s.pausedTo, s.lapses, s.offeredAt = 0, 0, d.now
 	s.offered = s.offered.Sub(need).Max(sizer.Resources{})
 	s.rate += float64(need.CPU)
 	if s.work > 0 {
@@ -126,6 +132,7 @@
 		if d.waits(s) && s.offered != (sizer.Resources{}) && d.now-s.offeredAt >= life {
 			s.offered, s.changed, s.withdrawn = sizer.Resources{}, true, true
 			s.pausedTo = d.now + unusedPause
+			s.lapses++
 		}
 	}
 }
--- a/starter/division_test.go
+++ b/starter/division_test.go
@@ -216,6 +216,27 @@
 	require.Fail(t, "the capacity that one entry does not use is not offered to the other")
 }
 
+// Guards against capacity that is kept for an entry whose waiting tasks need other servers,
+// while an entry without a backlog learns of none.
+func TestBacklogThatCannotUseTheAgentKeepsNoCapacity(t *testing.T) {
+	s := newSharedAgent()
+	s.report(entryA, 1000)
+	started := 0
+	for i := range uint64(300) {
+		s.tick(1)
+		s.report(entryA, 1000)
+		if s.reported[entryB] == 0 {
+			continue
+		}
+		started++
+		for _, r := range s.start(entryB, i, 0) {
+			s.Finish(r.ID, &protocol.Result{Status: 200})
+			s.update()
+		}
+	}
+	require.Greater(t, started, 200)
+}
+
 // Guards against an entry that gets capacity because its tasks end there, not because
 // its backlog is large: freed capacity goes to the entry that has had less for it.
 func TestFreedCapacityFollowsBacklog(t *testing.T) {
