--- a/coordinator/recorded_decisions_test.go
+++ b/coordinator/recorded_decisions_test.go
@@ -42,9 +42,12 @@
 	duration     func(agent int, estimate int64) int // of a task, in milliseconds
 }
 
+// replaySeed changes the arrivals of the replays. The recording is of seed 9.
+var replaySeed = flag.Uint64("replay-seed", 9, "seed of the replayed loads")
+
 func newRecordedSystem(entries, agents int, configure func(*Coordinator)) *recordedSystem {
 	s := &recordedSystem{
-		rng: rand.New(rand.NewPCG(7, 9)), events: make(map[int][]func()),
+		rng: rand.New(rand.NewPCG(7, *replaySeed)), events: make(map[int][]func()),
 		observeStart: func(*Coordinator, uint64) {}, observeEnd: func(*Coordinator, JobEnd) {},
 		duration: func(agent int, estimate int64) int { return int(estimate) * (80 + 10*agent) / 100 },
 	}
--- a/coordinator/uneven_load_test.go
+++ b/coordinator/uneven_load_test.go
@@ -38,8 +38,6 @@
 	jobs     []*replayedJob
 	byNumber map[*Coordinator]map[uint64]*replayedJob
 	weights  []float64
-	silenced map[int]bool // entries whose demand reaches nobody
-	messages int          // of demand
 }
 
 func newUnevenSystem(share bool) *unevenSystem {
@@ -133,6 +131,7 @@
 		arrive()
 		for i, c := range s.entries {
 			if (s.step+2*i)%20 == 0 {
+				s.checkJobs(c)
 				c.Tick(s.now())
 				s.applyEntry(c)
 			}
