--- a/coordinator/admission_test.go
+++ b/coordinator/admission_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mustardlever.dev/mustardlever/dispatcher"
 	"mustardlever.dev/mustardlever/estimator"
 	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/sizer"
@@ -219,6 +220,22 @@
 	require.Zero(t, s.share(&overload, 1), "the rate is not known")
 }
 
+// Guards against callers that return by the queue of the entry that refused them, or
+// before callers of a higher priority.
+func TestRetryAfterIsTheCommonDrainTime(t *testing.T) {
+	c := newTestCoordinator()
+	c.SharesDemand = func() bool { return true }
+	for i := range 6 {
+		c.Receive(testStart, "entry-0.1", protocol.Message{Demand: []protocol.Demand{
+			{Entry: fmt.Sprintf("entry-%d.1", i), Sequence: 1, Work: []int{50_000, 100_000}, Rate: 100_000},
+		}})
+	}
+	c.Tick(testStart)
+	for priority, delay := range []time.Duration{500 * time.Millisecond, 1500 * time.Millisecond, 1500 * time.Millisecond} {
+		require.Equal(t, delay, c.retryAfter(&job{queueItem: dispatcher.Job[*job]{Priority: priority}}))
+	}
+}
+
 // Guards against an entry that goes on deciding by the demand of others after all of them
 // have become silent.
 func TestSilentEntriesEndSharing(t *testing.T) {
