starter: an unresponsive server that answers again does not end offers

SetUnresponsive reported to each entry by SendLoad, which also counts the time of offers: those of that moment lapsed before their entries could use them.

--- a/starter/division_test.go
+++ b/starter/division_test.go
@@ -296,6 +296,24 @@
 	}
 }
 
+// Guards against an offer of a backend server that has just answered again that lapses
+// before its entry can use it, and against an offer while the server is unresponsive.
+func TestOfferAfterUnresponsiveness(t *testing.T) {
+	s := newSharedAgent()
+	s.report(entryB, 1000)
+	s.SetUnresponsive(true)
+	s.update()
+	s.report(entryB, 1000)
+	s.tick(5)
+	require.Zero(t, s.reported[entryA]+s.reported[entryB])
+	s.report(entryB, 1000)
+	s.SetUnresponsive(false)
+	s.update()
+	require.Equal(t, 4, s.reported[entryB])
+	s.tick(1)
+	require.Equal(t, 4, s.reported[entryB])
+}
+
 // Guards against the offer of a lost entry that is not offered to others.
 func TestOfferEndsWithSession(t *testing.T) {
 	for name, end := range map[string]func(s sharedAgent){
--- a/starter/load.go
+++ b/starter/load.go
@@ -26,8 +26,9 @@
 	s.unresponsive = unresponsive
 	s.division.withdrawAll()
 	s.startQueued()
+	s.offerFree("")
 	for range s.reportOrder {
-		s.SendLoad()
+		s.reportLoad()
 	}
 }
 
@@ -51,6 +52,14 @@
 	}
 	s.division.tick()
 	s.offerFree("")
+	s.reportLoad()
+}
+
+// reportLoad reports the load to the entry that is next in turn, if any.
+func (s *Starter) reportLoad() {
+	if s.draining {
+		return
+	}
 	for i, e := range s.reportOrder {
 		if s.reportedFree[e] != s.freeFor(e) && !s.unannounced[e] {
 			s.reportOrder = append(slices.Delete(s.reportOrder, i, i+1), e)
