--- a/starter/division_test.go
+++ b/starter/division_test.go
@@ -300,7 +300,10 @@
 // before its entry can use it, and against an offer while the server is unresponsive.
 func TestOfferAfterUnresponsiveness(t *testing.T) {
 	s := newSharedAgent()
-	s.report(entryB, 1000)
+	for i := range 4 {
+		s.EntryConnected(fmt.Sprintf("idle-%d.1", i))
+		s.report(fmt.Sprintf("idle-%d.1", i), 0)
+	}
 	s.SetUnresponsive(true)
 	s.update()
 	s.report(entryB, 1000)
