--- a/cmd/mustardctl/views.go
+++ b/cmd/mustardctl/views.go
@@ -35,6 +35,10 @@
 	for _, v := range views {
 		fmt.Printf("%-20s agents %d, suspect %d, jobs %d, unfinished %d, waiting tasks %d, free cores %s\n",
 			v.Service, v.Counts.Agents, v.Counts.SuspectAgents, v.Counts.Jobs, v.Counts.Unfinished, v.Counts.Waiting, formatCores(v.Counts.FreeMillicores))
+		if d := v.Counts.SharedDemand; d != nil {
+			fmt.Printf("  demand of %d entries, oldest %d ms, decides: %v; start by priority in ms %v, shed share %.2f\n",
+				d.Entries, d.OldestAgeMillis, d.Decides, d.StartMillis, d.ShedShare)
+		}
 		for _, a := range v.Agents {
 			fmt.Printf("  %-28s %-22s running %-4d free cores %s of %s, heard %s ago, speed %.2f%s\n", a.Agent, a.Address, a.Running,
 				formatCores(a.FreeCapacity.CPU), formatCores(a.Capacity.CPU), formatMillis(a.LastContactMillis), relativeSpeed(a.Slowness), formatHealth(a))
