--- a/cmd/mustardctl/views.go
+++ b/cmd/mustardctl/views.go
@@ -40,6 +40,10 @@
 			v.Service, v.Counts.Agents, v.Counts.SuspectAgents, v.Counts.Jobs, v.Counts.Unfinished, v.Counts.Waiting, formatCores(v.Counts.FreeMillicores))
 		printPlacement(v)
 		printZones(v)
+		if d := v.Counts.SharedDemand; d != nil {
+			fmt.Printf("  demand of %d entries, oldest %d ms, decides: %v; start by priority in ms %v, shed share %.2f\n",
+				d.Entries, d.OldestAgeMillis, d.Decides, d.StartMillis, d.ShedShare)
+		}
 		for _, a := range v.Agents {
 			fmt.Printf("  %-28s %-22s %-10s running %-4d free cores %s of %s, heard %s ago, speed %.2f%s%s\n", a.Agent, a.Address, a.Zone, a.Running,
 				formatCores(a.FreeCapacity.CPU), formatCores(a.Capacity.CPU), formatMillis(a.LastContactMillis), relativeSpeed(a.Slowness), formatHealth(a), formatProfile(a))
--- a/cmd/mustardleverd/hosted_entry.go
+++ b/cmd/mustardleverd/hosted_entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -75,8 +76,8 @@
 	e := &server.Entry{
 		Settings: server.EntrySettings{
 			Identity: identity(p), Entries: p.Entries, AddAnnouncedServices: true, Messenger: hostedMessengerSettings(),
-			FollowEvacuations: p.Platform.EvacuationMillis > 0,
-			Coordinator: coordinator.Settings{MaxDeadline: hostedDefaultDeadline, UsefulFactor: hostedUsefulFactor, LeaseExpiryWait: hostedSessionTimeout + hostedStopTime + hostedRenewalCutoff + hostedLease,
+			ShareDemand: p.Platform.ShareDemand, FollowEvacuations: p.Platform.EvacuationMillis > 0,
+			Coordinator: coordinator.Settings{MaxDeadline: hostedDefaultDeadline, UsefulFactor: hostedUsefulFactor, ShareAbove: maxEntries, DivideCapacity: p.Platform.DivideCapacity, ShedLoad: p.Platform.ShedLoad, LeaseExpiryWait: hostedSessionTimeout + hostedStopTime + hostedRenewalCutoff + hostedLease,
 				Dispatcher: placementSettings(p.Platform)},
 		},
 		Log: log, Recorder: r,
@@ -104,7 +105,7 @@
 		return
 	}
 	fields := log.WithFields(logrus.Fields{"service": service, "job": d.Name, "task": d.Task, "peer": d.Peer, "cause": d.Reason})
-	if d.Kind == "start-refused" {
+	if d.Kind == "start-refused" || strings.HasPrefix(d.Kind, "refused-") {
 		fields.Info("Entry decides: " + d.Kind + ".")
 		return
 	}
--- a/coordinator/progress.go
+++ b/coordinator/progress.go
@@ -83,6 +83,7 @@
 		Agent: a.name, Ticket: j.ticket(c.Self), Task: i, Attempt: j.tasks[i].attempt,
 		Request: j.requests[i], SessionBound: j.restartable, RequiredLabel: j.queueItem.RequiredLabel,
 		ExpectedMillis: c.expectedMillis(j, i, a),
+		Backlog:        c.backlogForStart(now, a.name),
 	}})
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -76,12 +76,18 @@
 	lastSequence    uint64
 	waiting         int             // number of waiting tasks
 	waitingWork     float64         // work of all waiting tasks, in thousandths of a core times seconds
+	workByLevel     [levels]float64 // parts of waitingWork, by level of priority
+	jobsByLevel     [levels]int     // waiting jobs
+	heldBackWork    float64         // the part of waitingWork of late jobs without a started task
+	headroom        bool            // whether late jobs could start at the last call of Next
 	startedWork     float64         // work started since rateUpdatedAt
 	startRate       float64         // work started per second while tasks wait
 	rateObserved    float64         // seconds over which startRate was observed, at most rateWindow
 	rateUpdatedAt   time.Time       // time of the last update of startRate
 	meanSeconds     float64         // moving average of task durations over all agents
 	largestCapacity sizer.Resources // largest amount of each resource that any agent ever had
+	firstToReport   int             // index in agentList of the agent that learns of a backlog first
+	reportsBacklog  bool            // ReportBacklog was called since StopReportingBacklog
 	lastAgentIndex  int             // index in agentList of the agent used last, for BaselineRoundRobin
 
 	agedAt      time.Time // last update of the weight of own samples
@@ -112,6 +118,9 @@
 	return a.key < b.key || a.key == b.key && a.sequence < b.sequence
 }
 
+// heldBack reports whether the job starts only while there is headroom.
+func (j *Job[J]) heldBack() bool { return j.late && !j.started }
+
 // Late reports whether the job can no longer meet its due time.
 func (j *Job[J]) Late() bool { return j.late }
 
@@ -185,6 +194,7 @@
 	for _, j := range late {
 		d.jobs.Delete(j)
 		j.late = true
+		d.heldBackWork += d.jobWork(j)
 		j.key = d.rank(j)
 		d.jobs.ReplaceOrInsert(j)
 	}
@@ -215,7 +225,8 @@
 	j.key = d.rank(j)
 	j.queued = true
 	d.waiting += waiting
-	d.waitingWork += d.jobWork(j)
+	d.jobsByLevel[level(j.Priority)]++
+	d.addWork(j, d.jobWork(j))
 	d.jobs.ReplaceOrInsert(j)
 	d.preferPlace(j)
 }
@@ -234,7 +245,8 @@
 	d.jobs.Delete(j)
 	j.queued = false
 	d.waiting -= j.Waiting
-	d.waitingWork -= d.jobWork(j)
+	d.jobsByLevel[level(j.Priority)]--
+	d.addWork(j, -d.jobWork(j))
 }
 
 // jobWork returns the work of the job's waiting tasks, in thousandths of a core
@@ -338,10 +350,10 @@
 	d.scan++
 	d.aheadElsewhere = 0
 	d.updateFreeTotal()
-	hasHeadroom := d.hasFree(lateHeadroom)
+	d.headroom = d.hasFree(lateHeadroom)
 	d.jobs.Ascend(func(candidate *Job[J]) bool {
 		scanned++
-		if candidate.late && !candidate.started && !hasHeadroom {
+		if candidate.heldBack() && !d.headroom {
 			return false
 		}
 		if a := d.chooseAgent(now, candidate, eligible); a != nil {
@@ -360,9 +372,9 @@
 // start counts a task of the job as started on chosen.
 func (d *Dispatcher[J]) start(now time.Time, j *Job[J], chosen *agent) {
 	chosen.addStart(j.Need)
+	d.addWork(j, -d.taskWork(j))
 	j.Waiting--
 	d.waiting--
-	d.waitingWork -= d.taskWork(j)
 	d.startedWork += d.taskWork(j)
 	d.countPlaceStart(j, chosen)
 	d.endWaitByStart(now, j, chosen)
@@ -378,9 +390,14 @@
 		return
 	}
 	d.jobs.Delete(j)
+	if j.heldBack() {
+		d.heldBackWork -= d.jobWork(j)
+	}
 	j.started = true
 	j.queued = j.Waiting > 0
-	if j.queued {
+	if !j.queued {
+		d.jobsByLevel[level(j.Priority)]--
+	} else {
 		j.key = d.rank(j)
 		d.jobs.ReplaceOrInsert(j)
 	}
@@ -395,7 +412,7 @@
 		}
 		total += a.capacity.CPU
 		if a.available() {
-			free += max(a.freeCapacity.CPU, 0)
+			free += max(a.freeCapacity.CPU, 0) + max(a.offeredElsewhere, 0)
 		}
 	}
 	d.freeCPU, d.totalCPU = free, total
@@ -437,7 +454,7 @@
 // time. It is infinite for a job without a due time, and for one that can no longer meet it.
 func (d *Dispatcher[J]) maxRunSeconds(now time.Time, j *Job[J]) float64 {
 	if !j.Due.IsZero() && !j.late && now.Before(d.latestStart(j)) {
-		return j.Due.Sub(now).Seconds()
+		return j.Due.Sub(now).Seconds() - d.startDelay()
 	}
 	return math.Inf(1)
 }
--- a/protocol/message.go
+++ b/protocol/message.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"mustardlever.dev/mustardlever/dispatcher"
+	"mustardlever.dev/mustardlever/estimator"
 	"mustardlever.dev/mustardlever/evacuator"
 	"mustardlever.dev/mustardlever/sizer"
 )
@@ -63,6 +64,7 @@
 	Outcome       *Outcome       `json:"outcome,omitempty"`
 	Stop          *Stop          `json:"stop,omitempty"`
 	Load          *Load          `json:"load,omitempty"`
+	Backlog       *Backlog       `json:"backlog,omitempty"`
 	Close         *Close         `json:"close,omitempty"`
 	Seal          *Seal          `json:"seal,omitempty"`
 	Sealed        *Sealed        `json:"sealed,omitempty"`
@@ -76,6 +78,7 @@
 	Reply         *Reply         `json:"reply,omitempty"`
 	Entries       *Entries       `json:"entries,omitempty"`
 
+	Demand       []Demand     `json:"demand,omitempty"`
 	ServerLosses []ServerLoss `json:"server-losses,omitempty"`
 	Evacuations  *Evacuations `json:"evacuations,omitempty"`
 	Cancels      []Cancel     `json:"cancels,omitempty"`
@@ -191,8 +194,19 @@
 
 	RequiredLabel  string `json:"required-label,omitempty"`
 	ExpectedMillis int64  `json:"expected-ms,omitempty"` // duration on a server of average speed, if it differs from the request's estimate
+
+	Backlog *Backlog `json:"backlog,omitempty"` // after this start; nil: the sender does not share its demand
 }
 
+// Backlog (entry to agent) reports the work that waits at the sender. While entries
+// share their demand, it comes with each start, at intervals while work waits, and once
+// when none does any more.
+type Backlog = dispatcher.Backlog
+
+// Demand (entry to entry) is the demand for a service at one entry. A message has that of
+// the sender and some that the sender has learned of.
+type Demand = estimator.Demand
+
 // Refusal is the reason why an agent did not start a task and never will.
 type Refusal string
 
--- a/server/entry.go
+++ b/server/entry.go
@@ -29,6 +29,7 @@
 	Coordinator          coordinator.Settings // settings of added services
 	Messenger            messenger.Settings
 	FollowEvacuations    bool // start nothing in evacuated zones
+	ShareDemand          bool // entries share their demand while none is connected to all agents; see sharesDemand
 }
 
 // maxServices limits the services of an entry: with this many, it adds no more
