--- a/configurer/process.go
+++ b/configurer/process.go
@@ -40,6 +40,8 @@
 	RemoteFactor     float64 `json:"remote-factor"`   // how many times longer a task takes away from its data; default 1.5
 	LocalityWait     bool    `json:"locality-wait"`   // tasks may wait for a place near their data
 	ShareDemand      bool    `json:"share-demand"`    // entries exchange their demand if no entry is connected to all agents
+	DivideCapacity   bool    `json:"divide-capacity"` // with share-demand: agents divide their free capacity by the entries' backlogs
+	ShedLoad         bool    `json:"shed-load"`       // with share-demand: entries refuse a share of the arriving jobs under overload
 	ServerProfiles   bool    `json:"server-profiles"` // agents report what they have learned of their backend servers, and entries place by it
 }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -20,6 +20,9 @@
 	MaxResultBytes  int           // maximum size of the results of ended jobs, in bytes; default 48 MiB
 	UsefulFactor    float64       // multiple of the time until due after which the caller has no use for an answer; default: no limit
 	LeaseExpiryWait time.Duration // time after the loss of an agent by which its session-bound tasks have stopped; default 2 s
+	ShareAbove      int           // number of known entries above which the demand of all decides; default 6
+	DivideCapacity  bool          // while the demand of all decides, report the backlog to the agents, which divide their free capacity by it
+	ShedLoad        bool          // while the demand of all decides, refuse a share of the arriving jobs under overload
 	Dispatcher      dispatcher.Settings
 }
 
@@ -33,6 +36,7 @@
 	setDefault(&s.MaxJobs, 200_000)
 	setDefault(&s.MaxResultBytes, 48<<20)
 	setDefault(&s.LeaseExpiryWait, 2*time.Second)
+	setDefault(&s.ShareAbove, 6)
 	return s
 }
 
@@ -93,6 +97,9 @@
 	// IsCancelled reports whether the job with the given name was cancelled: it is not
 	// started. nil: none is.
 	IsCancelled func(name string) bool
+	// SharesDemand reports whether entries exchange their demand now; nil: never. They
+	// act by it while more than Settings.ShareAbove entries are known from it.
+	SharesDemand func() bool
 
 	startedAt          time.Time
 	nextSequence       uint64          // sequence number of the next ticket
@@ -117,6 +124,8 @@
 	losses             lossTable
 	leaseExpiring      map[*job]bool // jobs that wait for tasks on lost agents to stop
 	evacuations        *evacuator.State
+	sharing            bool // the demand of all entries decides, as of the last Tick
+	demand             sharedDemand
 	draining           bool
 	handedOver         bool      // unfinished jobs were handed over to their backups
 	lastClosedAt       time.Time // when closedBelow was last updated
@@ -150,6 +159,7 @@
 	c.leaseExpiring = make(map[*job]bool)
 	c.queue.Settings = c.Settings.Dispatcher
 	c.queue.Init(now)
+	c.demand.table.Self = c.Self
 }
 
 // TakeDecisions returns the messages, job ends and decisions since the last call, and
@@ -189,6 +199,9 @@
 
 	Locality dispatcher.LocalityCounts `json:"locality,omitzero"`
 	Profiles dispatcher.ProfileCounts  `json:"profiles,omitzero"`
+
+	// SharedDemand is set while entries exchange their demand.
+	SharedDemand *DemandView `json:"shared-demand,omitempty"`
 }
 
 // Counts returns the current sizes.
@@ -203,6 +216,7 @@
 			counts.AckedAgents = max(counts.AckedAgents, len(b.acked))
 		}
 	}
+	counts.SharedDemand = c.demandView()
 	return counts
 }
 
@@ -230,6 +244,8 @@
 		c.handleStartRecords(now, from, m.StartRecords)
 	case m.Close != nil:
 		c.handleClose(from, m.Close)
+	case m.Demand != nil:
+		c.demand.table.Merge(now, from, m.Demand)
 	case m.ServerLosses != nil:
 		c.handleServerLosses(now, from, m.ServerLosses)
 	}
--- a/coordinator/ending.go
+++ b/coordinator/ending.go
@@ -34,7 +34,7 @@
 func (c *Coordinator) stoppedAnswer(j *job) *Answer {
 	a := j.newAnswer(StateFailed, j.stopReason)
 	if !a.MayHaveRun() {
-		a.RetryAfter = c.retryAfter()
+		a.RetryAfter = c.retryAfter(j)
 		if j.stopReason == protocol.ReasonEvacuated {
 			a.RetryAfter = evacuatedRetryAfter
 		}
--- a/coordinator/tick.go
+++ b/coordinator/tick.go
@@ -36,6 +36,7 @@
 		c.advanceClosedBelow()
 	}
 	c.dispatch(now)
+	c.shareDemand(now)
 }
 
 // checkJob applies the time limits of a job.
@@ -48,7 +49,7 @@
 	case c.onlyEvacuated(now, j):
 		c.stop(now, j, protocol.ReasonEvacuated)
 	case c.cannotMeetDueTime(now, j):
-		c.stop(now, j, protocol.ReasonDueTimeUnreachable)
+		c.refuseWaiting(now, j)
 	case j.suspended:
 		c.checkLosses(now, j)
 	}
--- a/dispatcher/agent.go
+++ b/dispatcher/agent.go
@@ -27,6 +27,9 @@
 	Received uint64          `json:"received"`
 
 	Profile *profiler.Profile `json:"profile,omitempty"` // set if it has changed since the last report to the same entry
+	// OfferedElsewhere is free capacity, in thousandths of a core, that is not part of
+	// Free because it was offered to other entries.
+	OfferedElsewhere int `json:"offered-elsewhere,omitempty"`
 }
 
 // unreportedStart is a start that the agent's last Load did not include.
@@ -38,6 +41,9 @@
 // agent is the entry's view of one backend server. The fields that every scan of the agents
 // reads come first, so that they share cache lines.
 type agent struct {
+	offeredElsewhere    int             // from the last Load
+	reportedBacklog     int             // work of the last Backlog sent to it
+	backlogReportedAt   time.Time       // zero: none was sent
 	freeCapacity        sizer.Resources // reportedFree minus the unreported starts
 	capacity            sizer.Resources
 	suspendedUntil      time.Time // gets no task before; zero: not suspended
@@ -77,7 +83,7 @@
 		k++
 	}
 	a.unreported = a.unreported[k:]
-	a.reportedFree = l.Free
+	a.reportedFree, a.offeredElsewhere = l.Free, l.OfferedElsewhere
 	a.updateFreeCapacity()
 }
 
--- a/server/entry.go
+++ b/server/entry.go
@@ -29,6 +29,7 @@
 	Coordinator          coordinator.Settings // settings of added services
 	Messenger            messenger.Settings
 	FollowEvacuations    bool // start nothing in evacuated zones
+	ShareDemand          bool // entries share their demand while none is connected to all agents; see sharesDemand
 }
 
 // maxServices limits the services of an entry: with this many, it adds no more
@@ -59,6 +60,7 @@
 	shards     shardTable
 	calls      pendingCalls
 	cancels    cancels
+	cuts       cuts
 	ctx        context.Context
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
@@ -234,6 +236,7 @@
 			e.applyAndWake(s, func(c *coordinator.Coordinator, now time.Time) { c.Tick(now) })
 		}
 		e.fetchRoutes(time.Now())
+		e.observeContact(time.Now())
 	}
 }
 
--- a/starter/load.go
+++ b/starter/load.go
@@ -11,9 +11,9 @@
 // updateLoad returns the load to report to an entry, and stores its free capacity
 // as the last one reported to that entry.
 func (s *Starter) updateLoad(entry string) dispatcher.Load {
-	free := s.freeCapacity()
+	free := s.freeFor(entry)
 	s.reportedFree[entry] = free
-	return dispatcher.Load{Free: free, Received: s.receivedStarts[entry], Profile: s.takeProfile(entry)}
+	return dispatcher.Load{Free: free, Received: s.receivedStarts[entry], OfferedElsewhere: s.offeredElsewhere(entry), Profile: s.takeProfile(entry)}
 }
 
 // SetUnresponsive sets whether the backend server is unresponsive, and reports the
@@ -24,9 +24,11 @@
 		return
 	}
 	s.unresponsive = unresponsive
+	s.division.withdrawAll()
 	s.startQueued()
+	s.offerFree("")
 	for range s.reportOrder {
-		s.SendLoad()
+		s.reportLoad()
 	}
 }
 
@@ -52,9 +54,18 @@
 	if s.draining {
 		return
 	}
-	free := s.freeCapacity()
+	s.division.tick()
+	s.offerFree("")
+	s.reportLoad()
+}
+
+// reportLoad reports the load to the entry that is next in turn, if any.
+func (s *Starter) reportLoad() {
+	if s.draining {
+		return
+	}
 	for i, e := range s.reportOrder {
-		if (s.reportedFree[e] != free || s.newProfile(e) != nil) && !s.unannounced[e] {
+		if (s.reportedFree[e] != s.freeFor(e) || s.newProfile(e) != nil) && !s.unannounced[e] {
 			s.reportOrder = append(slices.Delete(s.reportOrder, i, i+1), e)
 			load := s.updateLoad(e)
 			s.send(e, protocol.Message{Load: &load})
--- a/starter/start.go
+++ b/starter/start.go
@@ -20,6 +20,7 @@
 		return // the session that delivered the start is closed
 	}
 	s.receivedStarts[from]++
+	s.recordBacklog(from, m.Backlog)
 	if m.Ticket.Owner == "" {
 		m.Ticket.Owner = from
 	}
@@ -49,12 +50,14 @@
 		serverIncarnation: s.profiler.Incarnation(), expected: expectedDuration(m),
 	}
 	s.runs[r.ID] = r
+	s.division.recordStart(from, need)
 	if s.unresponsive || !s.admission.canStart(s.Capacity, need) {
 		s.admission.enqueue(r)
 		return
 	}
 	s.load.countStart(s.Capacity, s.admission.used, need)
 	s.admission.reserve(r)
+	s.offerFree("")
 	s.startRun(r)
 }
 
@@ -267,6 +270,7 @@
 		s.admission.release(r)
 	}
 	s.startQueued()
+	s.offerFree(r.Requester)
 	s.announceIfIdle(r.Requester)
 	return r
 }
