dispatcher: a plan lists equal agents in the order of choice; test of job plan

Cause: tests.TestControllerPlansJob showed agent-2 as the next one and agent-1 first in the table: equal costs were ordered by name, but the first known agent is chosen. Change: stable order.

--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -50,7 +50,7 @@
 	Hold        Hold        `json:"hold,omitempty"`     // why the rest would wait
 	DrainMillis *int64      `json:"drain-ms,omitempty"` // time in which the waiting tasks of all jobs start at the present rate; nil: not known
 	Place       *PlacePlan  `json:"place,omitempty"`    // nil: its place was not compared with agents elsewhere
-	Candidates  []Candidate `json:"-"`                  // all agents, the cheapest first
+	Candidates  []Candidate `json:"-"`                  // all agents; those that can start the next task first, by cost
 }
 
 // PlacePlan compares waiting for capacity near a job's data with starting its next task
@@ -155,7 +155,8 @@
 	return HoldQueue
 }
 
-// candidates returns the agents as the job's next task is compared on them, by their cost.
+// candidates returns the agents as the job's next task is compared on them: those that can
+// start it first, by their cost.
 func (d *Dispatcher[J]) candidates(now time.Time, j *Job[J], eligible func(J, string) bool) []Candidate {
 	d.updateFreeTotal()
 	estimate, maxSeconds, spread := d.expectedSeconds(j.Estimate), d.maxRunSeconds(now, j), d.hasFree(lateHeadroom)
@@ -174,7 +175,7 @@
 		list = append(list, k)
 	}
 	slices.SortStableFunc(list, func(a, b Candidate) int {
-		return cmp.Or(compareFalseFirst(a.Obstacle != "", b.Obstacle != ""), cmp.Compare(a.Cost, b.Cost), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(compareFalseFirst(a.Obstacle != "", b.Obstacle != ""), cmp.Compare(a.Cost, b.Cost)) // stable: of equal ones bestAgent takes the first
 	})
 	return list
 }
--- a/dispatcher/plan_test.go
+++ b/dispatcher/plan_test.go
@@ -116,6 +116,18 @@
 	requireWait(t, d, now)
 }
 
+// Guards against an order of the agents that contradicts the choice between equal ones.
+func TestPlanOrdersEqualAgentsAsChosen(t *testing.T) {
+	d := newProfileDispatcher(0)
+	for _, name := range []string{"b", "a", "c"} {
+		d.AddAgent(name, sizer.Slots(8), nil)
+		reportFree(d, name, 8)
+	}
+	p := d.Plan(startTime, planned(startTime), 1, nil)
+	require.Equal(t, "b", p.Next)
+	require.Equal(t, p.Next, p.Candidates[0].Name)
+}
+
 // Guards against a plan that ignores jobs that come first.
 func TestPlanCountsJobsAhead(t *testing.T) {
 	d := newDispatcher()
