starter: reports say whether the backend server is cold

Cause: job plan has to show cold servers, which entries did not know: they see only the free capacity that a warm-up limits. Change: field cold of Load, true during a warm-up with cold-overage; a change of it alone is reported too. Entries show it and take no decision by it.

--- a/cmd/mustardctl/plan.go
+++ b/cmd/mustardctl/plan.go
@@ -164,7 +164,9 @@
 	case a.Obstacle == dispatcher.ObstacleSuspended:
 		return fmt.Sprintf("%s for %s", a.Obstacle, formatMillis(a.SuspendedMillis))
 	case a.Obstacle != "":
-		return string(a.Obstacle)
+		return string(a.Obstacle) + formatIf(a.Cold, ", cold")
+	case a.Cold:
+		return "ok, cold"
 	case a.OnProbation:
 		return "ok, on probation"
 	case a.ConsecutiveFailures > 0:
--- a/dispatcher/agent.go
+++ b/dispatcher/agent.go
@@ -26,6 +26,8 @@
 	Free     sizer.Resources `json:"free"`
 	Received uint64          `json:"received"`
 
+	Cold bool `json:"cold,omitempty"` // the backend server warms up, which may limit Free; shown to operators, not used for decisions
+
 	Profile *profiler.Profile `json:"profile,omitempty"` // set if it has changed since the last report to the same entry
 }
 
@@ -58,6 +60,8 @@
 	ownSamples     float64          // recent samples in logSlowness, weighted by age; used with profiles
 	failurePenalty float64          // number of starts that a task is expected to need, by the profile; zero: not known
 	excluded       bool             // gets no tasks, since by its profile nearly all of them fail
+
+	cold bool // from the last Load
 }
 
 // updateFreeCapacity computes freeCapacity from the last Load and the unreported
@@ -76,7 +80,7 @@
 		k++
 	}
 	a.unreported = a.unreported[k:]
-	a.reportedFree = l.Free
+	a.reportedFree, a.cold = l.Free, l.Cold
 	a.updateFreeCapacity()
 }
 
--- a/dispatcher/view.go
+++ b/dispatcher/view.go
@@ -17,6 +17,7 @@
 	SuspendedMillis     int64           `json:"paused-ms"`         // time until its suspension ends; 0: not suspended
 	OnProbation         bool            `json:"on-trial"`          // on probation: gets one task at a time until one succeeds
 
+	Cold     bool              `json:"cold,omitempty"`     // its backend server warms up, which may limit the free capacity
 	Profile  *profiler.Profile `json:"profile,omitempty"`  // as last reported; nil: none
 	Excluded bool              `json:"excluded,omitempty"` // gets no tasks, since by its profile nearly all of them fail
 }
@@ -31,7 +32,7 @@
 		Capacity: a.capacity, FreeCapacity: a.freeCapacity, UnreportedStarts: len(a.unreported), Slowness: a.slowness,
 		ConsecutiveFailures: a.consecutiveFailures, OnProbation: a.onProbation,
 	}
-	v.Excluded = a.excluded
+	v.Excluded, v.Cold = a.excluded, a.cold
 	if a.profile != (profiler.Profile{}) {
 		p := a.profile
 		v.Profile = &p
--- a/starter/load.go
+++ b/starter/load.go
@@ -13,7 +13,20 @@
 func (s *Starter) updateLoad(entry string) dispatcher.Load {
 	free := s.freeCapacity()
 	s.reportedFree[entry] = free
-	return dispatcher.Load{Free: free, Received: s.receivedStarts[entry], Profile: s.takeProfile(entry)}
+	s.setReportedCold(entry)
+	return dispatcher.Load{Free: free, Cold: s.load.limited, Received: s.receivedStarts[entry], Profile: s.takeProfile(entry)}
+}
+
+// setReportedCold stores whether the backend server was reported as cold to an entry.
+func (s *Starter) setReportedCold(entry string) {
+	if !s.load.limited {
+		delete(s.reportedCold, entry)
+		return
+	}
+	if s.reportedCold == nil {
+		s.reportedCold = make(map[string]bool)
+	}
+	s.reportedCold[entry] = true
 }
 
 // SetUnresponsive sets whether the backend server is unresponsive, and reports the
@@ -54,7 +67,7 @@
 	}
 	free := s.freeCapacity()
 	for i, e := range s.reportOrder {
-		if (s.reportedFree[e] != free || s.newProfile(e) != nil) && !s.unannounced[e] {
+		if (s.reportedFree[e] != free || s.reportedCold[e] != s.load.limited || s.newProfile(e) != nil) && !s.unannounced[e] {
 			s.reportOrder = append(slices.Delete(s.reportOrder, i, i+1), e)
 			load := s.updateLoad(e)
 			s.send(e, protocol.Message{Load: &load})
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -91,6 +91,7 @@
 	admission        admissionQueue
 	receivedStarts   map[string]uint64          // number of starts received in the session with each entry
 	reportedFree     map[string]sizer.Resources // free capacity last reported to each entry
+	reportedCold     map[string]bool            // entries whose last report was that the backend server is cold
 	tables           map[tableKey]*recordTable
 	closedBelow      map[string]uint64    // by owner: tickets with lower numbers are closed
 	lostAt           map[string]time.Time // by entry: when its session was closed as lost
@@ -237,6 +238,7 @@
 	s.reportOrder = slices.DeleteFunc(s.reportOrder, func(e string) bool { return e == entry })
 	delete(s.receivedStarts, entry)
 	delete(s.reportedFree, entry)
+	delete(s.reportedCold, entry)
 	delete(s.reportedProfiles, entry)
 	delete(s.unannounced, entry)
 	delete(s.releasing, entry)
