--- a/cmd/mustardctl/plan.go
+++ b/cmd/mustardctl/plan.go
@@ -132,7 +132,7 @@
 	case server.PlanJoins:
 		return "joins: an unfinished job has the same name"
 	case server.PlanRefused:
-		return fmt.Sprintf("refused: %s%s", v.Cause, formatIf(v.RetryAfterMillis > 0, ", Retry-After "+formatMillis(v.RetryAfterMillis)))
+		return fmt.Sprintf("refused: %s%s", v.Cause, formatIf(v.RetryAfterMillis > 0, ", retry after "+formatMillis(v.RetryAfterMillis)))
 	}
 	return string(v.Decision) + ": " + cmp.Or(v.Cause, string(v.Outcome))
 }
