--- a/dispatcher/plan_test.go
+++ b/dispatcher/plan_test.go
@@ -141,6 +141,25 @@
 	require.Equal(t, "first", job)
 }
 
+// Guards against a plan that says that nothing is free, or whose cost grows with the queue,
+// when the jobs ahead are more than a scan examines.
+func TestPlanBehindLongQueue(t *testing.T) {
+	d := newDispatcher()
+	reportFree(d, "fast", 1)
+	for i := range 2000 {
+		d.Add(&dispatcher.Job[string]{Value: fmt.Sprint(i), Arrived: startTime, Need: sizer.Slots(4), Due: startTime.Add(time.Second)}, 1, 1)
+	}
+	j := planned(startTime)
+	j.Due = startTime.Add(time.Minute)
+	p := d.Plan(startTime, j, 1, nil)
+	require.Equal(t, 2000, p.Ahead)
+	require.Zero(t, p.Starts)
+	require.Equal(t, dispatcher.HoldQueue, p.Hold)
+	require.Empty(t, candidate(t, p, "fast").Obstacle)
+	d.Add(j, 1, 1)
+	requireNoStart(t, d)
+}
+
 // Guards against plans that differ from the decisions: a job that is added right after its
 // plan, with the same state and all features on, starts where and as far as the plan says.
 func TestPlanAgreesWithDecisions(t *testing.T) {
