--- a/dispatcher/agent.go
+++ b/dispatcher/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"mustardlever.dev/mustardlever/profiler"
@@ -97,6 +98,16 @@
 	return !a.evacuated && !a.excluded && a.suspendedUntil.IsZero() && (!a.onProbation || a.running == 0)
 }
 
+// hasRequired reports whether the agent has the label, or none is required.
+func (a *agent) hasRequired(label string) bool {
+	return label == "" || slices.Contains(a.labels, label)
+}
+
+// near reports whether the agent has the preferred label, or none is preferred.
+func (a *agent) near(label string) bool {
+	return label == "" || slices.Contains(a.labels, label)
+}
+
 // addSample updates the slowness with a task that took ratio times its estimate.
 // Averaging logarithms gives half and twice the estimate the same weight.
 func (a *agent) addSample(ratio float64) {
--- a/dispatcher/baseline.go
+++ b/dispatcher/baseline.go
@@ -25,7 +25,7 @@
 func (d *Dispatcher[J]) chooseBaseline(j *Job[J], eligible func(J, string) bool) *agent {
 	var candidates []*agent
 	for _, a := range d.agentList {
-		if canStart(j, a) && (eligible == nil || eligible(j.Value, a.name)) {
+		if a.available() && a.freeCapacity.Covers(j.Need) && a.hasRequired(j.RequiredLabel) && (eligible == nil || eligible(j.Value, a.name)) {
 			candidates = append(candidates, a)
 		}
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/google/btree"
@@ -421,7 +420,10 @@
 	var bestAgent *agent
 	var leastCost float64
 	for _, a := range agents {
-		if !canStart(j, a) || estimate*a.slowness > maxSeconds {
+		if !a.available() || !a.freeCapacity.Covers(j.Need) || !a.hasRequired(j.RequiredLabel) {
+			continue
+		}
+		if estimate*a.slowness > maxSeconds {
 			continue
 		}
 		cost := d.taskCost(j, a, estimate, spread)
@@ -441,12 +443,6 @@
 	return math.Inf(1)
 }
 
-// canStart reports whether a task of the job can start on the agent now, by the agent's
-// state, free capacity and labels.
-func canStart[J any](j *Job[J], a *agent) bool {
-	return a.available() && a.freeCapacity.Covers(j.Need) && (j.RequiredLabel == "" || slices.Contains(a.labels, j.RequiredLabel))
-}
-
 // taskCost returns the cost by which agents are compared for a task of the job. Spread
 // means that the agent's failures by its profile count.
 func (d *Dispatcher[J]) taskCost(j *Job[J], a *agent, estimate float64, spread bool) float64 {
@@ -454,17 +450,12 @@
 	if spread && a.failurePenalty > 1 {
 		cost *= a.failurePenalty
 	}
-	if !near(j, a) {
+	if !a.near(j.PreferredLabel) {
 		cost *= d.remoteFactor()
 	}
 	return cost
 }
 
-// near reports whether the agent is close to the job's data, or the job prefers no label.
-func near[J any](j *Job[J], a *agent) bool {
-	return j.PreferredLabel == "" || slices.Contains(a.labels, j.PreferredLabel)
-}
-
 // TooLarge reports whether the need of a task exceeds, in any resource, the
 // capacity of every agent seen so far. It is false before the first agent.
 func (d *Dispatcher[J]) TooLarge(need sizer.Resources) bool {
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -162,7 +162,7 @@
 	estimate, maxSeconds, spread := d.expectedSeconds(j.Estimate), d.maxRunSeconds(now, j), d.hasFree(lateHeadroom)
 	list := make([]Candidate, 0, len(d.agentList))
 	for _, a := range d.agentList {
-		k := Candidate{Name: a.name, Near: near(j, a), Cost: d.taskCost(j, a, estimate, spread)}
+		k := Candidate{Name: a.name, Near: a.near(j.PreferredLabel), Cost: d.taskCost(j, a, estimate, spread)}
 		run := estimate * a.slowness
 		if !k.Near {
 			run *= d.remoteFactor()
@@ -183,8 +183,6 @@
 // obstacle returns why the job's next task cannot start on the agent now.
 func obstacle[J any](j *Job[J], a *agent, tooSlow bool, eligible func(J, string) bool) Obstacle {
 	switch {
-	case canStart(j, a) && !tooSlow && (eligible == nil || eligible(j.Value, a.name)):
-		return ""
 	case a.evacuated:
 		return ObstacleEvacuated
 	case a.excluded:
@@ -195,14 +193,16 @@
 		return ObstacleProbation
 	case !a.capacity.Covers(j.Need):
 		return ObstacleTooSmall
-	case j.RequiredLabel != "" && !slices.Contains(a.labels, j.RequiredLabel):
+	case !a.hasRequired(j.RequiredLabel):
 		return ObstacleLabel
 	case tooSlow:
 		return ObstacleTooSlow
 	case !a.freeCapacity.Covers(j.Need):
 		return ObstacleNoCapacity
+	case eligible != nil && !eligible(j.Value, a.name):
+		return ObstacleNotEligible
 	}
-	return ObstacleNotEligible
+	return ""
 }
 
 func (c *comparison) plan(label string, waits bool) *PlacePlan {
