--- a/coordinator/admission.go
+++ b/coordinator/admission.go
@@ -45,11 +45,16 @@
 	return ""
 }
 
+// judgedOnArrival reports whether the demand of all entries decides on the arrival of a job.
+func (c *Coordinator) judgedOnArrival(j *job) bool {
+	return c.sharing && c.Settings.UsefulFactor > 0 && j.restartable && !j.queueItem.Due.IsZero() && len(c.agents) > 0
+}
+
 // refusalOnArrival returns why a synchronous job that has just arrived should be refused
 // at once, or "". The cost does not depend on the length of the queue: the dispatcher
 // counts a bounded number of jobs, and the demand was summarized at the last Tick.
 func (c *Coordinator) refusalOnArrival(now time.Time, j *job) string {
-	if !c.sharing || c.Settings.UsefulFactor <= 0 || !j.restartable || j.queueItem.Due.IsZero() || len(c.agents) == 0 {
+	if !c.judgedOnArrival(j) {
 		return ""
 	}
 	item := j.queueItem
@@ -61,12 +66,22 @@
 	j.drainOnArrival = c.sharedDrain()
 	d.shedder.observe(latestStart, item.Estimate)
 	scarce := scarcity(d.summary.Used)
-	if scarce == 0 {
-		return ""
-	}
-	if c.Settings.ShedLoad && d.shedder.sheds(level, work, item.Estimate, scarce*d.shedder.share(&d.summary, level)) {
+	if c.Settings.ShedLoad && scarce > 0 && d.shedder.sheds(level, work, item.Estimate, scarce*d.shedder.share(&d.summary, level)) {
 		return causeShed
 	}
+	return c.refusalByWorkAhead(now, j)
+}
+
+// refusalByWorkAhead returns why a job that arrives now should be refused because of the
+// work ahead of it, or "". It changes no state.
+func (c *Coordinator) refusalByWorkAhead(now time.Time, j *job) string {
+	d := &c.demand
+	if !c.judgedOnArrival(j) || scarcity(d.summary.Used) == 0 {
+		return ""
+	}
+	item := j.queueItem
+	item.Waiting = len(j.tasks)
+	work, level := c.queue.Work(&item), estimator.Level(item.Priority)
 	w := c.queue.Waits()
 	own := estimator.Own{Ahead: c.queue.WorkAhead(&item), Rate: w.Rate}
 	for _, work := range w.Work[:level+1] {
@@ -75,7 +90,7 @@
 	if own.Ahead == 0 {
 		return "" // starts next
 	}
-	p := prospects{latestStart: latestStart, usefulStart: c.usefulStart(j).Sub(now)}
+	p := prospects{latestStart: c.queue.LatestStart(&item).Sub(now), usefulStart: c.usefulStart(j).Sub(now)}
 	p.start, p.startKnown = d.summary.Start(level, own, work)
 	p.drain, p.drainKnown = d.drain(now)
 	return p.refusalCause()
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mustardlever.dev/mustardlever/dispatcher"
+	"mustardlever.dev/mustardlever/protocol"
 )
 
 // Plan explains where the tasks of a synchronous job would start now.
@@ -61,6 +62,10 @@
 		j.stopReason = reason
 		return p.withoutStart(), c.stoppedAnswer(j), nil
 	}
+	if !held && c.refusalByWorkAhead(now, j) != "" {
+		j.stopReason = protocol.ReasonDueTimeUnreachable
+		return p.withoutStart(), c.stoppedAnswer(j), nil
+	}
 	if held || undecided {
 		p.HeldBack, p.Undecided = held, undecided
 		return p.withoutStart(), nil, nil
--- a/dispatcher/agent.go
+++ b/dispatcher/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"mustardlever.dev/mustardlever/profiler"
@@ -26,6 +27,8 @@
 	Free     sizer.Resources `json:"free"`
 	Received uint64          `json:"received"`
 
+	Cold bool `json:"cold,omitempty"` // the backend server warms up, which may limit Free; shown to operators, not used for decisions
+
 	Profile *profiler.Profile `json:"profile,omitempty"` // set if it has changed since the last report to the same entry
 	// OfferedElsewhere is free capacity, in thousandths of a core, that is not part of
 	// Free because it was offered to other entries.
@@ -65,6 +68,7 @@
 	places       []*place         // that it belongs to
 	profile      profiler.Profile // last reported; zero: none, or profiles are not used
 	ownSamples   float64          // recent samples in logSlowness, weighted by age; used with profiles
+	cold         bool             // from the last Load
 }
 
 // updateFreeCapacity computes freeCapacity from the last Load and the unreported
@@ -83,7 +87,7 @@
 		k++
 	}
 	a.unreported = a.unreported[k:]
-	a.reportedFree, a.offeredElsewhere = l.Free, l.OfferedElsewhere
+	a.reportedFree, a.offeredElsewhere, a.cold = l.Free, l.OfferedElsewhere, l.Cold
 	a.updateFreeCapacity()
 }
 
@@ -100,6 +104,16 @@
 	return !a.evacuated && a.suspendedUntil.IsZero() && !a.excluded && (!a.onProbation || a.running == 0)
 }
 
+// hasRequired reports whether the agent has the label, or none is required.
+func (a *agent) hasRequired(label string) bool {
+	return label == "" || slices.Contains(a.labels, label)
+}
+
+// near reports whether the agent has the preferred label, or none is preferred.
+func (a *agent) near(label string) bool {
+	return label == "" || slices.Contains(a.labels, label)
+}
+
 // addSample updates the slowness with a task that took ratio times its estimate.
 // Averaging logarithms gives half and twice the estimate the same weight.
 func (a *agent) addSample(ratio float64) {
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -50,7 +50,7 @@
 	Hold        Hold        `json:"hold,omitempty"`     // why the rest would wait
 	DrainMillis *int64      `json:"drain-ms,omitempty"` // time in which the waiting tasks of all jobs start at the present rate; nil: not known
 	Place       *PlacePlan  `json:"place,omitempty"`    // nil: its place was not compared with agents elsewhere
-	Candidates  []Candidate `json:"-"`                  // all agents, the cheapest first
+	Candidates  []Candidate `json:"-"`                  // all agents; those that can start the next task first, by cost
 }
 
 // PlacePlan compares waiting for capacity near a job's data with starting its next task
@@ -155,13 +155,14 @@
 	return HoldQueue
 }
 
-// candidates returns the agents as the job's next task is compared on them, by their cost.
+// candidates returns the agents as the job's next task is compared on them: those that can
+// start it first, by their cost.
 func (d *Dispatcher[J]) candidates(now time.Time, j *Job[J], eligible func(J, string) bool) []Candidate {
 	d.updateFreeTotal()
 	estimate, maxSeconds, spread := d.expectedSeconds(j.Estimate), d.maxRunSeconds(now, j), d.hasFree(lateHeadroom)
 	list := make([]Candidate, 0, len(d.agentList))
 	for _, a := range d.agentList {
-		k := Candidate{Name: a.name, Near: near(j, a), Cost: d.taskCost(j, a, estimate, spread)}
+		k := Candidate{Name: a.name, Near: a.near(j.PreferredLabel), Cost: d.taskCost(j, a, estimate, spread)}
 		run := estimate * a.slowness
 		if !k.Near {
 			run *= d.remoteFactor()
@@ -174,7 +175,7 @@
 		list = append(list, k)
 	}
 	slices.SortStableFunc(list, func(a, b Candidate) int {
-		return cmp.Or(compareFalseFirst(a.Obstacle != "", b.Obstacle != ""), cmp.Compare(a.Cost, b.Cost), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(compareFalseFirst(a.Obstacle != "", b.Obstacle != ""), cmp.Compare(a.Cost, b.Cost)) // stable: of equal ones bestAgent takes the first
 	})
 	return list
 }
@@ -182,8 +183,6 @@
 // obstacle returns why the job's next task cannot start on the agent now.
 func obstacle[J any](j *Job[J], a *agent, tooSlow bool, eligible func(J, string) bool) Obstacle {
 	switch {
-	case canStart(j, a) && !tooSlow && (eligible == nil || eligible(j.Value, a.name)):
-		return ""
 	case a.evacuated:
 		return ObstacleEvacuated
 	case a.excluded:
@@ -194,14 +193,16 @@
 		return ObstacleProbation
 	case !a.capacity.Covers(j.Need):
 		return ObstacleTooSmall
-	case j.RequiredLabel != "" && !slices.Contains(a.labels, j.RequiredLabel):
+	case !a.hasRequired(j.RequiredLabel):
 		return ObstacleLabel
 	case tooSlow:
 		return ObstacleTooSlow
 	case !a.freeCapacity.Covers(j.Need):
 		return ObstacleNoCapacity
+	case eligible != nil && !eligible(j.Value, a.name):
+		return ObstacleNotEligible
 	}
-	return ObstacleNotEligible
+	return ""
 }
 
 func (c *comparison) plan(label string, waits bool) *PlacePlan {
