--- a/cmd/mustardctl/plan.go
+++ b/cmd/mustardctl/plan.go
@@ -114,7 +114,7 @@
 	for _, a := range v.Agents {
 		fmt.Fprintf(t, "%s\t%s\t%s of %s\t%.2f\t%s\t%s\t%s\t%.3f\t%d\t%s\t%s\n", a.Agent, cmp.Or(a.Zone, "-"), formatCores(a.FreeCapacity.CPU),
 			formatCores(a.Capacity.CPU), relativeSpeed(a.Slowness), choose(a.Near, "yes", "no"), formatMillis(a.RunMillis), formatOptionalMillis(a.EndMillis),
-			a.Cost, a.Tasks, planState(a), planProfile(a))
+			a.Cost, a.Tasks, planState(a), cmp.Or(formatProfile(a.Profile), "-"))
 	}
 	return t.Flush()
 }
@@ -175,13 +175,6 @@
 	return "ok"
 }
 
-func planProfile(a coordinator.PlanAgent) string {
-	if a.Profile == nil {
-		return "-"
-	}
-	return fmt.Sprintf("slowness %d%%, failures %d%% of %d", a.Profile.SlownessPercent, a.Profile.FailurePercent, a.Profile.Samples)
-}
-
 // formatOptionalMillis formats milliseconds that may be unknown.
 func formatOptionalMillis(ms *int64) string {
 	if ms == nil {
--- a/cmd/mustardctl/views.go
+++ b/cmd/mustardctl/views.go
@@ -46,7 +46,7 @@
 		}
 		for _, a := range v.Agents {
 			fmt.Printf("  %-28s %-22s %-10s running %-4d free cores %s of %s, heard %s ago, speed %.2f%s%s\n", a.Agent, a.Address, a.Zone, a.Running,
-				formatCores(a.FreeCapacity.CPU), formatCores(a.Capacity.CPU), formatMillis(a.LastContactMillis), relativeSpeed(a.Slowness), formatHealth(a), formatProfile(a))
+				formatCores(a.FreeCapacity.CPU), formatCores(a.Capacity.CPU), formatMillis(a.LastContactMillis), relativeSpeed(a.Slowness), formatHealth(a), formatIf(a.Profile != nil, ", profile: "+formatProfile(a.Profile)))
 		}
 	}
 }
--- a/cmd/mustardleverd/hosted_agent.go
+++ b/cmd/mustardleverd/hosted_agent.go
@@ -102,8 +102,8 @@
 	leased.Offer = func(r executor.Report) {
 		a.Offer(server.Offer{
 			Service: service, Address: r.Address, Capacity: r.Capacity, Labels: r.Labels,
-			Backend:   server.Backend{Start: leased.Run, Stop: leased.Stop},
-			StartedAt: r.StartedAt, ColdFor: time.Duration(r.ColdMillis) * time.Millisecond,
+			Backend:     server.Backend{Start: leased.Run, Stop: leased.Stop},
+			ColdFor:     time.Duration(r.ColdMillis) * time.Millisecond,
 			Incarnation: fmt.Sprintf("%s/%d", r.ID, r.StartedAt),
 		})
 	}
--- a/cmd/mustardleverd/placement.go
+++ b/cmd/mustardleverd/placement.go
@@ -41,8 +41,8 @@
 
 // loggedPlacement is what the last log line about a service's placement contained.
 type loggedPlacement struct {
-	locality dispatcher.LocalityCounts
-	retries  dispatcher.RetryCounts
+	locality dispatcher.WaitCounts
+	retries  dispatcher.WaitCounts
 	excluded int
 }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -197,8 +197,8 @@
 	AckedAgents    int `json:"witnessed-agents"`           // agents acknowledged by the backup that acknowledged the most
 	BackedOwners   int `json:"witnessed-owners"`           // owners for which this entry is the backup
 
-	Locality dispatcher.LocalityCounts `json:"locality,omitzero"`
-	Profiles dispatcher.ProfileCounts  `json:"profiles,omitzero"`
+	Locality dispatcher.WaitCounts    `json:"locality,omitzero"`
+	Profiles dispatcher.ProfileCounts `json:"profiles,omitzero"`
 
 	// SharedDemand is set while entries exchange their demand.
 	SharedDemand *DemandView `json:"shared-demand,omitempty"`
--- a/dispatcher/ahead.go
+++ b/dispatcher/ahead.go
@@ -1,28 +1,26 @@
 package dispatcher
 
-import "time"
+import (
+	"time"
 
-// levels is the number of priorities by which waiting work is counted, as in package
-// estimator. The last level contains all lower priorities.
-const levels = 4
-
-func level(priority int) int { return min(max(priority, 0), levels-1) }
+	"mustardlever.dev/mustardlever/estimator"
+)
 
 // addWork adds to the waiting work. It must be called while the job counts as queued.
 func (d *Dispatcher[J]) addWork(j *Job[J], work float64) {
 	d.waitingWork += work
-	d.workByLevel[level(j.Priority)] += work
+	d.workByLevel[estimator.Level(j.Priority)] += work
 	if j.heldBack() {
 		d.heldBackWork += work
 	}
 }
 
-// Waits describes the work and the jobs that wait, by level of priority, and the rate of
+// Waits describes the work and the jobs that wait, by level of priority as in package estimator, and the rate of
 // work started while tasks wait, 0 if it has not been observed for long enough. Work is in
 // thousandths of a core times seconds.
 type Waits struct {
-	Work [levels]float64
-	Jobs [levels]int
+	Work [estimator.Levels]float64
+	Jobs [estimator.Levels]int
 	Rate float64
 }
 
--- a/dispatcher/backlog.go
+++ b/dispatcher/backlog.go
@@ -10,7 +10,6 @@
 const (
 	backlogInterval   = 100 * time.Millisecond // between two reports of a backlog to an agent
 	unchangedInterval = 300 * time.Millisecond // same while it is within a third; agents let a backlog expire after 500 ms
-	agentsPerTask     = 1                      // agents that learn of each waiting task at once: enough to find free capacity, and few enough messages
 	sharedStartDelay  = 0.015                  // seconds: two links, the agent's queue, and the call to the backend server
 	roundingError     = 1e-3                   // more than sums of work lose, in thousandths of a core times seconds
 )
@@ -47,7 +46,8 @@
 }
 
 // ReportBacklog calls send for the agents that should learn of the backlog now. Call it
-// at short intervals. While tasks wait, twice as many agents as tasks learn of it,
+// at short intervals. While tasks wait, as many agents as tasks learn of it, enough to find free
+// capacity with few messages:
 // first those that have offered enough capacity to other entries, each at most once in
 // backlogInterval. When no task waits any more, those that learned of it are told. An
 // agent also learns of the first backlog, whatever it is.
@@ -58,7 +58,7 @@
 		a.reportedBacklog, a.backlogReportedAt = b.Work, now
 		send(a.name, b)
 	}
-	limit := agentsPerTask * d.waiting
+	limit := d.waiting
 	for pass := range 2 {
 		for i := range d.agentList {
 			a := d.agentList[(i+d.firstToReport)%len(d.agentList)]
--- a/dispatcher/locality.go
+++ b/dispatcher/locality.go
@@ -21,37 +21,9 @@
 	maxWaitBiasSample   = 4.0                  // largest sample of the wait bias, and inverse of the smallest
 )
 
-// LocalityCounts counts the waits of jobs for capacity at their places.
-type LocalityCounts struct {
-	Waiting int `json:"waiting"`  // jobs that wait now
-	Begun   int `json:"begun"`    // waits begun
-	PaidOff int `json:"paid-off"` // waits after which the job's waiting tasks started at the place
-	GivenUp int `json:"given-up"` // waits after which a task started elsewhere or the job ended
-}
-
-// LocalityCounts returns the number of waits.
-func (d *Dispatcher[J]) LocalityCounts() LocalityCounts { return d.localityCounts }
-
-// Places returns the number of preferred labels whose rates are kept.
-func (d *Dispatcher[J]) Places() int { return len(d.places) }
-
-// place is a preferred label and the agents that have it. Its state is bounded: two
-// rates and one learned factor.
-type place struct {
-	label       string
-	agents      []*agent
-	preferredAt time.Time // when a job that prefers it was last queued
-	starts      int       // starts there, up to minPlaceStarts
-	startedWork float64   // work started there since the last Tick, by tasks of any job
-	startedCPU  float64   // CPU of the tasks started there since the last Tick
-	workRate    float64   // work started there per second
-	cpuRate     float64   // CPU of the tasks started there per second
-	observed    float64   // seconds over which the rates were observed, at most placeWindow
-	wanted      bool      // a job found no free capacity there since the last Tick
-	logBias     float64   // moving average of the logarithms of actual divided by expected wait
-	scan        uint64    // scan in which ahead was set
-	ahead       float64   // work that the scan has passed by and that waits for the place
-}
+// LocalityCounts returns the number of waits for capacity at the jobs' places. A wait has
+// paid off if the job's waiting tasks started there.
+func (d *Dispatcher[J]) LocalityCounts() WaitCounts { return d.localityCounts }
 
 // wait is the state of a job that waits for capacity at its place. Entry: continueWait.
 // Exit: endWait, when a task starts elsewhere, the last waiting task starts, or the job
@@ -64,44 +36,6 @@
 	recheck  time.Time // until then only agents at the place are considered
 }
 
-// forecast compares starting a task at its place with starting it elsewhere now. Times
-// are in seconds.
-type forecast struct {
-	wait     float64 // until the job's last waiting task can start at the place
-	local    float64 // duration at the place
-	remote   float64 // duration elsewhere
-	slack    float64 // time until the job is due; infinite without a due time
-	scarce   bool    // less than scarceFraction of the capacity is free
-	headroom bool    // at least remoteHeadroom of the capacity is free
-}
-
-func (f forecast) localInTime() bool  { return f.wait+f.local*(1+dueTimeMargin) <= f.slack }
-func (f forecast) remoteInTime() bool { return f.remote <= f.slack }
-
-// placeStalls reports whether the place releases so little capacity that it must not hold
-// jobs back, as when its servers hang.
-func (f forecast) placeStalls() bool { return f.wait > maxWaitFactor*f.remote }
-
-// waitPays reports whether waiting pays. While capacity is scarce it does: the longer run
-// elsewhere would make other jobs late. Otherwise meeting the due time comes first, then
-// the capacity that other jobs need, then the earlier end.
-func (f forecast) waitPays() bool {
-	if f.scarce || f.localInTime() == f.remoteInTime() && !f.headroom {
-		return !f.placeStalls()
-	}
-	if f.localInTime() != f.remoteInTime() {
-		return f.localInTime()
-	}
-	return f.wait+f.local < f.remote
-}
-
-// mayRunElsewhere reports whether a job that does not wait may start elsewhere: if it would
-// be late there, only with headroom, as other late jobs, and while capacity is scarce only
-// if its place stalls.
-func (f forecast) mayRunElsewhere() bool {
-	return f.headroom || f.remoteInTime() && !f.scarce || f.placeStalls()
-}
-
 // remoteFactor returns how many times longer a task takes away from its data.
 func (d *Dispatcher[J]) remoteFactor() float64 {
 	if d.Settings.RemoteFactor >= 1 {
@@ -133,90 +67,6 @@
 	return j.Estimate
 }
 
-// placeOf returns the place that the job prefers, nil if jobs do not wait for places or
-// too many places are in use.
-func (d *Dispatcher[J]) placeOf(j *Job[J]) *place {
-	if !d.Settings.LocalityWait || j.PreferredLabel == "" {
-		return nil
-	}
-	return d.places[j.PreferredLabel]
-}
-
-// preferPlace adds the place that a queued job prefers.
-func (d *Dispatcher[J]) preferPlace(j *Job[J]) {
-	if !d.Settings.LocalityWait || d.Settings.Baseline != "" || j.PreferredLabel == "" {
-		return
-	}
-	p := d.places[j.PreferredLabel]
-	if p == nil {
-		if len(d.places) >= maxPlaces && !d.removeUnusedPlace(j.Arrived) {
-			return
-		}
-		p = &place{label: j.PreferredLabel}
-		if d.places == nil {
-			d.places = make(map[string]*place)
-		}
-		d.places[p.label] = p
-		d.assignPlaces()
-	}
-	p.preferredAt = j.Arrived
-}
-
-// removeUnusedPlace removes a place that no job has preferred for placeRetention.
-func (d *Dispatcher[J]) removeUnusedPlace(now time.Time) bool {
-	for label, p := range d.places {
-		if now.Sub(p.preferredAt) > placeRetention {
-			delete(d.places, label)
-			return true
-		}
-	}
-	return false
-}
-
-// assignPlaces assigns the agents to the places. It must be called when agents, their
-// labels or the places change.
-func (d *Dispatcher[J]) assignPlaces() {
-	if len(d.places) == 0 {
-		return
-	}
-	for _, p := range d.places {
-		p.agents = nil
-	}
-	for _, a := range d.agentList {
-		a.places = nil
-		for _, label := range a.labels {
-			if p := d.places[label]; p != nil && !slices.Contains(a.places, p) {
-				a.places = append(a.places, p)
-				p.agents = append(p.agents, a)
-			}
-		}
-	}
-}
-
-// updatePlaceRates updates the rates of the places. A low sample counts only if a job
-// wanted capacity that the place did not have: without demand it says nothing about
-// what the place can handle.
-func (d *Dispatcher[J]) updatePlaceRates(elapsed float64) {
-	for _, p := range d.places {
-		if p.wanted || p.startedCPU/elapsed > p.cpuRate {
-			p.observed = min(p.observed+elapsed, placeWindow)
-			weight := min(elapsed/p.observed, 1)
-			p.workRate += weight * (p.startedWork/elapsed - p.workRate)
-			p.cpuRate += weight * (p.startedCPU/elapsed - p.cpuRate)
-		}
-		p.startedWork, p.startedCPU, p.wanted = 0, 0, false
-	}
-}
-
-// countPlaceStart counts a start for the rates of the agent's places.
-func (d *Dispatcher[J]) countPlaceStart(j *Job[J], a *agent) {
-	for _, p := range a.places {
-		p.starts = min(p.starts+1, minPlaceStarts)
-		p.startedWork += d.taskWork(j)
-		p.startedCPU += float64(j.Need.CPU)
-	}
-}
-
 // passBy counts the work of a job that the scan has passed by as ahead of the later ones.
 func (d *Dispatcher[J]) passBy(j *Job[J]) {
 	if !d.Settings.LocalityWait {
@@ -311,23 +161,6 @@
 		(j.RequiredLabel == "" || slices.Contains(a.labels, j.RequiredLabel)) && (eligible == nil || eligible(j.Value, a.name))
 }
 
-// meanSlowness returns the average slowness of the usable agents of the place, weighted by
-// the number of tasks with the need that fit them. It reports whether there are any.
-func (p *place) meanSlowness(need int, usable func(*agent) bool) (slowness float64, ok bool) {
-	sum, weights := 0.0, 0.0
-	for _, a := range p.agents {
-		if usable(a) {
-			weight := float64(a.capacity.CPU / max(need, 1))
-			sum += weight * a.slowness
-			weights += weight
-		}
-	}
-	if weights == 0 {
-		return 1, false
-	}
-	return sum / weights, true
-}
-
 // placeWait estimates the seconds until the job's last waiting task starts at the place:
 // the work ahead of it by the place's rate, and the time until capacity for one task is
 // released. Tasks of other jobs take the part of the place's capacity that its share of all
@@ -351,8 +184,7 @@
 	w := &j.wait
 	if !w.active {
 		w.active, w.begun, w.expected = true, now, f.wait
-		d.localityCounts.Begun++
-		d.localityCounts.Waiting++
+		d.localityCounts.begin()
 	}
 	w.recheck = now.Add(waitRecheck)
 	if w.latest.Before(w.recheck) {
@@ -381,26 +213,10 @@
 
 // endWait ends the job's wait, if there is one.
 func (d *Dispatcher[J]) endWait(j *Job[J], paidOff bool) {
-	if !j.wait.active {
-		return
+	if j.wait.active {
+		j.wait.active = false
+		d.localityCounts.end(paidOff)
 	}
-	j.wait.active = false
-	d.localityCounts.Waiting--
-	if paidOff {
-		d.localityCounts.PaidOff++
-	} else {
-		d.localityCounts.GivenUp++
-	}
-}
-
-// addWaitSample learns how actual waits for the place compare with the expected ones. The
-// average is on a logarithmic scale and clamped, as an agent's slowness is.
-func (p *place) addWaitSample(waited, expected float64) {
-	const resolution = 0.001 // seconds; shorter waits do not differ
-	ratio := max(waited, resolution) / max(expected, resolution)
-	ratio = min(max(ratio, 1/maxWaitBiasSample), maxWaitBiasSample)
-	limit := math.Log(maxWaitBiasSample)
-	p.logBias = min(max(p.logBias+waitBiasWeight*math.Log(ratio), -limit), limit)
 }
 
 // seconds returns s seconds as a duration.
--- a/dispatcher/locality_test.go
+++ b/dispatcher/locality_test.go
@@ -69,7 +69,7 @@
 	require.Equal(t, 1, d.LocalityCounts().Waiting)
 	reportFree(d, "near-2", 1)
 	requireStart(t, d, now.Add(2*time.Millisecond), "job", "near-2")
-	require.Equal(t, dispatcher.LocalityCounts{Begun: 1, PaidOff: 1}, d.LocalityCounts())
+	require.Equal(t, dispatcher.WaitCounts{Begun: 1, PaidOff: 1}, d.LocalityCounts())
 }
 
 // Without the setting, a job starts away from its data as soon as there is capacity.
@@ -125,7 +125,7 @@
 			requireWait(t, d, now)
 			lose(d, now)
 			requireStart(t, d, now.Add(5*time.Millisecond), "job", "far")
-			require.Equal(t, dispatcher.LocalityCounts{Begun: 1, GivenUp: 1}, d.LocalityCounts())
+			require.Equal(t, dispatcher.WaitCounts{Begun: 1, GivenUp: 1}, d.LocalityCounts())
 		})
 	}
 	t.Run("excluded", func(t *testing.T) {
@@ -195,7 +195,7 @@
 		d.Tick(now.Add(waited))
 	}
 	requireStart(t, d, now.Add(200*time.Millisecond), "job", "far")
-	require.Equal(t, dispatcher.LocalityCounts{Begun: 1, GivenUp: 1}, d.LocalityCounts())
+	require.Equal(t, dispatcher.WaitCounts{Begun: 1, GivenUp: 1}, d.LocalityCounts())
 }
 
 // When the place stops releasing capacity, its rate falls and the wait stops paying.
@@ -253,7 +253,7 @@
 	j := addPreferring(d, now, "job", 0)
 	requireWait(t, d, now)
 	d.Remove(j)
-	require.Equal(t, dispatcher.LocalityCounts{Begun: 1, GivenUp: 1}, d.LocalityCounts())
+	require.Equal(t, dispatcher.WaitCounts{Begun: 1, GivenUp: 1}, d.LocalityCounts())
 }
 
 // Callers choose preferred labels, so their number must not determine the memory used.
--- a/dispatcher/profile.go
+++ b/dispatcher/profile.go
@@ -20,20 +20,12 @@
 	minRetryWait       = 200 * time.Millisecond
 )
 
-// RetryCounts counts the waits of failed tasks for an agent that is known to succeed.
-type RetryCounts struct {
-	Waiting int `json:"waiting"`  // jobs with such tasks now
-	Begun   int `json:"begun"`    // waits begun
-	PaidOff int `json:"paid-off"` // waits after which the task started on such an agent
-	GivenUp int `json:"given-up"` // waits after which it started elsewhere or the job ended
-}
-
 // ProfileCounts counts the use of profiles that agents report.
 type ProfileCounts struct {
-	Known    int         `json:"known"`    // agents that have reported one
-	InUse    int         `json:"in-use"`   // agents whose speed is taken from it, at least in part
-	Excluded int         `json:"excluded"` // agents that get no tasks since nearly all of their runs fail
-	Retries  RetryCounts `json:"retries"`
+	Known    int        `json:"known"`    // agents that have reported one
+	InUse    int        `json:"in-use"`   // agents whose speed is taken from it, at least in part
+	Excluded int        `json:"excluded"` // agents that get no tasks since nearly all of their runs fail
+	Retries  WaitCounts `json:"retries"`  // of failed tasks for an agent that is known to succeed, which pay off if they start on one
 }
 
 // ProfileCounts returns the use of profiles.
@@ -216,8 +208,7 @@
 	}
 	if !w.active {
 		w.active = true
-		d.retryCounts.Begun++
-		d.retryCounts.Waiting++
+		d.retryCounts.begin()
 	}
 	return true
 }
@@ -248,14 +239,8 @@
 
 // endRetryWait ends the job's wait, if there is one.
 func (d *Dispatcher[J]) endRetryWait(j *Job[J], paidOff bool) {
-	if !j.retry.active {
-		return
-	}
-	j.retry.active = false
-	d.retryCounts.Waiting--
-	if paidOff {
-		d.retryCounts.PaidOff++
-	} else {
-		d.retryCounts.GivenUp++
+	if j.retry.active {
+		j.retry.active = false
+		d.retryCounts.end(paidOff)
 	}
 }
--- a/dispatcher/profile_test.go
+++ b/dispatcher/profile_test.go
@@ -179,7 +179,7 @@
 	job, agent := nextStart(t, d)
 	require.Equal(t, "failed", job)
 	require.Equal(t, "3", agent)
-	require.Equal(t, dispatcher.RetryCounts{Begun: 1, PaidOff: 1}, d.ProfileCounts().Retries)
+	require.Equal(t, dispatcher.WaitCounts{Begun: 1, PaidOff: 1}, d.ProfileCounts().Retries)
 }
 
 // The wait must not make the job late, and must end if its cause ends.
@@ -193,7 +193,7 @@
 		failedJob(d, 1, time.Second)
 		require.False(t, start(d, 880*time.Millisecond))
 		require.True(t, start(d, 890*time.Millisecond), "100 ms and the margin remain")
-		require.Equal(t, dispatcher.RetryCounts{Begun: 1, GivenUp: 1}, d.ProfileCounts().Retries)
+		require.Equal(t, dispatcher.WaitCounts{Begun: 1, GivenUp: 1}, d.ProfileCounts().Retries)
 	})
 	t.Run("no due time", func(t *testing.T) {
 		d := newHalfFailingDispatcher()
@@ -221,7 +221,7 @@
 		j := failedJob(d, 1, time.Second)
 		require.False(t, start(d, 0))
 		d.Remove(j)
-		require.Equal(t, dispatcher.RetryCounts{Begun: 1, GivenUp: 1}, d.ProfileCounts().Retries)
+		require.Equal(t, dispatcher.WaitCounts{Begun: 1, GivenUp: 1}, d.ProfileCounts().Retries)
 	})
 }
 
--- a/dispatcher/replay_test.go
+++ b/dispatcher/replay_test.go
@@ -230,7 +230,7 @@
 }
 
 // counts returns the sums over all entries.
-func (r *replay) counts() (l dispatcher.LocalityCounts, p dispatcher.ProfileCounts) {
+func (r *replay) counts() (l dispatcher.WaitCounts, p dispatcher.ProfileCounts) {
 	for _, d := range r.d {
 		a, b := d.LocalityCounts(), d.ProfileCounts()
 		l.Waiting, l.Begun, l.PaidOff, l.GivenUp = l.Waiting+a.Waiting, l.Begun+a.Begun, l.PaidOff+a.PaidOff, l.GivenUp+a.GivenUp
--- a/limiter/ledger.go
+++ b/limiter/ledger.go
@@ -1,7 +1,6 @@
 package limiter
 
 import (
-	"cmp"
 	"container/list"
 	"time"
 )
@@ -148,7 +147,7 @@
 		return v
 	}
 	l.count++
-	l.file(h)
+	l.enqueue(h)
 	return v
 }
 
@@ -159,7 +158,7 @@
 	}
 	v := l.reserve(now, h, a, n)
 	if v == Granted {
-		l.file(h)
+		l.enqueue(h)
 	}
 	return v
 }
@@ -195,11 +194,16 @@
 
 // usage returns the bytes that count against the limit of an account.
 func (l *Ledger) usage(a Account) int64 {
+	return l.sum(&l.used, a)
+}
+
+// sum returns what counts as the account a: itself, or all accounts if they share a limit.
+func (l *Ledger) sum(bytes *[accounts]int64, a Account) int64 {
 	if !l.shared {
-		return l.used[a]
+		return bytes[a]
 	}
 	sum := int64(0)
-	for _, n := range l.used {
+	for _, n := range bytes {
 		sum += n
 	}
 	return sum
@@ -222,124 +226,7 @@
 }
 
 // held returns what the end of a holder would free in an account.
-func (l *Ledger) held(h *Holder, a Account) int64 {
-	if !l.shared {
-		return h.used[a]
-	}
-	sum := int64(0)
-	for _, n := range h.used {
-		sum += n
-	}
-	return sum
-}
-
-// makeRoom evicts holders until, once they have ended, n bytes and those of all waiters
-// are free. It evicts none and returns false if that is not possible. The order: idle
-// connections, requests that are not small, small requests past their grace; each
-// oldest first, and the less complete of those of about the same age. A holder makes
-// room only by eviction of older ones, or of any if its own request is small.
-func (l *Ledger) makeRoom(now time.Time, h *Holder, a Account, n int64) bool {
-	missing := l.usage(a) + n - l.limit(a)
-	for e := l.waiters.Front(); e != nil; e = e.Next() {
-		if w := e.Value.(*Holder); l.shared || w.account == a {
-			missing += w.want
-		}
-	}
-	missing -= l.leaving(a)
-	if missing <= 0 {
-		return true
-	}
-	taken := make(map[*Holder]bool)
-	for missing > 0 {
-		v := l.victim(now, taken, h, a, n)
-		if v == nil {
-			return false
-		}
-		taken[v] = true
-		missing -= l.held(v, a)
-	}
-	for v := range taken {
-		l.evict(v)
-	}
-	return true
-}
-
-// evictOne makes room for the connection of h by the eviction of another one.
-func (l *Ledger) evictOne(now time.Time, h *Holder) bool {
-	v := l.victim(now, nil, h, Connections, 0)
-	if v != nil {
-		l.evict(v)
-	}
-	return v != nil
-}
-
-// victim returns the holder to evict next, beside those taken, so that h can reserve n
-// bytes of an account, or nil.
-func (l *Ledger) victim(now time.Time, taken map[*Holder]bool, h *Holder, a Account, n int64) *Holder {
-	small := h.request()+n <= smallRequest || a == Connections
-	for _, queue := range []*list.List{l.idle, l.large, l.small} {
-		v := l.next(queue, taken, h, a)
-		switch {
-		case v == nil, queue == l.small && now.Sub(v.since) < l.graceOf(v):
-		case queue != l.idle && !small && !v.since.Before(h.since):
-		default:
-			return v
-		}
-	}
-	return nil
-}
-
-// graceOf returns the age up to which a small request is not evicted.
-func (l *Ledger) graceOf(h *Holder) time.Duration {
-	if h.received == 0 && l.SilentGrace > 0 {
-		return l.SilentGrace
-	}
-	return cmp.Or(l.Grace, smallGrace)
-}
-
-// next returns the holder in a queue to evict next, other than h and those taken, or
-// nil.
-func (l *Ledger) next(queue *list.List, taken map[*Holder]bool, h *Holder, a Account) *Holder {
-	var best *Holder
-	oldest, compared := time.Time{}, 0
-	for e := queue.Front(); e != nil && compared < maxCompared; e = e.Next() {
-		v := e.Value.(*Holder)
-		if v == h || taken[v] || l.held(v, a) == 0 {
-			continue
-		}
-		if best == nil {
-			best, oldest = v, v.since
-		} else if v.since.Sub(oldest) < agesAlike && (h == nil || v.since.Before(h.since)) && v.received < best.received {
-			best = v
-		}
-		compared++
-	}
-	return best
-}
-
-// leaving returns what evicted holders that have not ended yet will free.
-func (l *Ledger) leaving(a Account) int64 {
-	if !l.shared {
-		return l.leavingUsed[a]
-	}
-	sum := int64(0)
-	for _, n := range l.leavingUsed {
-		sum += n
-	}
-	return sum
-}
-
-func (l *Ledger) evict(h *Holder) {
-	h.evicted = true
-	l.Evicted++
-	l.leavingCount++
-	l.unfile(h)
-	l.unwait(h)
-	for a, n := range h.used {
-		l.leavingUsed[a] += n
-	}
-	l.evicted = append(l.evicted, h)
-}
+func (l *Ledger) held(h *Holder, a Account) int64 { return l.sum(&h.used, a) }
 
 // CancelWait ends the wait of a holder. It returns false if it has ended already.
 func (l *Ledger) CancelWait(h *Holder) bool {
@@ -347,12 +234,12 @@
 		return false
 	}
 	l.Refusals++
-	l.unwait(h)
+	l.stopWaiting(h)
 	l.grant()
 	return true
 }
 
-func (l *Ledger) unwait(h *Holder) {
+func (l *Ledger) stopWaiting(h *Holder) {
 	if !h.waiting {
 		return
 	}
@@ -375,7 +262,7 @@
 		h.since, h.received = now, 0
 	}
 	h.phase = p
-	l.file(h)
+	l.enqueue(h)
 	return true
 }
 
@@ -389,7 +276,7 @@
 	l.discharge(h, a, own)
 	l.discharge(h, Reserve, min(n-own, h.used[Reserve]))
 	if !h.evicted && !h.closed {
-		l.file(h)
+		l.enqueue(h)
 	}
 	l.grant()
 }
@@ -411,7 +298,7 @@
 		l.discharge(h, a, h.used[a])
 	}
 	if !h.evicted && !h.closed {
-		l.file(h)
+		l.enqueue(h)
 	}
 	l.grant()
 }
@@ -429,8 +316,8 @@
 	if h.closed {
 		return
 	}
-	l.unwait(h)
-	l.unfile(h)
+	l.stopWaiting(h)
+	l.dequeue(h)
 	for a, n := range h.used {
 		l.discharge(h, Account(a), n)
 	}
@@ -457,61 +344,9 @@
 			l.waiters.Remove(e)
 			h.waiting = false
 			l.charge(h, h.account, h.want)
-			l.file(h)
+			l.enqueue(h)
 			l.granted = append(l.granted, h)
 		}
 		e = next
 	}
 }
-
-// file puts a holder into the queue of its phase and size, by its age.
-func (l *Ledger) file(h *Holder) {
-	var queue *list.List
-	switch {
-	case h.phase == PhaseIdle:
-		queue = l.idle
-	case h.phase == PhaseReading && h.request() > smallRequest:
-		queue = l.large
-	case h.phase == PhaseReading:
-		queue = l.small
-	}
-	if queue == h.queue && queue != nil && h.place != nil && l.inOrder(h) {
-		return
-	}
-	l.unfile(h)
-	if queue == nil {
-		return
-	}
-	h.queue = queue
-	l.insert(h, queue)
-	if queue == l.large && l.MaxLarge > 0 && queue.Len() > l.MaxLarge {
-		l.evict(l.next(queue, nil, nil, Connections))
-	}
-}
-
-// insert puts a holder into a queue, by its age.
-func (l *Ledger) insert(h *Holder, queue *list.List) {
-	for e := queue.Back(); e != nil; e = e.Prev() {
-		if !e.Value.(*Holder).since.After(h.since) {
-			h.place = queue.InsertAfter(h, e)
-			return
-		}
-	}
-	h.place = queue.PushFront(h)
-}
-
-// inOrder reports whether a holder is behind its predecessor and before its successor.
-func (l *Ledger) inOrder(h *Holder) bool {
-	if e := h.place.Prev(); e != nil && e.Value.(*Holder).since.After(h.since) {
-		return false
-	}
-	e := h.place.Next()
-	return e == nil || !e.Value.(*Holder).since.Before(h.since)
-}
-
-func (l *Ledger) unfile(h *Holder) {
-	if h.place != nil {
-		h.queue.Remove(h.place)
-	}
-	h.place, h.queue = nil, nil
-}
--- a/protocol/message.go
+++ b/protocol/message.go
@@ -5,7 +5,6 @@
 	"strings"
 
 	"mustardlever.dev/mustardlever/dispatcher"
-	"mustardlever.dev/mustardlever/estimator"
 	"mustardlever.dev/mustardlever/evacuator"
 	"mustardlever.dev/mustardlever/sizer"
 )
@@ -105,27 +104,6 @@
 	return 0
 }
 
-// Configuration (entry to entry) announces the version of the configuration that
-// the sender uses, or answers a ConfigurationRequest. In an answer, Document is the
-// part of the document of Size bytes that begins at Offset. A Size of 0 means that
-// Document is the whole document or, in an announcement, empty.
-type Configuration struct {
-	Version  int64  `json:"version"`
-	Document []byte `json:"document,omitempty"`
-	Offset   int    `json:"offset,omitempty"`
-	Size     int    `json:"size,omitempty"`
-}
-
-// ConfigurationRequest (entry to entry) asks for a part of the receiver's
-// configuration: up to Limit bytes from Offset of the document of Version. If the
-// receiver has another version, it sends the first part of that one. A Limit of 0,
-// which earlier releases send, asks for the whole document.
-type ConfigurationRequest struct {
-	Version int64 `json:"version,omitempty"`
-	Offset  int   `json:"offset,omitempty"`
-	Limit   int   `json:"limit,omitempty"`
-}
-
 // Evacuations (between entries, and between entries and agents) tells what the sender
 // knows of evacuated zones. It is the first message of a session, if the sender knows
 // anything, and is sent again on each change. Earlier releases ignore it.
@@ -198,15 +176,6 @@
 	Backlog *Backlog `json:"backlog,omitempty"` // after this start; nil: the sender does not share its demand
 }
 
-// Backlog (entry to agent) reports the work that waits at the sender. While entries
-// share their demand, it comes with each start, at intervals while work waits, and once
-// when none does any more.
-type Backlog = dispatcher.Backlog
-
-// Demand (entry to entry) is the demand for a service at one entry. A message has that of
-// the sender and some that the sender has learned of.
-type Demand = estimator.Demand
-
 // Refusal is the reason why an agent did not start a task and never will.
 type Refusal string
 
--- a/server/agent.go
+++ b/server/agent.go
@@ -70,11 +70,11 @@
 
 // agentShard holds the state of one service. The mutex guards the other fields.
 type agentShard struct {
-	mu        sync.Mutex
-	starter   starter.Starter
-	backend   Backend
-	startedAt int64 // of the backend server, see Offer
-	warming   bool  // as last logged
+	mu          sync.Mutex
+	starter     starter.Starter
+	backend     Backend
+	incarnation string // of the backend server, see Offer
+	warming     bool   // as last logged
 }
 
 // Start connects to the entries and announces the backend servers.
--- a/server/backend.go
+++ b/server/backend.go
@@ -36,7 +36,6 @@
 	Labels   []string
 	Backend  Backend
 
-	StartedAt   int64         // identifies the incarnation of the backend server; 0: unknown
 	ColdFor     time.Duration // time that the backend server needs to warm up; 0: it is warm
 	Incarnation string        // identifies the incarnation of the backend server; empty: a new one with each offer
 }
@@ -63,10 +62,10 @@
 	}
 	a.mu.Unlock()
 	peers := a.applyDecisions(shard, func(st *starter.Starter) {
-		if offer.StartedAt != shard.startedAt {
+		if offer.Incarnation != shard.incarnation {
 			st.ForgetWarmUp(time.Now())
 		}
-		shard.startedAt = offer.StartedAt
+		shard.incarnation = offer.Incarnation
 		st.SetCold(time.Now(), offer.ColdFor)
 		if known {
 			st.SetServerIdentity(offer.Incarnation)
--- a/starter/division.go
+++ b/starter/division.go
@@ -29,7 +29,7 @@
 	need      sizer.Resources // of the entry's next start; a smaller offer is of no use to it
 	used      float64         // capacity of the entry's starts relative to its backlog; the lowest comes first
 	rate      float64         // recent use: capacity of the entry's starts, decaying
-	parked    float64         // capacity offered without a backlog relative to the recent use; the lowest comes first
+	spare     float64         // capacity offered without a backlog relative to the recent use; the lowest comes first
 	offered   sizer.Resources // free capacity that only this entry has been told of
 	offeredAt int             // when the offer last grew or was used
 	pausedTo  int             // comes after other entries with a backlog before
@@ -44,10 +44,10 @@
 // The zero value knows of no entry that shares its demand, and divides nothing: each
 // entry is then told of all free capacity.
 type division struct {
-	now          int
-	shares       []*share
-	lowestUsed   float64 // of the entry that got the last offer for its backlog; a new backlog begins there
-	lowestParked float64
+	now         int
+	shares      []*share
+	lowestUsed  float64 // of the entry that got the last offer for its backlog; a new backlog begins there
+	lowestSpare float64
 }
 
 // find returns the share of an entry, nil if it does not share its demand.
@@ -69,7 +69,7 @@
 	}
 	s := d.find(entry)
 	if s == nil {
-		s = &share{entry: entry, used: d.lowestUsed, parked: d.lowestParked, rate: baseUse}
+		s = &share{entry: entry, used: d.lowestUsed, spare: d.lowestSpare, rate: baseUse}
 		d.shares = append(d.shares, s)
 	}
 	if m.Work > 0 && !d.waits(s) {
@@ -160,9 +160,9 @@
 		if open.CPU <= 0 {
 			return
 		}
-		s, part := d.nextParked(finished)
+		s, part := d.nextSpare(finished)
 		amount := divided(open, part, s.need)
-		s.parked += float64(amount.CPU) / s.rate
+		s.spare += float64(amount.CPU) / s.rate
 		s.grow(d, amount, &open)
 	}
 }
@@ -262,21 +262,21 @@
 	return s.used < t.used
 }
 
-// nextParked returns the entry that gets free capacity although none has a backlog.
-func (d *division) nextParked(finished string) (chosen *share, part float64) {
+// nextSpare returns the entry that gets free capacity although none has a backlog.
+func (d *division) nextSpare(finished string) (chosen *share, part float64) {
 	total := 0.0
 	var preferred *share
 	for _, s := range d.shares {
 		total += s.rate
-		if chosen == nil || s.parked < chosen.parked {
+		if chosen == nil || s.spare < chosen.spare {
 			chosen = s
 		}
 		if s.entry == finished {
 			preferred = s
 		}
 	}
-	d.lowestParked = max(d.lowestParked, chosen.parked)
-	if preferred != nil && preferred.parked <= chosen.parked+finishSlack*float64(preferred.need.CPU)/preferred.rate {
+	d.lowestSpare = max(d.lowestSpare, chosen.spare)
+	if preferred != nil && preferred.spare <= chosen.spare+finishSlack*float64(preferred.need.CPU)/preferred.rate {
 		chosen = preferred
 	}
 	return chosen, chosen.rate / total
