Decode the tasks of a submission one by one

Cause: the tasks were decoded into a slice before their number was checked, at 72 bytes and more for three bytes of the body, by any number of requests at a time.

--- a/server/operation.go
+++ b/server/operation.go
@@ -14,6 +14,7 @@
 
 	"mustardlever.dev/mustardlever/caller"
 	"mustardlever.dev/mustardlever/coordinator"
+	"mustardlever.dev/mustardlever/limiter"
 	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/ticketer"
 )
@@ -118,16 +119,12 @@
 	if len(body) > caller.MaxBodyBytes {
 		return coordinator.Job{}, &Error{Op: "read submission", Kind: KindTooLarge, Detail: fmt.Sprintf("submission is %d bytes, limit %d", len(body), caller.MaxBodyBytes)}
 	}
-	var submission caller.Submission
-	decoder := json.NewDecoder(bytes.NewReader(body))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&submission); err != nil {
+	defer limiter.BeginDecoding(len(body))()
+	submission, count, err := decodeSubmission(body)
+	if err != nil {
 		return coordinator.Job{}, badRequest(err.Error())
 	}
-	if decoder.More() {
-		return coordinator.Job{}, badRequest("unexpected data after the JSON object")
-	}
-	switch n := len(submission.Tasks); {
+	switch n := count; {
 	case n == 0:
 		return coordinator.Job{}, badRequest("job has no tasks")
 	case n > caller.MaxTasks:
@@ -150,6 +147,59 @@
 	return job, nil
 }
 
+// decodeSubmission decodes a submission. It keeps the first caller.MaxTasks tasks and
+// returns the number of all: a body of permitted size may have a million empty ones.
+func decodeSubmission(body []byte) (submission caller.Submission, tasks int, err error) {
+	var list struct {
+		caller.Submission
+		Tasks taskList `json:"tasks"`
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&list); err != nil {
+		return submission, 0, err
+	}
+	if decoder.More() {
+		return submission, 0, errors.New("unexpected data after the JSON object")
+	}
+	submission = list.Submission
+	submission.Tasks = list.Tasks.kept
+	return submission, list.Tasks.count, nil
+}
+
+// taskList is a JSON array of tasks, of which the first caller.MaxTasks are kept.
+type taskList struct {
+	kept  []caller.Task
+	count int
+}
+
+// UnmarshalJSON decodes an array or null. Unknown fields of tasks are errors.
+func (l *taskList) UnmarshalJSON(text []byte) error {
+	*l = taskList{}
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	if text = bytes.TrimSpace(text); len(text) == 0 || text[0] != '[' {
+		err := decoder.Decode(&l.kept) // null, or not an array
+		l.count = len(l.kept)
+		return err
+	}
+	if _, err := decoder.Token(); err != nil {
+		return err
+	}
+	var element, zero caller.Task // element is allocated once, since its address is taken
+	for decoder.More() {
+		element = zero
+		if err := decoder.Decode(&element); err != nil {
+			return err
+		}
+		if l.count++; l.count <= caller.MaxTasks {
+			l.kept = append(l.kept, element)
+		}
+	}
+	_, err := decoder.Token()
+	return err
+}
+
 // digest returns a hash that identifies the content of a submission. It hashes the
 // re-encoded form, since a forwarding entry does not preserve white space.
 func digest(submission caller.Submission) string {
