Limit memory and descriptors off the users' platform as on it

Callers saw a process end that was not on the users' platform: nothing bounded its listeners.

Cause: only the adapter of the platform made a limiter.Budget.

Change: memory-mb and max-descriptors are settings of every process, and flags of dev; those under platform still count. Every listener of entries, agents and dev, with its stand-ins, belongs to a pool. A budget whose process keeps jobs divides the share of jobs into waiting requests, kept jobs and results. max-descriptors is lowered to what the system permits. check prints the limits.

TestLimitsOfProcess covers the settings.

--- a/apiserver/apiserver.go
+++ b/apiserver/apiserver.go
@@ -13,7 +13,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
@@ -23,6 +22,7 @@
 	"mustardlever.dev/mustardlever/caller"
 	"mustardlever.dev/mustardlever/coordinator"
 	"mustardlever.dev/mustardlever/internal/fault"
+	"mustardlever.dev/mustardlever/limiter"
 	"mustardlever.dev/mustardlever/server"
 )
 
@@ -32,7 +32,9 @@
 	readTimeout       = 30 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 32 << 10
+	writeTimeout      = 30 * time.Second // for the caller to receive its answer
 	defaultWait       = 30 * time.Second
+	retryAfter        = "1" // seconds
 	maxRequestIDBytes = 128
 )
 
@@ -76,9 +78,15 @@
 // readBody returns the request's body, at most caller.MaxBodyBytes. If it cannot
 // be read, readBody responds with the failure and reports false.
 func readBody(c *gin.Context) ([]byte, bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, caller.MaxBodyBytes))
+	limits := limiter.FromContext(c.Request.Context())
+	body, err := limits.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, caller.MaxBodyBytes), c.Request.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case fault.KindOf[limiter.Kind](err) != "" || err == nil && !limits.Commit(int64(len(body))):
+		c.Header("Retry-After", retryAfter)
+		c.Header("Connection", "close")
+		writeFailure(c, http.StatusServiceUnavailable, string(coordinator.KindOverload), "there is no memory for the request; nothing of it has run")
+		return nil, false
 	case errors.As(err, &tooLarge):
 		writeFailure(c, http.StatusRequestEntityTooLarge, string(server.KindTooLarge), "the request body exceeds the limit of 4 MiB")
 		return nil, false
@@ -138,7 +146,7 @@
 	}
 	var coordinatorErr *coordinator.Error
 	if errors.As(err, &coordinatorErr) {
-		c.Header("Retry-After", "1")
+		c.Header("Retry-After", retryAfter)
 		writeFailure(c, http.StatusServiceUnavailable, string(coordinatorErr.Kind), coordinatorErr.Detail)
 		return
 	}
@@ -191,13 +199,20 @@
 // respond executes the request and writes the response, with the caller's request
 // id in its header and body.
 func (h *handlers) respond(c *gin.Context, request server.Request) {
+	limits, bodyBytes := limiter.FromContext(c.Request.Context()), int64(len(request.Body))
+	request.ReserveAnswer = func(bytes int64) bool { return limits.HoldAnswer(bodyBytes, bytes) }
 	response := h.entry.Execute(c.Request.Context(), request)
+	if response.Status == http.StatusServiceUnavailable {
+		c.Header("Retry-After", retryAfter)
+	}
 	id := requestID(c)
 	body := response.Body
 	if id != "" {
 		c.Header(caller.RequestIDHeader, id)
 		body = withRequestID(body, id)
 	}
+	// An error means that the connection has no deadline for writing; the answer is sent without one.
+	http.NewResponseController(c.Writer).SetWriteDeadline(time.Now().Add(writeTimeout))
 	c.Data(response.Status, "application/json", body)
 }
 
--- a/cmd/mustardleverd/dev.go
+++ b/cmd/mustardleverd/dev.go
@@ -16,6 +16,7 @@
 	"mustardlever.dev/mustardlever/caller"
 	"mustardlever.dev/mustardlever/internal/cluster"
 	"mustardlever.dev/mustardlever/internal/standin"
+	"mustardlever.dev/mustardlever/limiter"
 	"mustardlever.dev/mustardlever/recorder"
 	"mustardlever.dev/mustardlever/submitter"
 )
@@ -33,6 +34,8 @@
 		&cli.BoolFlag{Name: "demo", Usage: "run one job through two entries, show its answer and timeline, then exit"},
 		&cli.IntFlag{Name: "tasks", Usage: "number of tasks of the demo job, 1 to 270", Value: demoTasks},
 		&cli.IntFlag{Name: "entries", Usage: "number of entries", Value: 2},
+		&cli.IntFlag{Name: "memory-mb", Usage: "memory that the process may use, in `MiB`; default 184"},
+		&cli.IntFlag{Name: "max-descriptors", Usage: "file descriptors that the process may open; default 4100"},
 		&cli.IntFlag{Name: "agents", Usage: "number of agents, each with a stand-in backend server", Value: 3},
 	}
 }
@@ -44,8 +47,12 @@
 	if c.Bool("demo") {
 		log.SetLevel(logrus.ErrorLevel)
 	}
+	budget := limiter.NewBudget(limiter.Settings{
+		MemoryMiB: c.Int("memory-mb"), Descriptors: limiter.PermittedDescriptors(c.Int("max-descriptors")), KeepsJobs: true,
+	})
+	budget.Apply()
 	system, err := cluster.Start(cluster.Settings{
-		Entries: c.Int("entries"), Agents: c.Int("agents"), Log: logrus.NewEntry(log),
+		Entries: c.Int("entries"), Agents: c.Int("agents"), Log: logrus.NewEntry(log), Budget: budget,
 	})
 	if err != nil {
 		return err
--- a/cmd/mustardleverd/hosted_entry.go
+++ b/cmd/mustardleverd/hosted_entry.go
@@ -28,7 +28,7 @@
 // serveHostedEntry runs an entry on the users' platform.
 func serveHostedEntry(l fx.Lifecycle, p configurer.Process, log *logrus.Entry, r *recorder.Recorder, settings *reloader, metrics *counter.Counter) error {
 	limits := newLimits(p, metrics)
-	linkListener, err := limits.listenLinks(p.LinkAddress)
+	linkListener, err := limits.budget.Links.ListenPlain(p.LinkAddress)
 	if err != nil {
 		return err
 	}
--- a/cmd/mustardleverd/limits.go
+++ b/cmd/mustardleverd/limits.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -13,12 +11,7 @@
 	"mustardlever.dev/mustardlever/limiter"
 )
 
-// answerTimeout is the longest time in which a client must receive an answer that is
-// ready at once, as those of operators. They may be large, and a client that does not
-// read would keep them in memory. Callers' answers are small and may take long.
-const answerTimeout = 30 * time.Second
-
-// limits applies the budget of a process on the platform to its listeners.
+// limits applies the budget of a process to its listeners.
 type limits struct {
 	budget *limiter.Budget
 	pools  []*limiter.Pool
@@ -26,41 +19,39 @@
 
 // newLimits returns the limits of a process and sets the soft limit of its runtime.
 func newLimits(p configurer.Process, metrics *counter.Counter) *limits {
-	b := limiter.NewBudget(limiter.Settings{MemoryMiB: p.Platform.MemoryMiB, Descriptors: p.Platform.MaxDescriptors})
+	b := limiter.NewBudget(limitSettings(p))
 	b.Apply()
-	l := &limits{budget: b, pools: []*limiter.Pool{b.Operators, b.Reports}}
-	if p.Role == configurer.RoleEntry {
+	l := &limits{budget: b}
+	switch {
+	case p.Role == configurer.RoleEntry && p.Platform != nil:
 		l.pools = []*limiter.Pool{b.Callers, b.Readiness, b.Operators, b.Links}
+	case p.Role == configurer.RoleEntry:
+		l.pools = []*limiter.Pool{b.Callers, b.Operators, b.Links}
+		metrics.Gauge(`limit_used_bytes{account="held-jobs"}`, func() float64 { return float64(b.HeldJobs.Used()) })
+		metrics.Gauge(`limit_refused_total{listener="held-jobs"}`, func() float64 { return float64(b.HeldJobs.Refused()) })
+	case p.Platform != nil:
+		l.pools = []*limiter.Pool{b.Operators, b.Reports}
+	default:
+		l.pools = []*limiter.Pool{b.Operators}
 	}
 	limiter.Register(metrics.Gauge, l.pools...)
 	return l
 }
 
+// limitSettings returns the settings of the budget of a process.
+func limitSettings(p configurer.Process) limiter.Settings {
+	return limiter.Settings{
+		MemoryMiB: p.MemoryMiB, Descriptors: limiter.PermittedDescriptors(p.MaxDescriptors), KeepsJobs: p.Platform == nil,
+	}
+}
+
 // watch logs what the limits refuse until ctx is done.
 func (l *limits) watch(ctx context.Context, log *logrus.Entry) { limiter.Watch(ctx, log, l.pools...) }
 
 // serve listens on address and serves s in the background, within the limits of pool.
 func (l *limits) serve(s *http.Server, address string, pool *limiter.Pool) error {
-	listener, err := limiter.Listen(address)
-	if err != nil {
-		return err
-	}
-	limiter.Guard(s)
-	if pool != l.budget.Callers {
-		s.WriteTimeout = answerTimeout
-	}
-	go s.Serve(pool.Listener(listener))
-	return nil
-}
-
-// listenLinks listens for links. Their receive buffers keep the default size, since
-// they carry much once their peers have identified themselves.
-func (l *limits) listenLinks(address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return l.budget.Links.Listener(listener), nil
+	_, err := pool.Serve(s, address)
+	return err
 }
 
 // newReadinessServer returns the server of the balancer's readiness checks.
--- a/cmd/mustardleverd/main.go
+++ b/cmd/mustardleverd/main.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"mustardlever.dev/mustardlever/configurer"
+	"mustardlever.dev/mustardlever/limiter"
 )
 
 // Exit codes.
@@ -67,5 +68,6 @@
 		return err
 	}
 	fmt.Printf("%s: %s %s, %d services, no errors\n", c.String("settings"), p.Role, p.Name, len(configuration.Services))
+	fmt.Printf("limits: %s\n", limiter.NewBudget(limitSettings(p)))
 	return nil
 }
--- a/cmd/mustardleverd/run.go
+++ b/cmd/mustardleverd/run.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net"
+	"errors"
 	"net/http"
 	"os"
 	"time"
@@ -16,6 +16,7 @@
 	"mustardlever.dev/mustardlever/configurer"
 	"mustardlever.dev/mustardlever/coordinator"
 	"mustardlever.dev/mustardlever/counter"
+	"mustardlever.dev/mustardlever/limiter"
 	"mustardlever.dev/mustardlever/logger"
 	"mustardlever.dev/mustardlever/operator"
 	"mustardlever.dev/mustardlever/protocol"
@@ -48,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	role := fx.Options(fx.Provide(newEntry), fx.Invoke(serveEntry))
+	role := fx.Options(fx.Provide(newLimits, newEntry), fx.Invoke(serveEntry))
 	switch {
 	case p.Platform != nil && p.Role == configurer.RoleAgent:
 		role = fx.Invoke(serveHostedAgent)
@@ -124,25 +125,26 @@
 	}
 }
 
-func newEntry(p configurer.Process, c configurer.Configuration, log *logrus.Entry, r *recorder.Recorder, metrics *counter.Counter) *server.Entry {
+func newEntry(p configurer.Process, c configurer.Configuration, log *logrus.Entry, r *recorder.Recorder, metrics *counter.Counter, limits *limits) *server.Entry {
 	e := &server.Entry{
-		Settings: entrySettings(p, c), Log: log, Recorder: r,
+		Settings: entrySettings(p, c, limits.budget), Log: log, Recorder: r,
 		ObserveDecision: func(service string, d coordinator.Decision) { recordDecision(log, metrics, service, d) },
 	}
 	registerEntryGauges(e, metrics)
 	return e
 }
 
-func entrySettings(p configurer.Process, c configurer.Configuration) server.EntrySettings {
+func entrySettings(p configurer.Process, c configurer.Configuration, b *limiter.Budget) server.EntrySettings {
 	services := make(map[string]coordinator.Settings)
 	for name, s := range c.Services {
 		services[name] = coordinator.Settings{
 			TicketLife: millis(s.TicketLifeMillis), Retention: millis(s.RetentionMillis),
 			MaxDeadline: millis(s.DeadlineMillis), MaxQueuedTasks: s.MaxQueuedTasks,
+			MaxResultBytes: b.MaxResultBytes() / max(len(c.Services), 1),
 		}
 	}
 	return server.EntrySettings{
-		Identity: identity(p), Entries: p.Entries, TicketKey: []byte(p.TicketKey), Services: services,
+		Identity: identity(p), Entries: p.Entries, TicketKey: []byte(p.TicketKey), Services: services, JobMemory: b.HeldJobs,
 	}
 }
 
@@ -179,24 +181,27 @@
 
 // serveEntry listens for other processes, callers and operators. At shutdown it
 // drains callers first, then jobs, and closes the sessions last.
-func serveEntry(l fx.Lifecycle, p configurer.Process, e *server.Entry, r *recorder.Recorder, settings *reloader, metrics *counter.Counter) error {
+func serveEntry(l fx.Lifecycle, p configurer.Process, e *server.Entry, r *recorder.Recorder, settings *reloader, metrics *counter.Counter, limits *limits) error {
 	settings.addEntries = e.AddEntries
-	linkListener, err := net.Listen("tcp", p.LinkAddress)
+	linkListener, err := limits.budget.Links.ListenPlain(p.LinkAddress)
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithCancel(context.Background())
 	callerServer := apiserver.New(e)
 	operatorServer := operator.New(entrySource(e, r, metrics))
 	l.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			e.Start(linkListener)
 			publishVariables(e.Traffic(), r)
-			if err := serve(callerServer, p.CallerAddress); err != nil {
-				return err
-			}
-			return serve(operatorServer, p.OperatorAddress)
+			go limits.watch(ctx, e.Log)
+			return errors.Join(
+				limits.serve(callerServer, p.CallerAddress, limits.budget.Callers),
+				limits.serve(operatorServer, p.OperatorAddress, limits.budget.Operators),
+			)
 		},
 		OnStop: func(ctx context.Context) error {
+			defer cancel()
 			ctx, cancel := context.WithTimeout(ctx, millis(p.MaxDrainMillis))
 			defer cancel()
 			stopEntry(ctx, e, callerServer)
@@ -229,15 +234,19 @@
 
 func serveAgent(l fx.Lifecycle, p configurer.Process, a *server.Agent, r *recorder.Recorder, settings *reloader, metrics *counter.Counter) {
 	registerAgentGauges(a, metrics)
+	limits := newLimits(p, metrics)
+	ctx, cancel := context.WithCancel(context.Background())
 	settings.addEntries = a.AddEntries
 	operatorServer := operator.New(agentSource(a, r, metrics))
 	l.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			a.Start()
 			publishVariables(a.Traffic(), r)
-			return serve(operatorServer, p.OperatorAddress)
+			go limits.watch(ctx, a.Log)
+			return limits.serve(operatorServer, p.OperatorAddress, limits.budget.Operators)
 		},
 		OnStop: func(ctx context.Context) error {
+			defer cancel()
 			ctx, cancel := context.WithTimeout(ctx, millis(p.MaxDrainMillis))
 			defer cancel()
 			a.Drain(ctx)
@@ -246,13 +255,3 @@
 		},
 	})
 }
-
-// serve listens on address and serves s in the background.
-func serve(s *http.Server, address string) error {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
-	}
-	go s.Serve(l)
-	return nil
-}
--- a/configurer/configurer_test.go
+++ b/configurer/configurer_test.go
@@ -58,3 +58,28 @@
 		configurer.Merge("f.json", text, "f.json", text)
 	})
 }
+
+// Guards against limits that apply in one mode only, and against two of which one is
+// ignored.
+func TestLimitsOfProcess(t *testing.T) {
+	const platformSettings = `{"name": "agent-1", "role": "agent", "zone": "z", "operator-address": "127.0.0.1:7401", "entries": [], %s
+		"platform": {"store-address": "127.0.0.1:7900", "reports-address": "127.0.0.1:7402", "service": "s" %s}}`
+	for _, tt := range []struct {
+		text                string
+		memory, descriptors int
+	}{
+		{agentSettings, 184, 4100},
+		{`{"memory-mb": 96, "max-descriptors": 500, ` + agentSettings[1:], 96, 500},
+		{fmt.Sprintf(platformSettings, "", ""), 184, 4100},
+		{fmt.Sprintf(platformSettings, "", `, "memory-mb": 96, "max-descriptors": 500`), 96, 500},
+		{fmt.Sprintf(platformSettings, `"memory-mb": 96, "max-descriptors": 500, `, ""), 96, 500},
+	} {
+		p, err := configurer.ParseProcess("a.json", []byte(tt.text))
+		require.NoError(t, err)
+		require.Equal(t, [2]int{tt.memory, tt.descriptors}, [2]int{p.MemoryMiB, p.MaxDescriptors})
+	}
+	_, err := configurer.ParseProcess("a.json", fmt.Appendf(nil, platformSettings, `"memory-mb": 96, `, `, "memory-mb": 97`))
+	require.ErrorContains(t, err, "platform/memory-mb: memory-mb is set twice")
+	_, err = configurer.ParseProcess("a.json", []byte(`{"max-descriptors": -1, `+agentSettings[1:]))
+	require.ErrorContains(t, err, "max-descriptors: found -1")
+}
--- a/configurer/process.go
+++ b/configurer/process.go
@@ -31,8 +31,8 @@
 	MaxLeaseMillis       int    `json:"lease-ms"`        // longest lease of running tasks; default 1000
 	ShutdownSeconds      int    `json:"stop-s"`          // longest duration of a graceful shutdown; default 6
 
-	MemoryMiB      int `json:"memory-mb"`       // memory that the process may use; default 184
-	MaxDescriptors int `json:"max-descriptors"` // file descriptors that the process may open; default 4100
+	MemoryMiB      int `json:"memory-mb"`       // see Process.MemoryMiB; only one of them may be set
+	MaxDescriptors int `json:"max-descriptors"` // see Process.MaxDescriptors; only one of them may be set
 
 	EvacuationMillis int     `json:"evacuation-ms"`   // time within which an evacuation takes effect; 0: evacuations are not followed
 	ColdOverage      float64 `json:"cold-overage"`    // load of a cold backend server, as a multiple of its fair share, that must not be exceeded; 0: cold servers are treated as others
@@ -60,6 +60,8 @@
 	BackendServers        []BackendServer `json:"backend-servers"` // agents
 	MaxDrainMillis        int             `json:"drain-ms"`        // longest duration of a graceful shutdown; default 60000
 	LogLevel              string          `json:"log-level"`       // default "info"
+	MemoryMiB             int             `json:"memory-mb"`       // memory that the process may use; default 184
+	MaxDescriptors        int             `json:"max-descriptors"` // file descriptors that the process may open; default 4100
 	Platform              *Platform       `json:"platform"`        // set if the process runs on the users' platform
 }
 
@@ -121,7 +123,11 @@
 	}
 	if p.Platform != nil {
 		p.Platform.setDefaults()
+		p.MemoryMiB = cmp.Or(p.MemoryMiB, p.Platform.MemoryMiB)
+		p.MaxDescriptors = cmp.Or(p.MaxDescriptors, p.Platform.MaxDescriptors)
 	}
+	p.MemoryMiB = cmp.Or(p.MemoryMiB, defaultMemoryMiB)
+	p.MaxDescriptors = cmp.Or(p.MaxDescriptors, defaultMaxDescriptors)
 	return p, mistakesError(f.mistakes)
 }
 
@@ -147,6 +153,12 @@
 	if p.MaxDrainMillis < 0 {
 		f.reject("drain-ms", "found %d, expected 0 or more", p.MaxDrainMillis)
 	}
+	if p.MemoryMiB < 0 {
+		f.reject("memory-mb", "found %d, expected 0 or more", p.MemoryMiB)
+	}
+	if p.MaxDescriptors < 0 {
+		f.reject("max-descriptors", "found %d, expected 0 or more", p.MaxDescriptors)
+	}
 	if p.Platform != nil {
 		p.checkPlatform(f)
 	} else if p.Configuration.Base == "" {
@@ -192,8 +204,6 @@
 	p.ReportIntervalMillis = cmp.Or(p.ReportIntervalMillis, defaultReportIntervalMillis)
 	p.MaxLeaseMillis = cmp.Or(p.MaxLeaseMillis, defaultLeaseMillis)
 	p.ShutdownSeconds = cmp.Or(p.ShutdownSeconds, defaultShutdownSeconds)
-	p.MemoryMiB = cmp.Or(p.MemoryMiB, defaultMemoryMiB)
-	p.MaxDescriptors = cmp.Or(p.MaxDescriptors, defaultMaxDescriptors)
 	p.RemoteFactor = cmp.Or(p.RemoteFactor, defaultRemoteFactor)
 }
 
@@ -213,6 +223,12 @@
 	if p.Platform.MemoryMiB < 0 || p.Platform.MaxDescriptors < 0 || p.Platform.EvacuationMillis < 0 || p.Platform.ColdSlack < 0 {
 		f.reject("platform", "expected memory-mb, max-descriptors, evacuation-ms and cold-slack of 0 or more")
 	}
+	if p.MemoryMiB != 0 && p.Platform.MemoryMiB != 0 {
+		f.reject("platform/memory-mb", "memory-mb is set twice")
+	}
+	if p.MaxDescriptors != 0 && p.Platform.MaxDescriptors != 0 {
+		f.reject("platform/max-descriptors", "max-descriptors is set twice")
+	}
 	if p.Platform.ColdOverage < 0 || p.Platform.RemoteFactor != 0 && p.Platform.RemoteFactor < 1 {
 		f.reject("platform", "expected a cold-overage of 0 or more and a remote-factor of 1 or more")
 	}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -14,6 +14,7 @@
 	"mustardlever.dev/mustardlever/apiserver"
 	"mustardlever.dev/mustardlever/coordinator"
 	"mustardlever.dev/mustardlever/internal/standin"
+	"mustardlever.dev/mustardlever/limiter"
 	"mustardlever.dev/mustardlever/messenger"
 	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/recorder"
@@ -31,7 +32,8 @@
 	Coordinator     coordinator.Settings
 	Messenger       messenger.Settings
 	ShareDemand     bool
-	Log             *logrus.Entry // default: log output is discarded
+	Budget          *limiter.Budget // of all listeners of the Cluster; nil: they have no limits
+	Log             *logrus.Entry   // default: log output is discarded
 }
 
 func (s Settings) withDefaults() Settings {
@@ -85,7 +87,7 @@
 
 // AddEntry starts one more entry. The nth entry is in availability zone zone-n.
 func (c *Cluster) AddEntry() error {
-	peerListener, err := net.Listen("tcp", "127.0.0.1:0")
+	peerListener, err := c.listenLinks()
 	if err != nil {
 		return err
 	}
@@ -102,27 +104,57 @@
 		Log:      c.Settings.Log.WithField("process", name),
 		Recorder: new(recorder.Recorder),
 	}
+	if b := c.Settings.Budget; b != nil {
+		settings := c.Settings.Coordinator
+		settings.MaxResultBytes = b.MaxResultBytes() / c.Settings.Entries
+		e.Settings.Services, e.Settings.JobMemory = map[string]coordinator.Settings{Service: settings}, b.HeldJobs
+	}
 	e.Start(peerListener)
-	apiListener, err := net.Listen("tcp", "127.0.0.1:0")
+	apiServer := apiserver.New(e)
+	address, err := c.serve(apiServer)
 	if err != nil {
 		return err
 	}
-	apiServer := apiserver.New(e)
-	go apiServer.Serve(apiListener)
 	c.Entries = append(c.Entries, e)
 	c.apiServers = append(c.apiServers, apiServer)
 	c.entryAddresses = append(c.entryAddresses, peerListener.Addr().String())
-	c.URLs = append(c.URLs, "http://"+apiListener.Addr().String())
+	c.URLs = append(c.URLs, "http://"+address.String())
 	return nil
 }
 
+const anyPort = "127.0.0.1:0"
+
+// listenLinks listens for other processes.
+func (c *Cluster) listenLinks() (net.Listener, error) {
+	if b := c.Settings.Budget; b != nil {
+		return b.Links.ListenPlain(anyPort)
+	}
+	return net.Listen("tcp", anyPort)
+}
+
+// serve serves callers in the background and returns the address.
+func (c *Cluster) serve(s *http.Server) (net.Addr, error) {
+	if b := c.Settings.Budget; b != nil {
+		return b.Callers.Serve(s, anyPort)
+	}
+	l, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return nil, err
+	}
+	go s.Serve(l)
+	return l.Addr(), nil
+}
+
 // AddAgent starts one more agent with a backend server of its own. The nth agent
 // is in availability zone zone-n.
 func (c *Cluster) AddAgent() error {
 	n := len(c.Agents) + 1
 	name := fmt.Sprintf("agent-%d", n)
 	b := &standin.Backend{Name: name}
-	if err := b.Start("127.0.0.1:0"); err != nil {
+	if budget := c.Settings.Budget; budget != nil {
+		b.Serve = budget.Backends.Serve
+	}
+	if err := b.Start(anyPort); err != nil {
 		return err
 	}
 	a := &server.Agent{
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"mustardlever.dev/mustardlever/internal/fault"
+	"mustardlever.dev/mustardlever/limiter"
 )
 
 // Work is the body of a task for a Backend.
@@ -31,6 +33,10 @@
 	SlowdownFactor int             // factor for the duration of tasks; default 1
 	Count          func(id string) // called with the id of each task started; may be nil
 
+	// Serve listens on an address, serves in the background and returns the address that it
+	// listens on; default: without limits.
+	Serve func(s *http.Server, address string) (net.Addr, error)
+
 	mu      sync.Mutex // guards starts
 	starts  map[string]int
 	total   atomic.Int64
@@ -41,17 +47,29 @@
 
 // Start serves on address in the background.
 func (b *Backend) Start(address string) error {
-	l, err := net.Listen("tcp", address)
+	b.starts = make(map[string]int)
+	b.server = &http.Server{Handler: b, ReadHeaderTimeout: time.Minute}
+	serve := b.Serve
+	if serve == nil {
+		serve = serveUnlimited
+	}
+	listening, err := serve(b.server, address)
 	if err != nil {
 		return err
 	}
-	b.address = l.Addr().String()
-	b.starts = make(map[string]int)
-	b.server = &http.Server{Handler: b, ReadHeaderTimeout: time.Minute}
-	go b.server.Serve(l)
+	b.address = listening.String()
 	return nil
 }
 
+func serveUnlimited(s *http.Server, address string) (net.Addr, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	go s.Serve(l)
+	return l.Addr(), nil
+}
+
 // Address returns the address that the Backend listens on.
 func (b *Backend) Address() string { return b.address }
 
@@ -66,7 +84,12 @@
 		return
 	}
 	var work Work
-	body, err := io.ReadAll(r.Body)
+	limits := limiter.FromContext(r.Context())
+	body, err := limits.ReadAll(r.Body, r.ContentLength)
+	if fault.KindOf[limiter.Kind](err) != "" || err == nil && !limits.Commit(int64(len(body))) {
+		limiter.Refuse(w)
+		return
+	}
 	if err == nil && len(body) > 0 {
 		err = json.Unmarshal(body, &work)
 	}
--- a/limiter/body.go
+++ b/limiter/body.go
@@ -94,6 +94,16 @@
 	return true
 }
 
+// HoldAnswer is Hold for a request with a body of the given size whose answer of n bytes
+// is about to be encoded. An answer that alone fills the account counts as half of it, so
+// that answers of any size are sent.
+func (c *Conn) HoldAnswer(body, n int64) bool {
+	if c == nil {
+		return true
+	}
+	return c.Hold(body + min(n, c.pool.limit(Jobs)/2))
+}
+
 // Hold sets the cost of the request, beside its headers, while it is handled. If it
 // returns false, the request must be refused.
 func (c *Conn) Hold(n int64) bool {
--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -15,8 +15,9 @@
 
 // Settings are the limits of a process.
 type Settings struct {
-	MemoryMiB   int // default 184
-	Descriptors int // default 4100, of which reservedDescriptors are for files
+	MemoryMiB   int  // default 184
+	Descriptors int  // default 4100, of which reservedDescriptors are for files
+	KeepsJobs   bool // jobs outlive their requests, as those with tickets do
 }
 
 const (
@@ -38,6 +39,11 @@
 	readinessShare   = 0.02
 	reportsShare     = 0.20 // of an agent, which has no callers; a report has up to 4 MiB
 
+	// Shares of a process that keeps jobs, instead of jobsShare and readinessShare.
+	requestsShare = 0.07 // submissions whose callers wait
+	heldJobsShare = 0.14
+	resultsShare  = 0.05 // of jobs that have ended
+
 	// Shares of the descriptors that are not reserved for files. The rest is for identified
 	// links and the store.
 	callerDescriptors    = 0.70
@@ -79,7 +85,11 @@
 	Operators *Pool
 	Links     *Pool // until their peers have identified themselves
 	Reports   *Pool
-	memory    int64
+	Backends  *Pool      // stand-ins for backend servers in the same process
+	HeldJobs  *Allowance // jobs that outlive their requests
+
+	memory      int64
+	descriptors int
 }
 
 // NewBudget returns the budget for the settings. Zero fields take the defaults.
@@ -90,19 +100,28 @@
 	if s.Descriptors <= 0 {
 		s.Descriptors = defaultDescriptors
 	}
-	b := &Budget{memory: int64(s.MemoryMiB) << 20}
+	b := &Budget{memory: int64(s.MemoryMiB) << 20, descriptors: s.Descriptors}
+	jobs := jobsShare
+	if s.KeepsJobs {
+		jobs = requestsShare
+	}
+	b.HeldJobs = &Allowance{Limit: b.share(heldJobsShare)}
 	usable := max(s.Descriptors-reservedDescriptors, 0)
 	b.Callers = newPool("callers", connectionCost, part(usable, callerDescriptors), map[Account]int64{
 		Connections: b.share(connectionsShare), Headers: b.share(headersShare), Bodies: b.share(bodiesShare),
-		Jobs: b.share(jobsShare), Reserve: b.share(reserveShare),
+		Jobs: b.share(jobs), Reserve: b.share(reserveShare),
 	})
 	b.Callers.ledger.MaxLarge = maxLargeCallers
 	single := func(name string, cost int64, descriptors, memory float64) *Pool {
-		return newPool(name, cost, part(usable, descriptors), map[Account]int64{Connections: b.share(memory)})
+		p := newPool(name, cost, part(usable, descriptors), map[Account]int64{Connections: b.share(memory)})
+		p.answerTimeout = answerTimeout
+		return p
 	}
 	b.Readiness = single("readiness", connectionCost, readinessDescriptors, readinessShare)
 	b.Operators = single("operators", connectionCost, operatorDescriptors, operatorsShare)
 	b.Reports = single("reports", connectionCost, reportDescriptors, reportsShare)
+	b.Backends = single("backends", connectionCost, reportDescriptors, reportsShare)
+	b.Backends.ledger.MaxLarge = 0 // their callers are the agents of the process
 	b.Links = single("links", linkCost, linkDescriptors, linksShare)
 	b.Links.plain, b.Links.patient = true, true
 	b.Links.ledger.Grace, b.Links.ledger.SilentGrace = linkGrace, silentLinkGrace
@@ -115,12 +134,35 @@
 	return &Pool{Name: name, ledger: l, cost: cost}
 }
 
+// String returns the limits for people.
+func (b *Budget) String() string {
+	return fmt.Sprintf("memory %d MiB, descriptors %d, connections of callers %d, of operators %d, links that have not identified themselves %d",
+		b.memory>>20, b.descriptors, b.Callers.maxConnections(), b.Operators.maxConnections(), b.Links.maxConnections())
+}
+
 // share returns a part of the memory in bytes.
 func (b *Budget) share(f float64) int64 { return int64(float64(b.memory) * f) }
 
 // part returns a part of n, at least 1.
 func part(n int, f float64) int { return max(int(math.Floor(float64(n)*f)), 1) }
 
+// MaxResultBytes returns the size in bytes of the results of ended jobs that a process
+// keeps.
+func (b *Budget) MaxResultBytes() int { return int(b.share(resultsShare)) }
+
+// PermittedDescriptors returns n, or the default if n is 0, or the number of descriptors
+// that the system permits this process to open if that is less.
+func PermittedDescriptors(n int) int {
+	if n <= 0 {
+		n = defaultDescriptors
+	}
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return n
+	}
+	return min(n, int(limit.Cur))
+}
+
 // SoftLimit returns the limit in bytes at which the Go runtime collects garbage more
 // often.
 func (b *Budget) SoftLimit() int64 {
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -25,6 +25,8 @@
 	cost    int64 // of a connection
 	patient bool  // new connections wait rather than be refused
 	plain   bool  // connections do not carry HTTP requests
+
+	answerTimeout time.Duration // of HTTP responses; 0: none
 }
 
 // do calls f with the ledger and carries out its decisions.
@@ -41,6 +43,19 @@
 	}
 }
 
+// maxConnections returns the number of connections without requests that the pool
+// admits.
+func (p *Pool) maxConnections() int {
+	return min(p.ledger.MaxConnections, int(p.limit(Connections)/p.cost))
+}
+
+// limit returns the limit of an account in bytes.
+func (p *Pool) limit(a Account) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ledger.limit(a)
+}
+
 // Usage is the state of a Pool.
 type Usage struct {
 	Connections int
--- a/tests/crowd_test.go
+++ b/tests/crowd_test.go
@@ -162,11 +162,12 @@
 
 // crowd is a number of connections with unfinished requests.
 type crowd struct {
-	fleet *platformFleet
-	mu    sync.Mutex
-	conns []net.Conn
-	work  sync.WaitGroup
-	seq   atomic.Int64
+	t      testing.TB
+	starts func(n int) int // starts of tasks of request n; nil: not known
+	mu     sync.Mutex
+	conns  []net.Conn
+	work   sync.WaitGroup
+	seq    atomic.Int64
 }
 
 // open opens count connections to address, which send requests of the kinds in turn.
@@ -203,8 +204,8 @@
 	io.Copy(io.Discard, response.Body)
 	response.Body.Close()
 	refused := response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests
-	if id := jobID(1000 + n); refused && w.fleet.checker.Starts(id) > 0 {
-		w.fleet.t.Errorf("job %s was refused but tasks of it were started", id)
+	if refused && w.starts != nil && w.starts(n) > 0 {
+		w.t.Errorf("request %d was refused but tasks of it were started", n)
 	}
 }
 
@@ -339,12 +340,22 @@
 	f := newCrowdFleet(t)
 	processes := []*process{f.entries[0], f.agents[0]}
 	descriptors := watchDescriptors(processes)
-	w := &crowd{fleet: f}
+	w := &crowd{t: t, starts: func(n int) int { return f.checker.Starts(jobID(1000 + n)) }}
 	open(f, w)
 	w.work.Wait()
 	time.Sleep(crowdHold)
 	most := descriptors()
 	w.close()
+	requireWithinLimits(t, processes, most)
+	status, answer := f.postUntilAnswered(0, jobID(1), standin.Job(2, standin.Work{DurationMillis: 20, Millicores: taskMillicores}))
+	require.Equal(t, http.StatusOK, status)
+	require.JSONEq(t, `{"state":"completed"}`, answer)
+	requireReleased(t, processes)
+}
+
+// requireWithinLimits checks that processes run and have kept within their memory and
+// descriptors, of which most has the largest numbers.
+func requireWithinLimits(t *testing.T, processes []*process, most map[string]int) {
 	for _, p := range processes {
 		if hasExited(p) {
 			t.Errorf("%s has exited", p.name)
@@ -359,9 +370,10 @@
 			t.Errorf("%s had %d open descriptors, its limit is %d", p.name, most[p.name], crowdMaxDescriptors)
 		}
 	}
-	status, answer := f.postUntilAnswered(0, jobID(1), standin.Job(2, standin.Work{DurationMillis: 20, Millicores: taskMillicores}))
-	require.Equal(t, http.StatusOK, status)
-	require.JSONEq(t, `{"state":"completed"}`, answer)
+}
+
+// requireReleased checks that processes account for nothing of a crowd that has left.
+func requireReleased(t *testing.T, processes []*process) {
 	http.DefaultClient.CloseIdleConnections()
 	for _, p := range processes {
 		var list []string
@@ -438,27 +450,35 @@
 
 // reportKinds returns the kinds of a crowd, with the path of status reports.
 func reportKinds() []crowdKind {
+	return kindsWithLine("POST /instances/executor-9/heartbeat HTTP/1.1")
+}
+
+// kindsWithLine returns the kinds of a crowd, with the given request line instead of
+// that of a job on the platform.
+func kindsWithLine(line string) []crowdKind {
 	var list []crowdKind
 	for _, k := range crowdKinds() {
 		list = append(list, crowdKind{k.name, func(c net.Conn, n int, body []byte, complete bool) {
-			k.send(pathConn{c, new(bool)}, n, body, complete)
+			k.send(lineConn{c, line, new(bool)}, n, body, complete)
 		}})
 	}
 	return list
 }
 
-// pathConn replaces the path of the request in the first write by that of a status report.
-type pathConn struct {
+// lineConn replaces the request line in the first write.
+type lineConn struct {
 	net.Conn
+	line     string
 	replaced *bool
 }
 
-func (c pathConn) Write(b []byte) (int, error) {
+// Write writes b, with the request line replaced in the first call.
+func (c lineConn) Write(b []byte) (int, error) {
 	if !*c.replaced {
 		*c.replaced = true
 		line, rest, _ := bytes.Cut(b, []byte("\r\n"))
 		if bytes.HasPrefix(line, []byte("POST")) {
-			line = []byte("POST /instances/executor-9/heartbeat HTTP/1.1")
+			line = []byte(c.line)
 		}
 		_, err := c.Conn.Write(bytes.Join([][]byte{line, rest}, []byte("\r\n")))
 		return len(b), err
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"os/exec"
@@ -82,6 +84,8 @@
 	t            testing.TB
 	dir          string
 	drainTimeout time.Duration
+	limits       map[string]any // added to the settings of each process
+	service      string         // settings of the service; default `"slots": 8`
 	entries      []*process
 	agents       []*process
 	backends     []*standin.Backend
@@ -94,16 +98,20 @@
 
 // newFleetWithDrainTimeout is newFleet with a time limit for a graceful shutdown.
 func newFleetWithDrainTimeout(t testing.TB, entries, agents int, drainTimeout time.Duration) *fleet {
-	f := &fleet{t: t, dir: t.TempDir(), drainTimeout: drainTimeout}
-	configuration := `{"services": {"access-desk": {"slots": 8}}}`
-	require.NoError(t, os.WriteFile(filepath.Join(f.dir, "base.json"), []byte(configuration), 0o600))
+	return startFleet(&fleet{t: t, dir: t.TempDir(), drainTimeout: drainTimeout}, entries, agents)
+}
+
+// startFleet starts the processes of f and waits until all are connected.
+func startFleet(f *fleet, entries, agents int) *fleet {
+	configuration := fmt.Sprintf(`{"services": {"access-desk": {%s}}}`, cmp.Or(f.service, `"slots": 8`))
+	require.NoError(f.t, os.WriteFile(filepath.Join(f.dir, "base.json"), []byte(configuration), 0o600))
 	for i := range entries {
 		f.addEntry(i)
 	}
 	for i := range agents {
 		f.addAgent(i)
 	}
-	t.Cleanup(f.stop)
+	f.t.Cleanup(f.stop)
 	f.awaitReady()
 	return f
 }
@@ -145,6 +153,7 @@
 }
 
 func (f *fleet) start(p *process, settings map[string]any) {
+	maps.Copy(settings, f.limits)
 	text, err := json.Marshal(settings)
 	require.NoError(f.t, err)
 	path := filepath.Join(f.dir, p.name+".json")
