Bound the entries that a process learns from its peers

Cause: every address in a hello was kept for good, dialed and passed on to all peers.

Change: a process knows 500 entries at most, those of its settings first, and no address of more than 256 bytes.

--- a/messenger/hub.go
+++ b/messenger/hub.go
@@ -89,6 +89,7 @@
 		}
 	}
 	if l != nil {
+	h.selector.Most = h.Settings.MaxKnown
 		h.goroutines.Go(func() { h.acceptLoop(l) })
 	}
 	h.goroutines.Go(h.monitorSessions)
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -20,6 +20,7 @@
 type Selector struct {
 	Self  string // name of this process, which determines its ranking
 	Limit int    // number of connections to keep; 0: to all entries
+	Most  int    // number of entries that may be known; 0: any
 
 	ranked         []*candidate // by descending rank
 	preferredSince time.Time    // since when all preferred entries are connected; zero: one is not
@@ -35,8 +36,12 @@
 	failedAt       time.Time // when a substitute was given up as unreachable; zero: never
 }
 
-// Add adds the entry at address. It reports false if the entry is known already.
+// Add adds the entry at address. It reports false if the entry is known already, or if
+// Most entries are.
 func (s *Selector) Add(address string) bool {
+	if s.Most > 0 && len(s.ranked) >= s.Most {
+		return false
+	}
 	for _, c := range s.ranked {
 		if c.address == address {
 			return false
--- a/server/agent.go
+++ b/server/agent.go
@@ -134,10 +134,13 @@
 	a.hub.KeepConnected(wellFormed...)
 }
 
-// isAddress reports whether the address has the form host:port.
+// maxAddressBytes is the longest address of an entry.
+const maxAddressBytes = 256
+
+// isAddress reports whether the address has the form host:port and is not too long.
 func isAddress(address string) bool {
 	_, _, err := net.SplitHostPort(address)
-	return err == nil
+	return err == nil && len(address) <= maxAddressBytes
 }
 
 // applyDecisions calls decide under the lock of the shard, queues the resulting
--- a/server/entry.go
+++ b/server/entry.go
@@ -39,6 +39,12 @@
 const maxServices = 1000
 
 // Entry accepts jobs and operations from callers. Set the exported fields before
+// maxKnownEntries limits the entries that a process knows and dials. Peers name them.
+const maxKnownEntries = 500
+
+// maxServiceBytes is the longest name of a service that an agent may announce.
+const maxServiceBytes = 256
+
 // Start.
 type Entry struct {
 	Settings        EntrySettings
@@ -133,12 +139,13 @@
 }
 
 // AddEntries adds the entries at the given addresses to those it may connect to, and forwards addresses
-// that were unknown so far to all peers. Malformed addresses are ignored.
+// that were unknown so far to all peers. Malformed addresses are ignored, and new ones once
+// maxKnownEntries are known.
 func (e *Entry) AddEntries(addresses []string) {
 	e.mu.Lock()
 	var added []string
 	for _, address := range addresses {
-		if isAddress(address) && !e.entryAddresses[address] {
+		if isAddress(address) && !e.entryAddresses[address] && len(e.entryAddresses) < maxKnownEntries {
 			e.entryAddresses[address] = true
 			added = append(added, address)
 		}
