Keep nothing of hellos that open no session

Cause: each hello made a session, which was kept until its timeout, and its incarnation was kept among 65,536 others after that, whatever its length.

Change: one hello on each accepted connection; identities of at most 256 bytes a part; the epoch of a session is remembered only if it was open. An agent's service has at most 256 bytes.

--- a/messenger/accept.go
+++ b/messenger/accept.go
@@ -94,6 +94,11 @@
 	case methodPing:
 		return struct{}{}, nil
 	case methodHello:
+		if c.greeted {
+			c.close() // each hello may create a session, which is kept for a time
+			return nil, jsonrpc2.NewError(jsonrpc2.InvalidRequest, "a second hello on one connection")
+		}
+		c.greeted = true
 		return h.handleHello(r.Params())
 	case methodBegin:
 		return nil, h.handleBegin(c, r.Params())
@@ -110,7 +115,7 @@
 	}
 	s := h.ensureSession(peerHello.Identity)
 	if s == nil {
-		return nil, jsonrpc2.NewError(jsonrpc2.InvalidRequest, "the peer has this process's name or no incarnation")
+		return nil, jsonrpc2.NewError(jsonrpc2.InvalidRequest, "the identity of the peer is invalid")
 	}
 	return h.newHello(s), nil
 }
--- a/messenger/hub.go
+++ b/messenger/hub.go
@@ -16,11 +16,15 @@
 	minRedialDelay = 50 * time.Millisecond  // also the delay after a failed accept
 	checkInterval  = 100 * time.Millisecond // between two checks of the session timeouts
 	maxNextEpochs  = 1 << 16                // size limit of Hub.nextEpochs
-	ackThreshold   = 256                    // unacknowledged received messages that trigger an acknowledgement at once
-	methodHello    = "hello"
-	methodBegin    = "begin"
-	methodBatch    = "batch"
-	methodPing     = "ping"
+	// maxIdentityBytes is the longest part of an identity; names have up to 64 bytes.
+	maxIdentityBytes = 256
+	// maxMessages is the number of messages in a batch above which it is malformed.
+	maxMessages  = 1 << 13
+	ackThreshold = 256 // unacknowledged received messages that trigger an acknowledgement at once
+	methodHello  = "hello"
+	methodBegin  = "begin"
+	methodBatch  = "batch"
+	methodPing   = "ping"
 )
 
 // hello is the sender's state of a session, exchanged when a connection opens.
@@ -233,11 +237,22 @@
 }
 
 // ensureSession returns the session with the peer, and creates it if needed. It
-// returns nil if the peer has this process's name or no incarnation.
+// returns nil if the peer has this process's name, no incarnation or a long identity.
 func (h *Hub) ensureSession(peer protocol.Identity) *session {
-	if peer.Name == h.Self.Name || peer.Incarnation == "" {
+	if peer.Name == h.Self.Name || peer.Incarnation == "" || !isShort(peer) {
 		return nil
 	}
+// isShort reports whether all parts of an identity are at most maxIdentityBytes long. They
+// are kept for as long as the session, the incarnation for longer.
+func isShort(i protocol.Identity) bool {
+	for _, s := range []string{i.Name, i.Incarnation, string(i.Role), i.Zone, i.Address, i.OperatorAddress} {
+		if len(s) > maxIdentityBytes {
+			return false
+		}
+	}
+	return true
+}
+
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.sessions[peer.Incarnation]
--- a/messenger/timeouts.go
+++ b/messenger/timeouts.go
@@ -74,7 +74,9 @@
 	wasOpen := s.open
 	s.localEpoch++
 	s.closed = true
-	h.rememberEpoch(s.peer.Incarnation, s.localEpoch)
+	if s.openedAt != (time.Time{}) {
+		h.rememberEpoch(s.peer.Incarnation, s.localEpoch)
+	}
 	s.reset()
 	peer := s.peer
 	s.mu.Unlock()
--- a/server/entry.go
+++ b/server/entry.go
@@ -45,6 +45,7 @@
 // maxServiceBytes is the longest name of a service that an agent may announce.
 const maxServiceBytes = 256
 
+// Entry accepts jobs and operations from callers. Set the exported fields before
 // Start.
 type Entry struct {
 	Settings        EntrySettings
--- a/server/shard.go
+++ b/server/shard.go
@@ -76,7 +76,7 @@
 func (e *Entry) shardFor(m protocol.Message) *entryShard {
 	s := e.shards.find(m.Service)
 	addsService := e.Settings.AddAnnouncedServices && (m.Announce != nil || m.ServerLosses != nil)
-	if s != nil || !addsService || len(e.shards.list()) >= maxServices {
+	if s != nil || !addsService || len(m.Service) > maxServiceBytes || len(e.shards.list()) >= maxServices {
 		return s
 	}
 	e.Log.WithField("service", m.Service).Info("Entry adds a service that another process named.")
