Bound the links whose peers have identified themselves

Whoever sends a hello and a begin is a peer, and left the limiter: a caller that speaks the protocol could open links until the process had no descriptors.

The metric limit_identified_connections shows their number.

--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -44,11 +44,12 @@
 	heldJobsShare = 0.14
 	resultsShare  = 0.05 // of jobs that have ended
 
-	// Shares of the descriptors that are not reserved for files. The rest is for identified
-	// links and the store.
+	// Shares of the descriptors that are not reserved for files. The rest is for links that
+	// the process opens and for the store.
 	callerDescriptors    = 0.70
 	linkDescriptors      = 0.08
 	operatorDescriptors  = 0.05
+	peerDescriptors      = 0.08 // identified links
 	readinessDescriptors = 0.05
 	reportDescriptors    = 0.10
 
@@ -126,6 +127,7 @@
 	b.Links.plain, b.Links.patient = true, true
 	b.Links.ledger.Grace, b.Links.ledger.SilentGrace = linkGrace, silentLinkGrace
 	return b
+	b.Links.peers.limit = part(usable, peerDescriptors)
 }
 
 func newPool(name string, cost int64, connections int, limits map[Account]int64) *Pool {
@@ -192,6 +194,9 @@
 		if p.ledger.shared {
 			read("used_bytes", "account", p.Name, func(u Usage) float64 { return float64(u.Bytes) })
 			continue
+		if p.peers.limit > 0 {
+			gauge(`limit_identified_connections{listener="links"}`, func() float64 { return float64(p.Usage().Peers) })
+		}
 		}
 		for a, name := range accountNames {
 			read("used_bytes", "account", name, func(u Usage) float64 { return float64(u.Accounts[a]) })
--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -45,6 +45,7 @@
 	turn   chan bool // receives the end of a wait for a reservation
 
 	identified atomic.Bool // the peer of a link has identified itself
+	admitted   bool        // it counts in pool.peers; guarded by pool.mu
 
 	mu         sync.Mutex
 	stage      stage
@@ -261,20 +262,34 @@
 // Close closes the connection and ends its reservations.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
-	c.pool.do(func(l *Ledger) { l.Close(&c.holder) })
+	c.pool.do(func(l *Ledger) {
+		l.Close(&c.holder)
+		if c.admitted {
+			c.pool.peers.remove(hostOf(c.Conn))
+			c.admitted = false
+		}
+	})
 	c.signal(false) // ends a wait
 	return err
 }
 
 // Identify ends the reservations of a link whose peer has identified itself. The
-// connection has no limit from then on, and is never closed by the limiter. It returns
-// false if the connection was evicted before.
+// connection is never closed by the limiter from then on. It returns false if the
+// connection was evicted before, or if there are too many such links: the caller has to
+// close it.
 func (c *Conn) Identify() bool {
 	ok := false
 	c.identified.Store(true)
 	c.pool.do(func(l *Ledger) {
 		ok = l.SetPhase(time.Now(), &c.holder, PhaseBusy)
 		l.Close(&c.holder)
+		if ok {
+			c.admitted = c.pool.peers.add(hostOf(c.Conn))
+			ok = c.admitted
+		}
+		if !ok {
+			l.Refusals++
+		}
 	})
 	c.signal(false)
 	return ok
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -26,6 +26,7 @@
 	patient bool  // new connections wait rather than be refused
 	plain   bool  // connections do not carry HTTP requests
 
+	peers         peers         // links whose peers have identified themselves
 	answerTimeout time.Duration // of HTTP responses; 0: none
 }
 
@@ -63,13 +64,14 @@
 	Bytes       int64             // sum of all accounts
 	Evicted     int64             // connections closed so far
 	Refused     int64             // reservations refused so far
+	Peers       int               // links whose peers have identified themselves
 }
 
 // Usage returns the state of the pool.
 func (p *Pool) Usage() Usage {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	u := Usage{Connections: p.ledger.Count(), Accounts: make(map[Account]int64), Evicted: p.ledger.Evicted, Refused: p.ledger.Refusals}
+	u := Usage{Connections: p.ledger.Count(), Accounts: make(map[Account]int64), Evicted: p.ledger.Evicted, Refused: p.ledger.Refusals, Peers: p.peers.count}
 	for a := range accounts {
 		u.Accounts[a] = p.ledger.Used(a)
 		u.Bytes += p.ledger.Used(a)
