Account for large frames of peers, and bound the messages in one

Callers that identified themselves as agents and sent two batches of 12 MiB with four million empty messages each raised an entry to 8,433 MiB (trial on, 100 connections, limit 96 MiB).

Cause: frames behind a session's begin counted nowhere, and were decoded into a slice of any length.

Change: frames of 8 KiB and more wait for four times their size, out of 8% of the memory of the process, before they are read; the reservation ends when the frame was handled.

Still open: other lists in a frame of up to 16 MiB may take a multiple of it when they are decoded.

--- a/cmd/mustardleverd/hosted_entry.go
+++ b/cmd/mustardleverd/hosted_entry.go
@@ -33,6 +33,7 @@
 		return err
 	}
 	e := newHostedEntry(p, log, r, metrics)
+	e.Settings.FrameMemory = limits.budget.Frames
 	settings.addEntries = e.AddEntries
 	callerServer := newCallerServer(&platform.ClientHandler{Submit: e.SubmitSync, Cancel: e.Cancel, LookupPath: e.LookupPath})
 	readinessServer := newReadinessServer(readinessHandler(e))
--- a/cmd/mustardleverd/run.go
+++ b/cmd/mustardleverd/run.go
@@ -144,7 +144,7 @@
 		}
 	}
 	return server.EntrySettings{
-		Identity: identity(p), Entries: p.Entries, TicketKey: []byte(p.TicketKey), Services: services, JobMemory: b.HeldJobs,
+		Identity: identity(p), Entries: p.Entries, TicketKey: []byte(p.TicketKey), Services: services, JobMemory: b.HeldJobs, FrameMemory: b.Frames,
 	}
 }
 
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -108,6 +108,7 @@
 		settings := c.Settings.Coordinator
 		settings.MaxResultBytes = b.MaxResultBytes() / c.Settings.Entries
 		e.Settings.Services, e.Settings.JobMemory = map[string]coordinator.Settings{Service: settings}, b.HeldJobs
+		e.Settings.FrameMemory = b.Frames
 	}
 	e.Start(peerListener)
 	apiServer := apiserver.New(e)
--- a/limiter/allowance.go
+++ b/limiter/allowance.go
@@ -1,6 +1,12 @@
 package limiter
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
+
+// awaitInterval is the time between two attempts of Allowance.Await.
+const awaitInterval = 5 * time.Millisecond
 
 // Allowance bounds memory that is held for longer than a request, as that of jobs with
 // tickets. The zero value has no bound. It is safe for concurrent use.
@@ -21,6 +27,22 @@
 	return true
 }
 
+// Await waits until n bytes, or all if the bound is lower, are free. It returns the bytes
+// that it has taken, or 0 if done is closed before.
+func (a *Allowance) Await(done <-chan struct{}, n int64) int64 {
+	if a.Limit > 0 {
+		n = min(n, a.Limit)
+	}
+	for !a.Reserve(n) {
+		select {
+		case <-done:
+			return 0
+		case <-time.After(awaitInterval):
+		}
+	}
+	return n
+}
+
 // Release returns n bytes that were taken.
 func (a *Allowance) Release(n int64) { a.used.Add(-n) }
 
--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -37,6 +37,7 @@
 	linksShare       = 0.04
 	operatorsShare   = 0.03
 	readinessShare   = 0.02
+	framesShare      = 0.08 // of the quarter of the process itself
 	reportsShare     = 0.20 // of an agent, which has no callers; a report has up to 4 MiB
 
 	// Shares of a process that keeps jobs, instead of jobsShare and readinessShare.
@@ -48,8 +49,8 @@
 	// the process opens and for the store.
 	callerDescriptors    = 0.70
 	linkDescriptors      = 0.08
-	operatorDescriptors  = 0.05
 	peerDescriptors      = 0.08 // identified links
+	operatorDescriptors  = 0.05
 	readinessDescriptors = 0.05
 	reportDescriptors    = 0.10
 
@@ -88,6 +89,7 @@
 	Reports   *Pool
 	Backends  *Pool      // stand-ins for backend servers in the same process
 	HeldJobs  *Allowance // jobs that outlive their requests
+	Frames    *Allowance // large frames of identified links, while they are read and handled
 
 	memory      int64
 	descriptors int
@@ -106,6 +108,7 @@
 	if s.KeepsJobs {
 		jobs = requestsShare
 	}
+	b.Frames = &Allowance{Limit: b.share(framesShare)}
 	b.HeldJobs = &Allowance{Limit: b.share(heldJobsShare)}
 	usable := max(s.Descriptors-reservedDescriptors, 0)
 	b.Callers = newPool("callers", connectionCost, part(usable, callerDescriptors), map[Account]int64{
@@ -124,10 +127,10 @@
 	b.Backends = single("backends", connectionCost, reportDescriptors, reportsShare)
 	b.Backends.ledger.MaxLarge = 0 // their callers are the agents of the process
 	b.Links = single("links", linkCost, linkDescriptors, linksShare)
+	b.Links.peers.limit = part(usable, peerDescriptors)
 	b.Links.plain, b.Links.patient = true, true
 	b.Links.ledger.Grace, b.Links.ledger.SilentGrace = linkGrace, silentLinkGrace
 	return b
-	b.Links.peers.limit = part(usable, peerDescriptors)
 }
 
 func newPool(name string, cost int64, connections int, limits map[Account]int64) *Pool {
@@ -191,12 +194,12 @@
 		read("used_connections", "listener", p.Name, func(u Usage) float64 { return float64(u.Connections) })
 		read("evicted_total", "listener", p.Name, func(u Usage) float64 { return float64(u.Evicted) })
 		read("refused_total", "listener", p.Name, func(u Usage) float64 { return float64(u.Refused) })
-		if p.ledger.shared {
-			read("used_bytes", "account", p.Name, func(u Usage) float64 { return float64(u.Bytes) })
-			continue
 		if p.peers.limit > 0 {
 			gauge(`limit_identified_connections{listener="links"}`, func() float64 { return float64(p.Usage().Peers) })
 		}
+		if p.ledger.shared {
+			read("used_bytes", "account", p.Name, func(u Usage) float64 { return float64(u.Bytes) })
+			continue
 		}
 		for a, name := range accountNames {
 			read("used_bytes", "account", name, func(u Usage) float64 { return float64(u.Accounts[a]) })
--- a/messenger/conn.go
+++ b/messenger/conn.go
@@ -17,6 +17,7 @@
 	session      *session      // valid once sessionReady is closed; nil if none was opened
 	sessionReady chan struct{} // closed by setSession
 	helloSentAt  time.Time     // zero if accepted
+	greeted      bool          // a hello of the peer was handled; used by the goroutine that handles requests
 	closed       chan struct{} // closed by close
 	writeMu      sync.Mutex    // held while a batch is built and written
 	lastWrite    time.Time     // when the last batch was written, zero before the first; guarded by writeMu
@@ -36,6 +37,10 @@
 func (h *Hub) newAcceptedConn(netConn net.Conn) *conn {
 	c := h.prepareConn(netConn)
 	c.stream.awaitSession = c.awaitSession
+	if h.ReserveFrame != nil {
+		c.stream.reserve = func(n int64) int64 { return h.ReserveFrame(c.closed, n) }
+		c.stream.release = h.ReleaseFrame
+	}
 	h.startConn(c)
 	return c
 }
--- /dev/null
+++ b/messenger/crowd_test.go
@@ -0,0 +1,101 @@
+package messenger
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mustardlever.dev/mustardlever/protocol"
+)
+
+// Guards against a batch of permitted size whose many messages take a hundred times its
+// size, and against a long list that is decoded differently from a slice.
+func TestMessagesOfBatchAreBounded(t *testing.T) {
+	var l messageList
+	err := json.Unmarshal([]byte(`[{}`+strings.Repeat(",{}", 100_000)+`]`), &l)
+	require.ErrorContains(t, err, "more than 8192 messages")
+	list := make([]protocol.Message, 3)
+	list[1].Close = &protocol.Close{Owner: strings.Repeat("x", largeList), Below: 5}
+	text, err := json.Marshal(list)
+	require.NoError(t, err)
+	require.NoError(t, json.Unmarshal(text, &l))
+	require.Equal(t, messageList(list), l)
+	for _, text := range []string{"null", "[]", "{}", "5"} {
+		var slice []protocol.Message
+		sliceErr := json.Unmarshal([]byte(text), &slice)
+		for _, padded := range []string{text, text + strings.Repeat(" ", largeList)} {
+			require.Equal(t, sliceErr == nil, json.Unmarshal([]byte(padded), new(messageList)) == nil, text)
+		}
+	}
+	require.Error(t, new(messageList).UnmarshalJSON([]byte(`{}`+strings.Repeat(" ", largeList))))
+}
+
+// Guards against peers that make a process keep sessions, or long names, by hellos alone.
+func TestHellosKeepNothing(t *testing.T) {
+	h := &Hub{Self: protocol.Identity{Name: "a", Role: protocol.RoleEntry}.WithNewIncarnation()}
+	h.Start(nil)
+	defer h.Stop()
+	long := protocol.Identity{Name: "b", Incarnation: strings.Repeat("x", maxIdentityBytes+1)}
+	require.Nil(t, h.ensureSession(long))
+	for i := range 100 {
+		s := h.ensureSession(protocol.Identity{Name: "b", Incarnation: fmt.Sprint("b.", i)})
+		require.NotNil(t, s)
+		h.closeSession(s)
+	}
+	require.Empty(t, h.allSessions())
+	require.Empty(t, h.nextEpochs, "none of the sessions was open")
+}
+
+// Guards against a connection that creates sessions by several hellos.
+func TestSecondHelloEndsConnection(t *testing.T) {
+	p := newPair(t, Settings{})
+	netConn, err := p.b.Dial(t.Context(), p.a.Self.Address)
+	require.NoError(t, err)
+	c := p.b.newConn(netConn)
+	defer c.close()
+	identity := protocol.Identity{Name: "c", Role: protocol.RoleAgent}
+	var answer hello
+	_, err = c.rpc.Call(t.Context(), methodHello, hello{Identity: identity.WithNewIncarnation()}, &answer)
+	require.NoError(t, err)
+	_, err = c.rpc.Call(t.Context(), methodHello, hello{Identity: identity.WithNewIncarnation()}, &answer)
+	require.Error(t, err)
+	select {
+	case <-c.rpc.Done():
+	case <-time.After(5 * time.Second):
+		t.Fatal("the connection is still open")
+	}
+}
+
+// Guards against memory for a frame that is reserved for longer than the frame is handled.
+func TestMemoryOfFramesIsReleased(t *testing.T) {
+	client, served := net.Pipe()
+	defer client.Close()
+	used, most := int64(0), int64(0)
+	s := newStream(served, new(Traffic))
+	s.reserve = func(n int64) int64 { used += n; most = max(most, used); return n }
+	s.release = func(n int64) { used -= n }
+	frame := fmt.Appendf(nil, `{"jsonrpc":"2.0","method":"batch","params":{"x":"%s"}}`, strings.Repeat("x", largeFrame))
+	size := binary.BigEndian.AppendUint32(nil, uint32(len(frame)))
+	go func() {
+		for range 2 {
+			client.Write(append(size, frame...))
+		}
+		client.Write(append(size, frame[1:]...))
+		client.Close()
+	}()
+	for range 2 {
+		_, _, err := s.Read(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, int64(len(frame)*frameCost), used)
+	}
+	_, _, err := s.Read(t.Context())
+	require.Error(t, err, "the last frame is malformed and too short")
+	require.Zero(t, used)
+	require.Equal(t, int64(len(frame)*frameCost), most)
+}
--- a/messenger/hub.go
+++ b/messenger/hub.go
@@ -60,6 +60,12 @@
 	ReportPanic   func(peer string, value any, stack []byte)                  // receives the panic of a request; peer is empty without a session
 	Traffic       Traffic
 
+	// ReserveFrame waits for memory for a large frame on an accepted connection and returns
+	// the bytes reserved, 0 if done is closed before. ReleaseFrame returns them. nil: there is
+	// no limit.
+	ReserveFrame func(done <-chan struct{}, bytes int64) int64
+	ReleaseFrame func(bytes int64)
+
 	lifecycleMu   sync.Mutex // serializes SessionOpened and SessionClosed; acquired before every other lock but conn.writeMu
 	mu            sync.Mutex
 	sessions      map[string]*session
@@ -83,6 +89,7 @@
 	h.nextEpochs = make(map[string]uint64)
 	h.dialing = make(map[string]bool)
 	h.selector.Self, h.selector.Limit = h.Self.Name, h.Settings.MaxEntries
+	h.selector.Most = h.Settings.MaxKnown
 	h.incarnationAt = make(map[string]string)
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.listener = l
@@ -93,7 +100,6 @@
 		}
 	}
 	if l != nil {
-	h.selector.Most = h.Settings.MaxKnown
 		h.goroutines.Go(func() { h.acceptLoop(l) })
 	}
 	h.goroutines.Go(h.monitorSessions)
@@ -236,12 +242,6 @@
 	return nil
 }
 
-// ensureSession returns the session with the peer, and creates it if needed. It
-// returns nil if the peer has this process's name, no incarnation or a long identity.
-func (h *Hub) ensureSession(peer protocol.Identity) *session {
-	if peer.Name == h.Self.Name || peer.Incarnation == "" || !isShort(peer) {
-		return nil
-	}
 // isShort reports whether all parts of an identity are at most maxIdentityBytes long. They
 // are kept for as long as the session, the incarnation for longer.
 func isShort(i protocol.Identity) bool {
@@ -253,6 +253,12 @@
 	return true
 }
 
+// ensureSession returns the session with the peer, and creates it if needed. It
+// returns nil if the peer has this process's name, no incarnation or a long identity.
+func (h *Hub) ensureSession(peer protocol.Identity) *session {
+	if peer.Name == h.Self.Name || peer.Incarnation == "" || !isShort(peer) {
+		return nil
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.sessions[peer.Incarnation]
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -1,6 +1,10 @@
 package messenger
 
 import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
 	"sync"
 	"time"
 
@@ -11,12 +15,42 @@
 // Messages[0], Ack the number of the last message received, and Clock the
 // sender's hybrid logical clock.
 type batch struct {
-	First    uint64             `json:"first,omitempty"`
-	Ack      uint64             `json:"ack"`
-	Clock    int64              `json:"clock,omitempty"`
-	Sent     int64              `json:"sent,omitempty"` // stamp of this batch, see Hub.stamp
-	Echo     int64              `json:"echo,omitempty"` // a stamp that the sender has received from its peer, see session.nextEcho
-	Messages []protocol.Message `json:"messages,omitempty"`
+	First    uint64      `json:"first,omitempty"`
+	Ack      uint64      `json:"ack"`
+	Clock    int64       `json:"clock,omitempty"`
+	Sent     int64       `json:"sent,omitempty"` // stamp of this batch, see Hub.stamp
+	Echo     int64       `json:"echo,omitempty"` // a stamp that the sender has received from its peer, see session.nextEcho
+	Messages messageList `json:"messages,omitempty"`
+}
+
+// messageList is a list of at most maxMessages messages.
+type messageList []protocol.Message
+
+// largeList is the size from which a list is decoded message by message: a smaller one
+// cannot have so many elements that it matters.
+const largeList = 64 << 10
+
+// UnmarshalJSON decodes an array or null. It fails for a list of more than maxMessages: a
+// list of three bytes a message would take a hundred times its size.
+func (l *messageList) UnmarshalJSON(text []byte) error {
+	if len(text) < largeList {
+		return json.Unmarshal(text, (*[]protocol.Message)(l))
+	}
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	if token, err := decoder.Token(); err != nil || token != json.Delim('[') {
+		return cmp.Or(err, error(&Error{Op: "batch", Kind: KindFrame, Detail: "messages are no array"}))
+	}
+	for *l = nil; decoder.More(); {
+		if len(*l) == maxMessages {
+			return &Error{Op: "batch", Kind: KindFrame, Detail: fmt.Sprintf("more than %d messages", maxMessages)}
+		}
+		var m protocol.Message
+		if err := decoder.Decode(&m); err != nil {
+			return err
+		}
+		*l = append(*l, m)
+	}
+	return nil
 }
 
 // session is the state of the session with one incarnation of a peer. Each side
--- a/messenger/stream.go
+++ b/messenger/stream.go
@@ -27,6 +27,11 @@
 	// handshakeFrames is the number of frames, hello and begin, that open a session. The
 	// next one is a batch and may arrive before the begin was handled.
 	handshakeFrames = 2
+	// largeFrame is the size from which a frame's memory is reserved before it is read.
+	largeFrame = 8 << 10
+	// frameCost is the memory of a frame per byte: the buffer, which grows by doubling, and
+	// the decoded messages.
+	frameCost = 4
 )
 
 // Traffic counts the frames, bytes, messages and failed requests on the connections of a Hub.
@@ -48,7 +53,13 @@
 	// awaitSession waits until the session is open and returns false if it will not be;
 	// nil if frames of any size are read at once.
 	awaitSession func() bool
-	framesRead   int // used by Read only
+	// reserve waits for memory for a frame and returns the bytes reserved, 0 if the
+	// connection is closed before; nil: there is no limit. release returns them.
+	reserve func(n int64) int64
+	release func(n int64)
+
+	framesRead int   // used by Read only
+	reserved   int64 // for the frame that Read returned last; used by Read only
 }
 
 func newStream(netConn net.Conn, t *Traffic) *stream {
@@ -78,8 +89,18 @@
 	return int64(n), err
 }
 
-// Read reads one frame. It returns io.EOF if the connection ends between frames.
+// Read reads one frame. It returns io.EOF if the connection ends between frames. The
+// frame read before has been handled by then.
 func (s *stream) Read(context.Context) (jsonrpc2.Message, int64, error) {
+	s.releaseFrame()
+	m, n, err := s.readFrame()
+	if err != nil {
+		s.releaseFrame()
+	}
+	return m, n, err
+}
+
+func (s *stream) readFrame() (jsonrpc2.Message, int64, error) {
 	var header [frameHeaderBytes]byte
 	if _, err := io.ReadFull(s.reader, header[:]); err != nil {
 		return nil, 0, err
@@ -92,6 +113,9 @@
 		return nil, 0, &Error{Op: "read", Kind: KindFrame, Detail: fmt.Sprintf("frame of %d bytes before the session is open", n)}
 	}
 	s.framesRead++
+	if n >= largeFrame && !s.reserveFrame(int64(n)*frameCost) {
+		return nil, 0, &Error{Op: "read", Kind: KindFrame, Detail: fmt.Sprintf("closed before there was memory for a frame of %d bytes", n)}
+	}
 	b, err := s.readBody(int(n))
 	if err != nil {
 		return nil, 0, err
@@ -114,5 +138,22 @@
 	return b.Bytes(), err
 }
 
+// reserveFrame waits for memory for the frame to be read.
+func (s *stream) reserveFrame(n int64) bool {
+	if s.reserve == nil {
+		return true
+	}
+	s.reserved = s.reserve(n)
+	return s.reserved > 0
+}
+
+// releaseFrame ends the reservation for the frame read last.
+func (s *stream) releaseFrame() {
+	if s.reserved > 0 {
+		s.release(s.reserved)
+		s.reserved = 0
+	}
+}
+
 // Close closes the connection.
 func (s *stream) Close() error { return s.netConn.Close() }
--- a/server/entry.go
+++ b/server/entry.go
@@ -30,6 +30,7 @@
 	Coordinator          coordinator.Settings // settings of added services
 	Messenger            messenger.Settings
 	JobMemory            *limiter.Allowance // of jobs with tickets, in all services; nil: no limit
+	FrameMemory          *limiter.Allowance // of large frames from other processes; nil: no limit
 	FollowEvacuations    bool               // start nothing in evacuated zones
 	ShareDemand          bool               // entries share their demand while none is connected to all agents; see sharesDemand
 }
@@ -38,7 +39,6 @@
 // services that agents announce.
 const maxServices = 1000
 
-// Entry accepts jobs and operations from callers. Set the exported fields before
 // maxKnownEntries limits the entries that a process knows and dials. Peers name them.
 const maxKnownEntries = 500
 
@@ -111,6 +111,9 @@
 	e.hub.AddEntries = e.AddEntries
 	e.hub.KnownEntries = e.knownAddresses
 	e.hub.ReportPanic = reportPanic(e.Log)
+	if m := e.Settings.FrameMemory; m != nil {
+		e.hub.ReserveFrame, e.hub.ReleaseFrame = m.Await, m.Release
+	}
 	e.hub.Clock, e.hub.ObserveClock = e.Recorder.Now, e.Recorder.Observe
 	e.hub.Start(l)
 	e.AddEntries(e.Settings.Entries)
