Forget the callers that have left a job

Cause: a submission that joins an unfinished job adds a function that holds its request; none was removed.

Change: those that have left are removed whenever their number may have doubled.

--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -130,7 +130,8 @@
 	deadline    time.Time
 
 	name           string        // name set by the caller
-	callersLeft    []func() bool // Job.CallerLeft of each caller
+	callersLeft    []func() bool // Job.CallerLeft of each caller; some may have left
+	pruneCallersAt int           // number of callers at which those that have left are removed
 	restartable    bool          // synchronous job: its tasks are session-bound and may be restarted
 	maxAttempts    int           // number of failures of one task after which the job fails
 	starts         int           // number of starts sent
@@ -150,6 +151,19 @@
 	endedAt        time.Time       // when the job ended or was handed over
 }
 
+// minPrunedCallers is the number of callers up to which those that have left are kept.
+const minPrunedCallers = 16
+
+// addCaller adds a caller that waits for the job. It removes those that have left whenever
+// their number may have doubled, so that the cost of an addition stays constant.
+func (j *job) addCaller(callerLeft func() bool) {
+	if len(j.callersLeft) >= max(j.pruneCallersAt, minPrunedCallers) {
+		j.callersLeft = slices.DeleteFunc(j.callersLeft, func(left func() bool) bool { return left != nil && left() })
+		j.pruneCallersAt = 2 * len(j.callersLeft)
+	}
+	j.callersLeft = append(j.callersLeft, callerLeft)
+}
+
 // abandoned reports whether all callers of the job have left. A job without callers, as
 // one with a ticket, is not abandoned.
 func (j *job) abandoned() bool {
--- a/coordinator/sync.go
+++ b/coordinator/sync.go
@@ -25,7 +25,7 @@
 		return 0, a, nil
 	}
 	if j := c.byName[spec.Name]; j != nil {
-		j.callersLeft = append(j.callersLeft, spec.CallerLeft)
+		j.addCaller(spec.CallerLeft)
 		return j.key.sequence, nil, nil // the caller joins the unfinished job
 	}
 	held, overloaded := c.stoppedNames[spec.Name] > 0, c.overloaded()
@@ -35,7 +35,7 @@
 	number := c.nextSequence
 	c.nextSequence++
 	j := c.newJob(now, jobKey{c.Self, number}, spec)
-	j.callersLeft = append(j.callersLeft, spec.CallerLeft)
+	j.addCaller(spec.CallerLeft)
 	if held {
 		c.holdBack(j)
 	}
