Divide the limits of a listener among its clients

Callers of one client were refused while another client's crowd held an entry: beside 600 connections from another address with slow bodies, with small jobs in turn, with jobs in use or with pipelined ones, an ordinary job got 503 (tests.TestOrdinaryCallerBesideCrowd, 4 of 9 kinds failed before the change, each at its second job).

Cause: accounts were kept by listener and kind only. At a limit the crowd and the ordinary caller competed by age and size.

Change: the ledger knows the client of a connection, by its address. With one client alone, eviction is as before.

--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -265,7 +265,7 @@
 	c.pool.do(func(l *Ledger) {
 		l.Close(&c.holder)
 		if c.admitted {
-			c.pool.peers.remove(hostOf(c.Conn))
+			c.pool.peers.remove(c.holder.Client)
 			c.admitted = false
 		}
 	})
@@ -284,7 +284,7 @@
 		ok = l.SetPhase(time.Now(), &c.holder, PhaseBusy)
 		l.Close(&c.holder)
 		if ok {
-			c.admitted = c.pool.peers.add(hostOf(c.Conn))
+			c.admitted = c.pool.peers.add(c.holder.Client)
 			ok = c.admitted
 		}
 		if !ok {
--- a/limiter/eviction.go
+++ b/limiter/eviction.go
@@ -7,10 +7,14 @@
 )
 
 // makeRoom evicts holders until, once they have ended, n bytes and those of all waiters
-// are free. It evicts none and returns false if that is not possible. The order: idle
-// connections, requests that are not small, small requests past their grace; each
-// oldest first, and the less complete of those of about the same age. A holder makes
-// room only by eviction of older ones, or of any if its own request is small.
+// are free. It evicts none and returns false if that is not possible.
+//
+// A client within its share takes from the one that exceeds its own by most: its idle
+// connections, large requests and small ones, the oldest first, whatever their age.
+// Otherwise the order is: idle connections, requests that are not small, small requests
+// past their grace; each oldest first, and the less complete of those of about the same
+// age. A holder then makes room only by eviction of older ones, or of any if its own
+// request is small, and never takes from a client within its share if its own exceeds it.
 func (l *Ledger) makeRoom(now time.Time, h *Holder, a Account, n int64) bool {
 	missing := l.usage(a) + n - l.limit(a)
 	for e := l.waiters.Front(); e != nil; e = e.Next() {
@@ -37,9 +41,22 @@
 	return true
 }
 
-// evictOne makes room for the connection of h by the eviction of another one.
-func (l *Ledger) evictOne(now time.Time, h *Holder) bool {
-	v := l.victim(now, nil, h, Connections, 0)
+// makeRoomForConnection evicts a connection if that of h is one too many, and reports
+// whether there is room for it then.
+func (l *Ledger) makeRoomForConnection(now time.Time, h *Holder, cost int64) bool {
+	var v *Holder
+	switch {
+	case l.hoards(h, cost):
+		v = l.oldest(now, h, Connections, 0, func(v *Holder) bool { return v.client != h.client })
+	case l.MaxConnections <= 0 || l.count-l.leavingCount < l.MaxConnections:
+		return true
+	case !l.exceedsConnections(h.client):
+		if v = l.evictableOf(l.mostConnections(), Connections, nil); v == nil {
+			v = l.victim(now, nil, h, Connections, 0)
+		}
+	default:
+		v = l.victim(now, nil, h, Connections, 0)
+	}
 	if v != nil {
 		l.evict(v)
 	}
@@ -49,9 +66,23 @@
 // victim returns the holder to evict next, beside those taken, so that h can reserve n
 // bytes of an account, or nil.
 func (l *Ledger) victim(now time.Time, taken map[*Holder]bool, h *Holder, a Account, n int64) *Holder {
+	if !l.exceedsShare(h.client, a, n) {
+		if v := l.evictableOf(l.largestExceeding(a, taken), a, taken); v != nil {
+			return v
+		}
+		return l.oldest(now, h, a, n, func(v *Holder) bool { return taken[v] })
+	}
+	return l.oldest(now, h, a, n, func(v *Holder) bool {
+		return taken[v] || v.client != h.client && !l.exceedsShare(v.client, a, 0)
+	})
+}
+
+// oldest returns the holder to evict next by phase, size and age, other than those that skip
+// reports, so that h can reserve n bytes of an account, or nil.
+func (l *Ledger) oldest(now time.Time, h *Holder, a Account, n int64, skip func(v *Holder) bool) *Holder {
 	small := h.request()+n <= smallRequest || a == Connections
 	for _, queue := range []*list.List{l.idle, l.large, l.small} {
-		v := l.next(queue, taken, h, a)
+		v := next(queue, h, func(v *Holder) bool { return v == h || l.held(v, a) == 0 || skip(v) })
 		switch {
 		case v == nil, queue == l.small && now.Sub(v.since) < l.graceOf(v):
 		case queue != l.idle && !small && !v.since.Before(h.since):
@@ -70,14 +101,15 @@
 	return cmp.Or(l.Grace, smallGrace)
 }
 
-// next returns the holder in a queue to evict next, other than h and those taken, or
-// nil.
-func (l *Ledger) next(queue *list.List, taken map[*Holder]bool, h *Holder, a Account) *Holder {
+// next returns the holder in a queue to evict next, other than those that skip reports, or
+// nil: the oldest, or the least complete of those of about the same age. Only those older
+// than h are compared, unless h is nil.
+func next(queue *list.List, h *Holder, skip func(v *Holder) bool) *Holder {
 	var best *Holder
 	oldest, compared := time.Time{}, 0
 	for e := queue.Front(); e != nil && compared < maxCompared; e = e.Next() {
 		v := e.Value.(*Holder)
-		if v == h || taken[v] || l.held(v, a) == 0 {
+		if skip(v) {
 			continue
 		}
 		if best == nil {
@@ -97,11 +129,13 @@
 
 func (l *Ledger) evict(h *Holder) {
 	h.evicted = true
+	h.client.leaving++
 	l.Evicted++
 	l.leavingCount++
 	l.dequeue(h)
 	l.stopWaiting(h)
 	for a, n := range h.used {
+		h.client.leavingUsed[a] += n
 		l.leavingUsed[a] += n
 	}
 	l.evicted = append(l.evicted, h)
--- a/limiter/ledger.go
+++ b/limiter/ledger.go
@@ -55,8 +55,11 @@
 // Holder is a connection that holds reservations. Evict and Grant may be nil; they are
 // called by the owner of the Ledger for what TakeEvicted and TakeGranted return.
 type Holder struct {
-	Evict func() // closes the connection
-	Grant func() // ends its wait
+	Client string // who opened the connection; empty: not known
+	Evict  func() // closes the connection
+	Grant  func() // ends its wait
+
+	client *client
 
 	phase    Phase
 	since    time.Time // when the request began, or the connection became idle
@@ -98,14 +101,15 @@
 	evicted      []*Holder
 	granted      []*Holder
 	count        int
-	Evicted      int64 // connections evicted so far
-	Refusals     int64 // reservations refused so far
+	clients      map[string]*client // by Holder.Client, those with connections
+	Evicted      int64              // connections evicted so far
+	Refusals     int64              // reservations refused so far
 }
 
 // NewLedger returns a Ledger with the given limits in bytes. With a limit for
 // Connections only, all accounts share it.
 func NewLedger(limits map[Account]int64) *Ledger {
-	l := &Ledger{idle: list.New(), large: list.New(), small: list.New(), waiters: list.New()}
+	l := &Ledger{idle: list.New(), large: list.New(), small: list.New(), waiters: list.New(), clients: make(map[string]*client)}
 	for a, n := range limits {
 		l.limits[a] = n
 	}
@@ -136,14 +140,17 @@
 // Open reserves the cost of a new connection.
 func (l *Ledger) Open(now time.Time, h *Holder, cost int64) Verdict {
 	h.since, h.phase = now, PhaseReading
-	if l.MaxConnections > 0 && l.count-l.leavingCount >= l.MaxConnections && !l.evictOne(now, h) {
+	l.join(h)
+	if !l.makeRoomForConnection(now, h, cost) {
 		h.closed = true
+		l.leave(h)
 		l.Refusals++
 		return Refused
 	}
 	v := l.reserve(now, h, Connections, cost)
 	if v == Refused {
 		h.closed = true
+		l.leave(h)
 		return v
 	}
 	l.count++
@@ -171,7 +178,7 @@
 		l.charge(h, a, n)
 		return Granted
 	}
-	if a != Connections && h.request()+n <= smallRequest && l.used[Reserve]+n <= l.limits[Reserve] {
+	if a != Connections && h.request()+n <= smallRequest && l.mayUseReserve(h, a, n) {
 		l.charge(h, Reserve, n)
 		return Granted
 	}
@@ -222,6 +229,7 @@
 
 func (l *Ledger) charge(h *Holder, a Account, n int64) {
 	h.used[a] += n
+	h.client.used[a] += n
 	l.used[a] += n
 }
 
@@ -305,8 +313,10 @@
 
 func (l *Ledger) discharge(h *Holder, a Account, n int64) {
 	h.used[a] -= n
+	h.client.used[a] -= n
 	l.used[a] -= n
 	if h.evicted {
+		h.client.leavingUsed[a] -= n
 		l.leavingUsed[a] -= n
 	}
 }
@@ -322,6 +332,7 @@
 		l.discharge(h, Account(a), n)
 	}
 	h.closed = true
+	l.leave(h)
 	l.count--
 	if h.evicted {
 		l.leavingCount--
--- a/limiter/ledger_test.go
+++ b/limiter/ledger_test.go
@@ -154,10 +154,11 @@
 				return ends
 			})
 		}
+		names := []string{"", "a", "b", "c"}[:1+seed%4]
 		for range 400 {
 			now = now.Add(time.Duration(r.IntN(200)) * time.Millisecond)
 			if len(list) < 12 && r.IntN(3) == 0 {
-				if h := new(Holder); l.Open(now, h, 1000) != Refused {
+				if h := (&Holder{Client: names[r.IntN(len(names))]}); l.Open(now, h, 1000) != Refused {
 					list = append(list, h)
 				}
 			} else if len(list) > 0 {
@@ -195,5 +196,6 @@
 		}
 		require.Zero(t, l.Count(), "seed %d", seed)
 		require.Zero(t, l.leavingCount, "seed %d", seed)
+		require.Empty(t, l.clients, "seed %d", seed)
 	}
 }
--- a/limiter/peers.go
+++ b/limiter/peers.go
@@ -1,7 +1,5 @@
 package limiter
 
-import "net"
-
 // peers counts the identified links of a listener by the address of the other end. Whoever
 // speaks the protocol of links is identified, so one address gets half of them at most. The
 // zero value has no limit.
@@ -31,11 +29,3 @@
 		delete(p.byAddress, address)
 	}
 }
-
-// hostOf returns the IP address of the other end of a connection.
-func hostOf(c net.Conn) string {
-	if a, ok := c.RemoteAddr().(*net.TCPAddr); ok {
-		return a.IP.String()
-	}
-	return ""
-}
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -23,7 +23,8 @@
 	h.queue = queue
 	l.insert(h, queue)
 	if queue == l.large && l.MaxLarge > 0 && queue.Len() > l.MaxLarge {
-		l.evict(l.next(queue, nil, nil, Connections))
+		most := l.mostLarge()
+		l.evict(next(queue, nil, func(v *Holder) bool { return v.client != most }))
 	}
 }
 
--- a/tests/crowd_test.go
+++ b/tests/crowd_test.go
@@ -164,6 +164,7 @@
 type crowd struct {
 	t      testing.TB
 	starts func(n int) int // starts of tasks of request n; nil: not known
+	from   net.IP          // address of the clients; default: that of the test
 	mu     sync.Mutex
 	conns  []net.Conn
 	work   sync.WaitGroup
@@ -177,7 +178,8 @@
 		n, kind := int(w.seq.Add(1)), kinds[i%len(kinds)]
 		w.work.Go(func() {
 			time.Sleep(rand.N(300 * time.Millisecond))
-			c, err := net.DialTimeout("tcp", address, 5*time.Second)
+			dialer := net.Dialer{Timeout: 5 * time.Second, LocalAddr: &net.TCPAddr{IP: w.from}}
+			c, err := dialer.Dial("tcp", address)
 			if err != nil {
 				return
 			}
