Let refused callers read their refusal

Callers whose large requests arrived in pieces were reset instead of refused: of 100 at once that write their body before they read, 36 got a broken pipe (TestRefusedClientsReadTheirAnswer failed so before the change; the other 64 got 200).

Cause: an evicted connection was closed right after the 503 was written. The kernel answers further data with a reset, and a client that writes then reports that error.

Change: the refused connection ends for writing only, and what arrives is discarded for up to 1 s. The reading goroutine is woken by a deadline and ends the reservations at once. 3% of the descriptors are for such connections; more are closed at once, as before.

--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -50,6 +50,7 @@
 	callerDescriptors    = 0.70
 	linkDescriptors      = 0.08
 	peerDescriptors      = 0.08 // identified links
+	lingerDescriptors    = 0.03 // callers that were refused
 	operatorDescriptors  = 0.05
 	readinessDescriptors = 0.05
 	reportDescriptors    = 0.10
@@ -116,6 +117,7 @@
 		Jobs: b.share(jobs), Reserve: b.share(reserveShare),
 	})
 	b.Callers.ledger.MaxLarge = maxLargeCallers
+	b.Callers.lingerer.limit = int64(part(usable, lingerDescriptors))
 	single := func(name string, cost int64, descriptors, memory float64) *Pool {
 		p := newPool(name, cost, part(usable, descriptors), map[Account]int64{Connections: b.share(memory)})
 		p.answerTimeout = answerTimeout
--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -56,6 +56,8 @@
 	bodyOpen   bool      // the body is not known to have ended
 	readingAll bool      // ReadAll runs: nothing of the request has run
 	written    bool      // a response was begun
+	refused    bool      // a refusal was written: nothing more is read or written
+	closed     bool      // by net/http or the messenger
 	held       int64     // reserved for handling the request
 	heldBase   int64     // part of held for the headers
 }
@@ -101,13 +103,31 @@
 // socket has room for the response.
 func (c *Conn) evict() {
 	c.mu.Lock()
-	tell := !c.pool.plain && !c.written && (c.stage == stageHeaders || c.readingAll)
-	c.mu.Unlock()
-	if tell {
-		writeRefusal(c.Conn)
+	defer c.mu.Unlock()
+	defer c.signal(false)
+	if c.pool.plain || c.written || c.stage != stageHeaders && !c.readingAll {
+		c.Conn.Close()
+		return
 	}
-	c.Conn.Close()
-	c.signal(false)
+	c.writeRefusal()
+	c.Conn.SetReadDeadline(longAgo) // ends a read; an error means that the connection has ended
+}
+
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
+// writeRefusal tells the client that nothing of its request has run. The connection ends
+// once the client could read that. The caller holds mu.
+func (c *Conn) writeRefusal() {
+	writeRefusal(c.Conn)
+	c.written, c.refused = true, true
+}
+
+// isRefused reports whether a refusal was written.
+func (c *Conn) isRefused() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refused
 }
 
 // writeRefusal writes the refusal without blocking.
@@ -136,7 +156,7 @@
 		return 0, c.refuse()
 	}
 	n, err := c.Conn.Read(b)
-	if n > 0 && !c.account(b[:n]) {
+	if n > 0 && !c.account(b[:n]) || c.isRefused() {
 		return 0, c.refuse()
 	}
 	return n, err
@@ -159,11 +179,9 @@
 // refuse tells the client that its request is refused.
 func (c *Conn) refuse() error {
 	c.mu.Lock()
-	written := c.written
-	c.written = true
-	c.mu.Unlock()
-	if !written {
-		writeRefusal(c.Conn)
+	defer c.mu.Unlock()
+	if !c.written {
+		c.writeRefusal()
 	}
 	return limitError()
 }
@@ -172,6 +190,10 @@
 // net/http has buffered beyond the end of the request before.
 func (c *Conn) prepareRead() bool {
 	c.mu.Lock()
+	if c.refused {
+		c.mu.Unlock()
+		return false
+	}
 	if c.bodyOpen {
 		deadline := time.Now().Add(progressTimeout)
 		if !c.deadline.IsZero() && c.deadline.Before(deadline) {
@@ -224,8 +246,12 @@
 // Write writes a part of a response.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
+	refused := c.refused
 	c.written = true
 	c.mu.Unlock()
+	if refused {
+		return 0, limitError()
+	}
 	return c.Conn.Write(b)
 }
 
@@ -234,6 +260,9 @@
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.refused {
+		return nil // reading has ended
+	}
 	c.deadlines++
 	c.deadline = t
 	if t.IsZero() {
@@ -259,9 +288,21 @@
 	return nil, errors.ErrUnsupported
 }
 
-// Close closes the connection and ends its reservations.
+// Close closes the connection and ends its reservations. A client that was refused may
+// read the refusal first.
 func (c *Conn) Close() error {
-	err := c.Conn.Close()
+	c.mu.Lock()
+	lingers := c.refused && !c.closed
+	closed := c.closed
+	c.closed = true
+	c.mu.Unlock()
+	var err error
+	switch {
+	case lingers:
+		c.pool.lingerer.close(c.Conn)
+	case !closed || !c.isRefused():
+		err = c.Conn.Close()
+	}
 	c.pool.do(func(l *Ledger) {
 		l.Close(&c.holder)
 		if c.admitted {
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -26,6 +26,7 @@
 	patient bool  // new connections wait rather than be refused
 	plain   bool  // connections do not carry HTTP requests
 
+	lingerer      lingerer
 	peers         peers         // links whose peers have identified themselves
 	answerTimeout time.Duration // of HTTP responses; 0: none
 }
@@ -118,6 +119,6 @@
 		if !l.pool.plain {
 			writeRefusal(raw)
 		}
-		raw.Close()
+		l.pool.lingerer.close(raw)
 	}
 }
