Let processes prove to each other that they know a key

Callers that speak the protocol between processes were taken for agents or entries: a peer was whoever said so. Beside 100 of them an entry counted all as its agents' links.

Change: with the setting link-key, the same at every process, both sides of a link answer a challenge of the other before a session opens. Without the setting nothing changes; processes of earlier releases connect as before.

--- a/cmd/mustardleverd/hosted_agent.go
+++ b/cmd/mustardleverd/hosted_agent.go
@@ -26,7 +26,7 @@
 // serveHostedAgent runs an agent on the users' platform.
 func serveHostedAgent(l fx.Lifecycle, p configurer.Process, log *logrus.Entry, r *recorder.Recorder, settings *reloader, metrics *counter.Counter) error {
 	a := &server.Agent{
-		Settings: server.AgentSettings{Identity: identity(p), Entries: p.Entries, Messenger: hostedMessengerSettings(), FollowEvacuations: p.Platform.EvacuationMillis > 0,
+		Settings: server.AgentSettings{Identity: identity(p), Entries: p.Entries, LinkKey: []byte(p.LinkKey), Messenger: hostedMessengerSettings(), FollowEvacuations: p.Platform.EvacuationMillis > 0,
 			Starter: starter.Settings{ColdOverage: p.Platform.ColdOverage, ColdSlack: p.Platform.ColdSlack, ReportProfiles: p.Platform.ServerProfiles}},
 		Log: log, Recorder: r,
 	}
--- a/cmd/mustardleverd/hosted_entry.go
+++ b/cmd/mustardleverd/hosted_entry.go
@@ -76,7 +76,7 @@
 func newHostedEntry(p configurer.Process, log *logrus.Entry, r *recorder.Recorder, metrics *counter.Counter) *server.Entry {
 	e := &server.Entry{
 		Settings: server.EntrySettings{
-			Identity: identity(p), Entries: p.Entries, AddAnnouncedServices: true, Messenger: hostedMessengerSettings(),
+			Identity: identity(p), Entries: p.Entries, LinkKey: []byte(p.LinkKey), AddAnnouncedServices: true, Messenger: hostedMessengerSettings(),
 			ShareDemand: p.Platform.ShareDemand, FollowEvacuations: p.Platform.EvacuationMillis > 0,
 			Coordinator: hostedCoordinatorSettings(p.Platform),
 		},
--- a/cmd/mustardleverd/run.go
+++ b/cmd/mustardleverd/run.go
@@ -145,6 +145,7 @@
 	}
 	return server.EntrySettings{
 		Identity: identity(p), Entries: p.Entries, TicketKey: []byte(p.TicketKey), Services: services, JobMemory: b.HeldJobs, FrameMemory: b.Frames,
+		LinkKey: []byte(p.LinkKey),
 	}
 }
 
@@ -156,7 +157,7 @@
 const defaultSlots = 8
 
 func agentSettings(p configurer.Process, c configurer.Configuration) (server.AgentSettings, error) {
-	a := server.AgentSettings{Identity: identity(p), Entries: p.Entries}
+	a := server.AgentSettings{Identity: identity(p), Entries: p.Entries, LinkKey: []byte(p.LinkKey)}
 	for _, b := range p.BackendServers {
 		s, ok := c.Services[b.Service]
 		if !ok {
--- a/configurer/process.go
+++ b/configurer/process.go
@@ -56,6 +56,7 @@
 	OperatorAddress       string          `json:"operator-address"` // where operators connect
 	Entries               []string        `json:"entries"`          // the entries' link addresses (link-advertised if set)
 	TicketKey             string          `json:"ticket-key"`       // shared by all entries, 32 bytes or more
+	LinkKey               string          `json:"link-key"`         // shared by all processes, 32 bytes or more; empty: whoever connects to a link address is a peer
 	Configuration         Files           `json:"configuration"`
 	BackendServers        []BackendServer `json:"backend-servers"` // agents
 	MaxDrainMillis        int             `json:"drain-ms"`        // longest duration of a graceful shutdown; default 60000
@@ -153,6 +154,9 @@
 	if p.MaxDrainMillis < 0 {
 		f.reject("drain-ms", "found %d, expected 0 or more", p.MaxDrainMillis)
 	}
+	if n := len(p.LinkKey); n > 0 && n < MinTicketKeyBytes {
+		f.reject("link-key", "found %d bytes, expected none or at least %d, the same at every process", n, MinTicketKeyBytes)
+	}
 	if p.MemoryMiB < 0 {
 		f.reject("memory-mb", "found %d, expected 0 or more", p.MemoryMiB)
 	}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -4,6 +4,7 @@
 package cluster
 
 import (
+	"crypto/rand"
 	"fmt"
 	"io"
 	"net"
@@ -63,6 +64,7 @@
 	Backends []*standin.Backend
 	URLs     []string
 
+	linkKey        []byte
 	apiServers     []*http.Server
 	entryAddresses []string
 }
@@ -71,7 +73,7 @@
 
 // Start starts a Cluster.
 func Start(s Settings) (*Cluster, error) {
-	c := &Cluster{Settings: s.withDefaults()}
+	c := &Cluster{Settings: s.withDefaults(), linkKey: []byte(rand.Text())}
 	for range c.Settings.Entries {
 		if err := c.AddEntry(); err != nil {
 			return nil, err
@@ -99,7 +101,7 @@
 			Entries:   c.entryAddresses,
 			TicketKey: []byte(ticketKey),
 			Services:  map[string]coordinator.Settings{Service: c.Settings.Coordinator},
-			Messenger: c.Settings.Messenger, ShareDemand: c.Settings.ShareDemand,
+			Messenger: c.Settings.Messenger, LinkKey: c.linkKey, ShareDemand: c.Settings.ShareDemand,
 		},
 		Log:      c.Settings.Log.WithField("process", name),
 		Recorder: new(recorder.Recorder),
@@ -165,7 +167,7 @@
 			BackendServers: []server.BackendServer{
 				{Service: Service, Address: b.Address(), Slots: c.Settings.SlotsPerBackend},
 			},
-			Messenger: c.Settings.Messenger,
+			Messenger: c.Settings.Messenger, LinkKey: c.linkKey,
 		},
 		Log:      c.Settings.Log.WithField("process", name),
 		Recorder: new(recorder.Recorder),
--- a/messenger/accept.go
+++ b/messenger/accept.go
@@ -99,23 +99,39 @@
 			return nil, jsonrpc2.NewError(jsonrpc2.InvalidRequest, "a second hello on one connection")
 		}
 		c.greeted = true
-		return h.handleHello(r.Params())
+		return h.answerHello(c, r.Params())
 	case methodBegin:
 		return nil, h.handleBegin(c, r.Params())
 	}
 	return nil, jsonrpc2.NewError(jsonrpc2.MethodNotFound, "unknown method")
 }
 
+// answerHello handles a hello on a connection. The answer proves that this process knows
+// the key.
+func (h *Hub) answerHello(c *conn, params []byte) (any, error) {
+	answer, err := h.handleHello(params)
+	if err != nil {
+		return nil, err
+	}
+	var peerHello hello
+	if err := json.Unmarshal(params, &peerHello); err != nil {
+		return nil, jsonrpc2.NewError(jsonrpc2.InvalidParams, "malformed hello")
+	}
+	c.handshake = handshake{dialed: peerHello.Identity, accepted: h.Self, dialedChallenge: peerHello.Challenge, acceptedChallenge: newChallenge()}
+	answer.Challenge, answer.Proof = c.handshake.acceptedChallenge, c.handshake.proof(h.Key, proofOfAccepted)
+	return answer, nil
+}
+
 // handleHello returns this process's state of the session with a peer that
 // dialed.
-func (h *Hub) handleHello(params []byte) (any, error) {
+func (h *Hub) handleHello(params []byte) (hello, error) {
 	var peerHello hello
 	if err := json.Unmarshal(params, &peerHello); err != nil {
-		return nil, jsonrpc2.NewError(jsonrpc2.InvalidParams, "malformed hello")
+		return hello{}, jsonrpc2.NewError(jsonrpc2.InvalidParams, "malformed hello")
 	}
 	s := h.ensureSession(peerHello.Identity)
 	if s == nil {
-		return nil, jsonrpc2.NewError(jsonrpc2.InvalidRequest, "the identity of the peer is invalid")
+		return hello{}, jsonrpc2.NewError(jsonrpc2.InvalidRequest, "the identity of the peer is invalid")
 	}
 	return h.newHello(s), nil
 }
@@ -126,6 +142,10 @@
 	if err := json.Unmarshal(params, &peerHello); err != nil {
 		return &Error{Op: "begin", Kind: KindHandshake, Err: err}
 	}
+	if len(h.Key) > 0 && (peerHello.Identity != c.handshake.dialed || !c.handshake.isProof(h.Key, proofOfDialed, peerHello.Proof)) {
+		c.close()
+		return &Error{Op: "begin", Kind: KindHandshake, Detail: "the peer does not prove that it knows the key of the links"}
+	}
 	s := h.findSession(peerHello.Identity.Incarnation)
 	if s == nil || !s.hasLocalEpoch(peerHello.PeerEpoch) {
 		c.close() // the peer dials again and learns the new epoch from the hello
--- a/messenger/conn.go
+++ b/messenger/conn.go
@@ -18,6 +18,7 @@
 	sessionReady chan struct{} // closed by setSession
 	helloSentAt  time.Time     // zero if accepted
 	greeted      bool          // a hello of the peer was handled; used by the goroutine that handles requests
+	handshake    handshake     // of an accepted connection; used by the same goroutine
 	closed       chan struct{} // closed by close
 	writeMu      sync.Mutex    // held while a batch is built and written
 	lastWrite    time.Time     // when the last batch was written, zero before the first; guarded by writeMu
--- a/messenger/dial.go
+++ b/messenger/dial.go
@@ -174,7 +174,12 @@
 	defer cancel()
 	var peerHello hello
 	c.helloSentAt = time.Now()
-	if _, err := c.rpc.Call(ctx, methodHello, hello{Identity: h.Self}, &peerHello); err != nil {
+	challenge := newChallenge()
+	if _, err := c.rpc.Call(ctx, methodHello, hello{Identity: h.Self, Challenge: challenge}, &peerHello); err != nil {
+		return false
+	}
+	shake := handshake{dialed: h.Self, accepted: peerHello.Identity, dialedChallenge: challenge, acceptedChallenge: peerHello.Challenge}
+	if !shake.isProof(h.Key, proofOfAccepted, peerHello.Proof) {
 		return false
 	}
 	h.mu.Lock()
@@ -184,7 +189,7 @@
 		return true
 	}
 	s := h.ensureSession(peerHello.Identity)
-	if s == nil || !h.begin(ctx, c, s, peerHello) {
+	if s == nil || !h.begin(ctx, c, s, peerHello, shake.proof(h.Key, proofOfDialed)) {
 		return false
 	}
 	h.goroutines.Go(func() { h.writeLoop(s, c) })
@@ -193,15 +198,18 @@
 	return true
 }
 
-// begin attaches c to the session and tells the peer. It returns false if the session
+// begin attaches c to the session and tells the peer, with the proof that this process knows
+// the key. It returns false if the session
 // does not accept c or the peer could not be told.
-func (h *Hub) begin(ctx context.Context, c *conn, s *session, peerHello hello) bool {
+func (h *Hub) begin(ctx context.Context, c *conn, s *session, peerHello hello, proof string) bool {
 	c.writeMu.Lock() // the peer handles no batch before the begin
 	defer c.writeMu.Unlock()
 	if !h.attach(c, s, peerHello, h.Self.Name < peerHello.Identity.Name) {
 		return false
 	}
-	if err := c.rpc.Notify(ctx, methodBegin, h.newHello(s)); err != nil {
+	own := h.newHello(s)
+	own.Proof = proof
+	if err := c.rpc.Notify(ctx, methodBegin, own); err != nil {
 		h.connEnded(s, c)
 		return false
 	}
--- a/messenger/hub.go
+++ b/messenger/hub.go
@@ -40,6 +40,8 @@
 	Received  uint64            `json:"received"`
 	Sent      int64             `json:"sent,omitempty"`
 	Entries   []string          `json:"entries,omitempty"`
+	Challenge string            `json:"challenge,omitempty"` // to be answered by the proof of the receiver
+	Proof     string            `json:"proof,omitempty"`     // see handshake
 }
 
 // Hub manages the sessions of a process. Set the exported fields before Start.
@@ -49,6 +51,7 @@
 type Hub struct {
 	Settings      Settings
 	Self          protocol.Identity
+	Key           []byte // shared by all processes, which prove to each other that they know it; empty: whoever connects is a peer
 	Deliver       func(from protocol.Identity, m protocol.Message)
 	SessionOpened func(peer protocol.Identity)
 	SessionClosed func(peer protocol.Identity)
--- a/server/agent.go
+++ b/server/agent.go
@@ -44,6 +44,7 @@
 	Entries        []string          // addresses of entries, host:port
 	BackendServers []BackendServer   // one per service
 	Messenger      messenger.Settings
+	LinkKey        []byte // shared by all processes, see messenger.Hub.Key
 	Starter        starter.Settings
 
 	FollowEvacuations bool // start nothing while the zone is evacuated
@@ -81,7 +82,7 @@
 func (a *Agent) Start() {
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	a.hub.Self = a.Settings.Identity.WithNewIncarnation()
-	a.hub.Settings = a.Settings.Messenger
+	a.hub.Settings, a.hub.Key = a.Settings.Messenger, a.Settings.LinkKey
 	a.Recorder.Process, a.Recorder.Zone = a.hub.Self.Incarnation, a.hub.Self.Zone
 	a.detector.MaxGap, a.detector.MaxSuspension = pauseLimit, maxSuspension
 	a.detector.Beat()
--- a/server/entry.go
+++ b/server/entry.go
@@ -29,6 +29,7 @@
 	AddAnnouncedServices bool                 // add services announced by agents, with the settings in Coordinator
 	Coordinator          coordinator.Settings // settings of added services
 	Messenger            messenger.Settings
+	LinkKey              []byte             // shared by all processes, see messenger.Hub.Key; empty: whoever connects is a peer
 	JobMemory            *limiter.Allowance // of jobs with tickets, in all services; nil: no limit
 	FrameMemory          *limiter.Allowance // of large frames from other processes; nil: no limit
 	FollowEvacuations    bool               // start nothing in evacuated zones
@@ -97,7 +98,7 @@
 	if e.hub.Self.Address == "" {
 		e.hub.Self.Address = l.Addr().String()
 	}
-	e.hub.Settings = e.Settings.Messenger
+	e.hub.Settings, e.hub.Key = e.Settings.Messenger, e.Settings.LinkKey
 	e.coder.Key = e.Settings.TicketKey
 	e.entryAddresses = map[string]bool{e.hub.Self.Address: true}
 	e.uploads = make(map[string]upload)
--- a/tests/crowd_peers_test.go
+++ b/tests/crowd_peers_test.go
@@ -123,3 +123,26 @@
 	requireSubmissionAnswered(t, f, "ordinary")
 	require.False(t, hasExited(f.entries[0]))
 }
+
+// Guards against callers that are taken for processes of the system although these have a
+// key for their links.
+func TestPeersWithoutTheKeyAreNone(t *testing.T) {
+	buildCrowdDaemon(t)
+	f := newCrowdProductFleetWith(t, map[string]any{"link-key": strings.Repeat("k", 32)})
+	for n := range crowdOthers {
+		c, err := net.Dial("tcp", f.entries[0].relay.Target)
+		require.NoError(t, err)
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(crowdWriteTimeout))
+		identifyAsPeer(c, n, "") // an error means that the entry has closed the connection
+	}
+	c, err := net.Dial("tcp", f.entries[0].relay.Target)
+	require.NoError(t, err)
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(crowdWriteTimeout))
+	require.NoError(t, identifyAsPeer(c, crowdOthers, ""))
+	_, err = c.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF, "the entry closes the connection instead of sending a batch")
+	require.Equal(t, 1, f.connectedAgents(f.entries[0]))
+	requireSubmissionAnswered(t, f, "ordinary")
+}
--- a/tests/crowd_product_test.go
+++ b/tests/crowd_product_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os/exec"
@@ -24,8 +25,12 @@
 
 // newCrowdProductFleet starts an entry and an agent without the users' platform, with
 // the limits of the crowd tests.
-func newCrowdProductFleet(t *testing.T) *fleet {
+func newCrowdProductFleet(t *testing.T) *fleet { return newCrowdProductFleetWith(t, nil) }
+
+// newCrowdProductFleetWith returns such a fleet whose processes have additional settings.
+func newCrowdProductFleetWith(t *testing.T, settings map[string]any) *fleet {
 	limits := map[string]any{"memory-mb": crowdMemoryMiB, "max-descriptors": crowdMaxDescriptors}
+	maps.Copy(limits, settings)
 	return startFleet(&fleet{
 		t: t, dir: t.TempDir(), drainTimeout: time.Minute, limits: limits, service: `"slots": 8, "ticket-life-ms": 1000, "answer-retention-ms": 500`,
 	}, 1, 1)
