--- a/cmd/mustardsoak/main.go
+++ b/cmd/mustardsoak/main.go
@@ -49,6 +49,7 @@
 			&cli.BoolFlag{Name: "foreign-reports", Usage: "agents also get misleading status reports: those of other writers, and late ones of a backend server whose clock was set back"},
 			&cli.StringSliceFlag{Name: "only", Usage: "with --foreign-reports: `KIND` of misleading status reports, instead of all kinds; repeatable"},
 			&cli.BoolFlag{Name: "evacuations", Usage: "zones are also evacuated, and backend servers are cold after their start"},
+			&cli.BoolFlag{Name: "crowds", Usage: "crowds of clients that the system does not control connect to the processes, whose limits are lowered; the daemon must be built without -race"},
 			&cli.BoolFlag{Name: "quiet", Usage: "print only the summary of each seed"},
 		},
 		Action: run,
@@ -93,7 +94,7 @@
 		Seed: seed, Duration: time.Duration(c.Float("minutes") * float64(time.Minute)), DaemonPath: daemon, Dir: dir,
 		Entries: c.Int("entries"), Agents: c.Int("agents"), Callers: c.Int("callers"), Logf: printLine,
 		Liberties: c.Bool("liberties"), ForgottenFence: c.Bool("forgotten-fence"),
-		Evacuations: c.Bool("evacuations"),
+		Evacuations: c.Bool("evacuations"), Crowds: c.Bool("crowds"),
 	}
 	if s.ReportFaults, err = reportFaults(c); err != nil {
 		return soaker.Settings{}, err
@@ -156,6 +157,9 @@
 	}
 	printLine("seed %d: %.0f s, %d faults, %d jobs in %d tries, %d completed, %d failed as expected, %d given up, %d unserved, %d guarantees violated, %d checks inconclusive",
 		seed, r.Seconds, len(r.Faults), r.Jobs, r.Attempts, r.Completed, r.Failed-r.GivenUp, r.GivenUp, r.Unanswered, len(r.Violations), len(r.Inconclusive))
+	if r.PeakMemoryKiB > 0 {
+		printLine("  peak of one process: %d MiB, %d descriptors", r.PeakMemoryKiB>>10, r.MostDescriptors)
+	}
 	for _, stall := range r.Stalls {
 		printLine("  this process was stalled: %s", stall)
 	}
--- a/internal/soaker/inject.go
+++ b/internal/soaker/inject.go
@@ -43,6 +43,8 @@
 		injectServer(f, agent)
 	case EvacuateZone, EvacuateZoneTwice:
 		k.evacuate(f)
+	case CrowdCallers, CrowdEntries, CrowdLinks, CrowdReports:
+		k.injectCrowd(f, entry, agent)
 	case LateCalls, HoldAnswers, LateReports, RestartSameID, RestartSameIDCut, RestartNewID, RestartNewIDCut, RestartSlowly:
 		k.injectLiberties(f, agent)
 	default:
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,6 +28,8 @@
 
 	Evacuations bool // zones are evacuated: faults of a further schedule are added, and the processes get the settings for them
 
+	Crowds bool // crowds of other clients connect to the processes: faults of a further schedule are added, and the limits of the processes are lowered and checked
+
 	ReportFaults []Kind // faults of these kinds, from ReportFaultKinds, are added by a third schedule; empty: none
 }
 
@@ -45,6 +48,9 @@
 	Violations   []string      `json:"broken"`     // violated guarantees, each with its time
 	Stalls       []string      `json:"stalls"`     // intervals in which this process was stalled
 	Inconclusive []string      `json:"void"`       // violated timing guarantees that do not count because this process was stalled
+
+	PeakMemoryKiB   int `json:"peak-memory-kib,omitempty"`  // of one process; with crowds only
+	MostDescriptors int `json:"most-descriptors,omitempty"` // of one process; with crowds only
 }
 
 // soak is the state of a run.
@@ -60,6 +66,7 @@
 	configurationChanges []configurationChange
 	steadyPhases         []interval           // no fault is injected and the system has recovered
 	maintenancePhases    []interval           // graceful shutdowns, configuration changes and reloads
+	crowdRequests        atomic.Uint64        // requests of crowds so far
 	evacuations          map[string]time.Time // when the evacuation of a zone was acknowledged, by zone
 	stalls               []interval           // this process was stalled, and usually the others too
 }
@@ -96,6 +103,9 @@
 	}
 	monitors.Go(func() { k.watchProcesses(quit) })
 	monitors.Go(func() { k.watchStalls(quit) })
+	if s.Crowds {
+		monitors.Go(func() { k.watchLimits(quit) })
+	}
 	if !k.awaitReady() {
 		close(quit)
 		monitors.Wait()
@@ -117,6 +127,9 @@
 	if s.Evacuations {
 		rounds = addEvacuations(rounds, s.Seed, s.Agents)
 	}
+	if s.Crowds {
+		rounds = addCrowds(rounds, s.Seed, s.Entries, s.Agents)
+	}
 	for _, r := range rounds {
 		k.runRound(r)
 	}
--- a/internal/soaker/system.go
+++ b/internal/soaker/system.go
@@ -127,6 +127,7 @@
 	}
 	platform["store-address"] = p.storeRelay.Address()
 	s.addEvacuationSettings(platform)
+	s.addCrowdSettings(platform)
 	p.settings = map[string]any{
 		"name": p.name, "role": role, "zone": zoneOf(index), "operator-address": p.operatorAddress,
 		"entries": append([]string{}, linkAddresses...), "platform": platform,
