Keep few records of the tickets that were issued

Change: tickets that expire within the same 100 ms are one range; the first of them are accepted for up to 100 ms longer.

Measured: TestManyRequestsForTicketsAreFewRanges, 10,000 ranges before, at most 11 now.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -140,11 +140,16 @@
 	decisions []Decision
 }
 
-// ticketRange is a run of consecutive tickets with one expiry time. End is the
-// number after the last one.
+// ticketRangeSpan is the longest time between the expiries of the tickets of a range. The
+// first of them are accepted for that much longer than their callers were told.
+const ticketRangeSpan = 100 * time.Millisecond
+
+// ticketRange is a run of consecutive tickets that expire together. End is the number
+// after the last one.
 type ticketRange struct {
 	end     uint64
-	expires time.Time
+	first   time.Time // when the first of them was to expire
+	expires time.Time // when the last of them expires, and with it all
 }
 
 // Init prepares the Coordinator for use.
--- a/coordinator/memory_test.go
+++ b/coordinator/memory_test.go
@@ -66,3 +66,21 @@
 	require.Zero(t, *used)
 	require.Empty(t, c.jobs)
 }
+
+// Guards against a record of each request for tickets, which callers may send without end.
+func TestManyRequestsForTicketsAreFewRanges(t *testing.T) {
+	c := newTestCoordinator()
+	const requests, interval = 10_000, 100 * time.Microsecond
+	now := testStart
+	for range requests {
+		_, err := c.Issue(now, 1)
+		require.NoError(t, err)
+		now = now.Add(interval)
+	}
+	require.LessOrEqual(t, len(c.issued), int(requests*interval/ticketRangeSpan)+1)
+	last := now.Add(c.Settings.TicketLife)
+	c.expireTickets(last.Add(-ticketRangeSpan - interval))
+	require.Less(t, c.expiredBelow, uint64(requests), "the newest tickets are still valid")
+	c.expireTickets(last)
+	require.Equal(t, c.nextSequence, c.expiredBelow)
+}
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -33,10 +33,22 @@
 		}
 		c.nextSequence++
 	}
-	c.issued = append(c.issued, ticketRange{c.nextSequence, expires})
+	c.recordIssued(expires)
 	return tickets, nil
 }
 
+// recordIssued records that all tickets below nextSequence were issued, the last of which
+// expire at the given time. Those that expire within the same ticketRangeSpan become one
+// range, so that the number of ranges does not grow with that of requests.
+func (c *Coordinator) recordIssued(expires time.Time) {
+	n := len(c.issued)
+	if n > 0 && expires.Sub(c.issued[n-1].first) < ticketRangeSpan {
+		c.issued[n-1].end, c.issued[n-1].expires = c.nextSequence, expires
+		return
+	}
+	c.issued = append(c.issued, ticketRange{end: c.nextSequence, first: expires, expires: expires})
+}
+
 // overloaded reports whether the queue or the job table is full.
 func (c *Coordinator) overloaded() bool {
 	return c.queue.Waiting() >= c.Settings.MaxQueuedTasks || len(c.jobs) >= c.Settings.MaxJobs
