--- a/apiserver/apiserver.go
+++ b/apiserver/apiserver.go
@@ -85,7 +85,7 @@
 	case fault.KindOf[limiter.Kind](err) != "" || err == nil && !limits.Commit(int64(len(body))):
 		c.Header("Retry-After", retryAfter)
 		c.Header("Connection", "close")
-		writeFailure(c, http.StatusServiceUnavailable, string(coordinator.KindOverload), "there is no memory for the request; nothing of it has run")
+		writeFailure(c, http.StatusServiceUnavailable, string(coordinator.KindOverload), "the request was not read: there is no memory for it now, or it made no progress; nothing of it has run")
 		return nil, false
 	case errors.As(err, &tooLarge):
 		writeFailure(c, http.StatusRequestEntityTooLarge, string(server.KindTooLarge), "the request body exceeds the limit of 4 MiB")
--- a/limiter/eviction.go
+++ b/limiter/eviction.go
@@ -42,7 +42,7 @@
 }
 
 // makeRoomForConnection evicts a connection if that of h is one too many, and reports
-// whether there is room for it then.
+// whether there is room for it then. It counts connections; their memory is an account.
 func (l *Ledger) makeRoomForConnection(now time.Time, h *Holder, cost int64) bool {
 	var v *Holder
 	switch {
--- a/messenger/dial.go
+++ b/messenger/dial.go
@@ -199,8 +199,7 @@
 }
 
 // begin attaches c to the session and tells the peer, with the proof that this process knows
-// the key. It returns false if the session
-// does not accept c or the peer could not be told.
+// the key. It returns false if the session does not accept c or the peer could not be told.
 func (h *Hub) begin(ctx context.Context, c *conn, s *session, peerHello hello, proof string) bool {
 	c.writeMu.Lock() // the peer handles no batch before the begin
 	defer c.writeMu.Unlock()
--- a/messenger/proof.go
+++ b/messenger/proof.go
@@ -41,5 +41,5 @@
 
 // isProof reports whether text is the proof of one side. Without a key, any text is.
 func (s handshake) isProof(key []byte, side, text string) bool {
-	return hmac.Equal([]byte(text), []byte(s.proof(key, side))) || len(key) == 0
+	return len(key) == 0 || hmac.Equal([]byte(text), []byte(s.proof(key, side)))
 }
