limiter: links of a source that has too many do not wait

Cause: a new link waits for up to 2 s for room while the next ones are not accepted, and the agent's was behind those of the crowd.

--- a/limiter/eviction.go
+++ b/limiter/eviction.go
@@ -48,6 +48,7 @@
 	switch {
 	case l.hoards(h, cost):
 		v = l.oldest(now, h, Connections, 0, func(v *Holder) bool { return v.source != h.source })
+		h.hoarded = v == nil
 	case l.MaxConnections <= 0 || l.count-l.leavingCount < l.MaxConnections:
 		return true
 	case !l.exceedsConnections(h.source):
--- a/limiter/ledger.go
+++ b/limiter/ledger.go
@@ -65,6 +65,7 @@
 	since    time.Time // when the request began, or the connection became idle
 	received int64     // bytes of the request so far
 	used     [accounts]int64
+	hoarded  bool // refused since its source has too many connections
 	evicted  bool
 	closed   bool
 	waiting  bool
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -23,7 +23,7 @@
 	mu      sync.Mutex
 	ledger  *Ledger
 	cost    int64 // of a connection
-	patient bool  // new connections wait rather than be refused
+	patient bool  // new connections wait rather than be refused, unless their source hoards
 	plain   bool  // connections do not carry HTTP requests
 
 	lingerer      lingerer
@@ -92,7 +92,7 @@
 			return c
 		}
 		p.do(func(l *Ledger) { l.Close(&c.holder) })
-		if !p.patient || time.Since(began) > openTimeout {
+		if !p.patient || c.holder.hoarded || time.Since(began) > openTimeout {
 			return nil
 		}
 	}
