--- a/tests/crowd_test.go
+++ b/tests/crowd_test.go
@@ -220,12 +220,19 @@
 	}
 }
 
-// buildCrowdDaemon builds the daemon without the race detector, whose memory is a
-// multiple, and lets the fleets of the test use it.
-func buildCrowdDaemon(t *testing.T) {
+// buildPlainDaemon builds the daemon without the race detector, whose memory is a
+// multiple, and returns its path.
+func buildPlainDaemon(t *testing.T) string {
 	path := filepath.Join(t.TempDir(), "mustardleverd")
 	out, err := exec.Command("go", "build", "-o", path, "../cmd/mustardleverd").CombinedOutput()
 	require.NoError(t, err, string(out))
+	return path
+}
+
+// buildCrowdDaemon builds the daemon without the race detector and lets the fleets of the
+// test use it.
+func buildCrowdDaemon(t *testing.T) {
+	path := buildPlainDaemon(t)
 	previous := daemonPath
 	daemonPath = path
 	t.Cleanup(func() { daemonPath = previous })
