messenger: bound every list in a large frame

Cause: only the number of messages in a batch was bounded. Each list in a message was decoded into a slice, several frames at a time.

Change: a batch of 64 KiB and more is scanned before it is decoded, without allocations, and rejected if a part of a message has more than 50,000 elements, or an agent's start records more than four for each of 200,000. Such batches are decoded one at a time. A frame whose memory is reserved is read into one buffer instead of one that doubles. A begin has the limit of the handshake at any time.

TestLargestMessagesAreDecoded covers what the system's own processes send.

--- a/messenger/accept.go
+++ b/messenger/accept.go
@@ -138,6 +138,10 @@
 
 // handleBegin opens or resumes the session with a peer that dialed.
 func (h *Hub) handleBegin(c *conn, params []byte) error {
+	if len(params) > handshakeBytes {
+		c.close()
+		return &Error{Op: "begin", Kind: KindHandshake, Detail: fmt.Sprintf("begin of %d bytes, limit %d", len(params), handshakeBytes)}
+	}
 	var peerHello hello
 	if err := json.Unmarshal(params, &peerHello); err != nil {
 		return &Error{Op: "begin", Kind: KindHandshake, Err: err}
--- a/messenger/crowd_test.go
+++ b/messenger/crowd_test.go
@@ -26,6 +26,14 @@
 	decoded, err := decodeBatch(text)
 	require.NoError(t, err)
 	require.Equal(t, b, decoded)
+	for name, text := range map[string]string{
+		"cancels": `"cancels":[{}` + strings.Repeat(",{}", maxElements) + `]`,
+		"entries": `"entries":{"addresses":["\"\\"` + strings.Repeat(`,""`, maxElements) + `]}`,
+		"marks":   `"marks":{"marks":[null` + strings.Repeat(",null", maxStartElements) + `]}`,
+	} {
+		_, err := decodeBatch([]byte(`{"messages":[{},{` + text + `}]}`))
+		require.ErrorContains(t, err, name+`" has more than`)
+	}
 	for _, text := range []string{
 		`{}`, `{"ack":1,"messages":null}`, `{"messages":[]}`, `{"first":2,"messages":[{},{"close":{"below":1}}]}`, `{"messages":{}}`, `{"messages":5}`,
 		`{"messages":[1]}`, `{"first":"x"}`, `[]`,
@@ -39,6 +47,31 @@
 	}
 }
 
+// Guards against a message of a process of the system that is taken for malformed: its body
+// may have any number of elements, and an agent any number of start records.
+func TestLargestMessagesAreDecoded(t *testing.T) {
+	body := json.RawMessage(`[0` + strings.Repeat(",0", 2*maxElements) + `]`)
+	records := make([]protocol.StartRecord, maxStartRecords)
+	for i := range records {
+		records[i] = protocol.StartRecord{Sequence: uint64(i) + 1, Task: 1, Attempt: 1}
+	}
+	messages := []protocol.Message{
+		{Start: &protocol.Start{Request: protocol.Request{Body: body}}},
+		{Outcome: &protocol.Outcome{Result: &protocol.Result{Body: body}}},
+		{Forward: &protocol.Forward{Job: body}},
+		{Reply: &protocol.Reply{Answer: body}},
+		{StartRecords: &protocol.StartRecords{Owner: "a.1", Records: records}},
+	}
+	for _, m := range messages {
+		text, err := json.Marshal(batch{Messages: []protocol.Message{m}})
+		require.NoError(t, err)
+		require.Less(t, len(text), maxFrameBytes)
+		decoded, err := decodeBatch(text)
+		require.NoError(t, err)
+		require.Equal(t, []protocol.Message{m}, decoded.Messages)
+	}
+}
+
 // Guards against peers that make a process keep sessions, or long names, by hellos alone.
 func TestHellosKeepNothing(t *testing.T) {
 	h := &Hub{Self: protocol.Identity{Name: "a", Role: protocol.RoleEntry}.WithNewIncarnation()}
--- a/messenger/hub.go
+++ b/messenger/hub.go
@@ -18,13 +18,11 @@
 	maxNextEpochs  = 1 << 16                // size limit of Hub.nextEpochs
 	// maxIdentityBytes is the longest part of an identity; names have up to 64 bytes.
 	maxIdentityBytes = 256
-	// maxMessages is the number of messages in a batch above which it is malformed.
-	maxMessages  = 1 << 13
-	ackThreshold = 256 // unacknowledged received messages that trigger an acknowledgement at once
-	methodHello  = "hello"
-	methodBegin  = "begin"
-	methodBatch  = "batch"
-	methodPing   = "ping"
+	ackThreshold     = 256 // unacknowledged received messages that trigger an acknowledgement at once
+	methodHello      = "hello"
+	methodBegin      = "begin"
+	methodBatch      = "batch"
+	methodPing       = "ping"
 )
 
 // hello is the sender's state of a session, exchanged when a connection opens.
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -1,10 +1,6 @@
 package messenger
 
 import (
-	"bytes"
-	"cmp"
-	"encoding/json"
-	"fmt"
 	"sync"
 	"time"
 
@@ -23,54 +19,6 @@
 	Messages []protocol.Message `json:"messages,omitempty"`
 }
 
-// largeBatch is the size from which the messages of a batch are decoded one by one. A
-// smaller one cannot have so many that it matters, and is decoded in one pass.
-const largeBatch = 64 << 10
-
-// decodeBatch decodes a batch. It fails for one of more than maxMessages messages: a list of
-// three bytes a message would take a hundred times its size.
-func decodeBatch(params []byte) (batch, error) {
-	var b batch
-	if len(params) < largeBatch {
-		err := json.Unmarshal(params, &b)
-		return b, err
-	}
-	var large struct {
-		batch
-		Messages messageList `json:"messages"`
-	}
-	err := json.Unmarshal(params, &large)
-	b = large.batch
-	b.Messages = large.Messages
-	return b, err
-}
-
-// messageList is a list of at most maxMessages messages.
-type messageList []protocol.Message
-
-// UnmarshalJSON decodes an array or null.
-func (l *messageList) UnmarshalJSON(text []byte) error {
-	if string(text) == "null" {
-		*l = nil
-		return nil
-	}
-	decoder := json.NewDecoder(bytes.NewReader(text))
-	if token, err := decoder.Token(); err != nil || token != json.Delim('[') {
-		return cmp.Or(err, error(&Error{Op: "batch", Kind: KindFrame, Detail: "messages are no array"}))
-	}
-	for *l = nil; decoder.More(); {
-		if len(*l) == maxMessages {
-			return &Error{Op: "batch", Kind: KindFrame, Detail: fmt.Sprintf("more than %d messages", maxMessages)}
-		}
-		var m protocol.Message
-		if err := decoder.Decode(&m); err != nil {
-			return err
-		}
-		*l = append(*l, m)
-	}
-	return nil
-}
-
 // session is the state of the session with one incarnation of a peer. Each side
 // increments its epoch when it closes the session, so the pair of epochs
 // identifies a session.
--- a/messenger/stream.go
+++ b/messenger/stream.go
@@ -126,11 +126,15 @@
 	return m, int64(len(b)), err
 }
 
-// readBody reads n bytes. It allocates memory as data arrives rather than n bytes
-// in advance, since a peer may announce more than it sends.
+// readBody reads n bytes. Unless memory is reserved for them, it allocates as data arrives
+// rather than n bytes in advance, since a peer may announce more than it sends.
 func (s *stream) readBody(n int) ([]byte, error) {
 	var b bytes.Buffer
-	b.Grow(min(n, readBufferBytes))
+	if s.reserved > 0 {
+		b.Grow(n + bytes.MinRead) // ReadFrom grows a buffer with less room than that
+	} else {
+		b.Grow(min(n, readBufferBytes))
+	}
 	copied, err := io.CopyN(&b, s.reader, int64(n))
 	if err == io.EOF && copied < int64(n) {
 		err = io.ErrUnexpectedEOF
--- a/tests/crowd_peers_test.go
+++ b/tests/crowd_peers_test.go
@@ -60,6 +60,20 @@
 	}
 }
 
+// sendLists identifies itself and sends messages with long lists.
+func sendLists(c net.Conn, n int, _ []byte, _ bool) {
+	if identifyAsPeer(c, n, "") != nil {
+		return
+	}
+	list := `{"cancels":[{}` + strings.Repeat(",{}", 5<<20) + `]}`
+	if n%2 == 0 {
+		list = `{"marks":{"marks":[{}` + strings.Repeat(",{}", 5<<20) + `]}}`
+	}
+	for range 2 {
+		writeFrame(c, `{"jsonrpc":"2.0","method":"batch","params":{"first":1,"messages":[`+list+`]}}`)
+	}
+}
+
 // sendEntries identifies itself and names entries that do not exist.
 func sendEntries(c net.Conn, n int, _ []byte, _ bool) {
 	var list strings.Builder
@@ -99,7 +113,7 @@
 // that speak the protocol between processes.
 func TestCrowdOfPeers(t *testing.T) {
 	buildCrowdDaemon(t)
-	for _, k := range []crowdKind{{"batches", sendBatches}, {"entries", sendEntries}, {"hellos", sendHellos}, {"request-batches", sendRequestBatches}} {
+	for _, k := range []crowdKind{{"batches", sendBatches}, {"lists", sendLists}, {"entries", sendEntries}, {"hellos", sendHellos}, {"request-batches", sendRequestBatches}} {
 		t.Run(k.name, func(t *testing.T) {
 			requireCrowdWithstoodOffPlatform(t, func(f *fleet, w *crowd) {
 				w.open(f.entries[0].relay.Target, crowdOthers, []crowdKind{k}, nil)
