tests: run a job at an entry that has an agent

Cause: each of the two agents connects to six of eight entries, chosen by a hash of their addresses, which differ in each run. The first entry has no agent in one run of sixteen, and the test submitted its jobs there.

Change: the jobs are submitted at an entry that has an agent; all else is as before.

--- a/tests/demand_test.go
+++ b/tests/demand_test.go
@@ -56,6 +56,22 @@
 	runJob(t, c.Entries[0], "after")
 }
 
+// entryWithAgent returns an entry that an agent is connected to. With eight entries and two
+// agents that connect to six, one entry in sixteen has none.
+func entryWithAgent(t *testing.T, c *cluster.Cluster) *server.Entry {
+	var entry *server.Entry
+	require.Eventually(t, func() bool {
+		for _, e := range c.Entries {
+			if e.Services()[0].Counts.Agents > 0 {
+				entry = e
+				return true
+			}
+		}
+		return false
+	}, 10*time.Second, 5*time.Millisecond, "no entry has an agent")
+	return entry
+}
+
 // Guards against messages and decisions where the setting is off, or where each entry is
 // connected to all agents.
 func TestEntriesDoNotShareDemandUnasked(t *testing.T) {
@@ -68,8 +84,9 @@
 			c, err := cluster.Start(settings)
 			require.NoError(t, err)
 			t.Cleanup(c.Stop)
+			e := entryWithAgent(t, c)
 			for k := range 5 {
-				runJob(t, c.Entries[0], fmt.Sprint("job-", k))
+				runJob(t, e, fmt.Sprint("job-", k))
 			}
 			time.Sleep(500 * time.Millisecond)
 			for _, e := range c.Entries {
