messenger: check small batches too

Cause: only batches of 64 KiB and more were checked, and up to 8,192 messages were permitted.

Change: batches of 1 KiB and more are scanned, without allocations, before they are decoded; 1,024 messages and 20,000 elements of a part are permitted. The scan covers the whole batch, so that the list of messages needs no decoder of its own.

--- a/messenger/crowd_test.go
+++ b/messenger/crowd_test.go
@@ -18,7 +18,9 @@
 // size, and against a large batch that is decoded differently from a small one.
 func TestMessagesOfBatchAreBounded(t *testing.T) {
 	_, err := decodeBatch([]byte(`{"messages":[{}` + strings.Repeat(",{}", 100_000) + `]}`))
-	require.ErrorContains(t, err, "more than 8192 messages")
+	require.ErrorContains(t, err, "more than 1024 messages")
+	_, err = decodeBatch([]byte(`{"messages":[{}` + strings.Repeat(",{}", maxMessages) + `]}`))
+	require.ErrorContains(t, err, "more than 1024 messages", "also in a batch that is not large")
 	b := batch{First: 3, Ack: 4, Clock: 5, Sent: 6, Echo: 7, Messages: make([]protocol.Message, 3)}
 	b.Messages[1].Close = &protocol.Close{Owner: strings.Repeat("x", largeBatch), Below: 5}
 	text, err := json.Marshal(b)
@@ -135,3 +137,11 @@
 	require.Zero(t, used)
 	require.Equal(t, int64(len(frame)*frameCost), most)
 }
+
+// Guards against a text that the check of batches does not survive: it has not been parsed.
+func FuzzCheckBatch(f *testing.F) {
+	for _, text := range []string{`{"messages":[{"start":{}}]}`, `"`, `"\`, `{"a":"`, `]]]]`, `{[{"`} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(_ *testing.T, text []byte) { checkBatch(text) })
+}
--- a/messenger/decode.go
+++ b/messenger/decode.go
@@ -5,78 +5,64 @@
 	"fmt"
 	"math"
 	"sync"
-
-	"mustardlever.dev/mustardlever/protocol"
 )
 
 const (
-	// largeBatch is the size from which a batch is checked before it is decoded. Its lists
-	// could take a hundred times its size. A smaller one is decoded in one pass.
+	// checkedBatch is the size from which a batch is checked before it is decoded, since its
+	// lists could take a hundred times its size. Most batches are smaller.
+	checkedBatch = 1 << 10
+	// largeBatch is the size from which batches are decoded one at a time.
 	largeBatch = 64 << 10
-	// maxMessages is the number of messages in a batch above which it is malformed.
-	maxMessages = 1 << 13
+	// maxMessages is the number of messages above which a batch is malformed, twice the
+	// default of Settings.MaxBatch.
+	maxMessages = 1 << 10
 	// maxElements is the number of elements, of lists and objects together, that a part of a
 	// message may have. Senders divide what could have more.
-	maxElements = 50_000
+	maxElements = 20_000
 	// maxStartElements is the same for the start records of an agent, which have up to four
 	// each, and what is beside them.
 	maxStartElements = 4*maxStartRecords + 10
 	maxStartRecords  = 200_000 // see starter.Settings
 )
 
-// decodingLarge is held while a large batch is decoded.
+// decodingLarge is held while a large batch is decoded. It is not the lock of package
+// limiter: large bodies of callers would hold up the links.
 var decodingLarge sync.Mutex
 
 // decodeBatch decodes a batch. It fails with KindFrame if one of its lists is too long.
 func decodeBatch(params []byte) (batch, error) {
-	var b batch
-	if len(params) < largeBatch {
-		err := json.Unmarshal(params, &b)
-		return b, err
+	if len(params) >= checkedBatch {
+		if err := checkBatch(params); err != nil {
+			return batch{}, err
+		}
 	}
-	decodingLarge.Lock()
-	defer decodingLarge.Unlock()
-	var large struct {
-		batch
-		Messages messageList `json:"messages"`
+	if len(params) >= largeBatch {
+		decodingLarge.Lock()
+		defer decodingLarge.Unlock()
 	}
-	err := json.Unmarshal(params, &large)
-	b = large.batch
-	b.Messages = large.Messages
+	var b batch
+	err := json.Unmarshal(params, &b)
 	return b, err
 }
 
-// messageList is a list of messages that is checked before it is decoded.
-type messageList []protocol.Message
-
-// UnmarshalJSON decodes an array or null.
-func (l *messageList) UnmarshalJSON(text []byte) error {
-	if err := checkMessages(text); err != nil {
-		return err
-	}
-	return json.Unmarshal(text, (*[]protocol.Message)(l))
-}
-
-func frameError(detail string) error { return &Error{Op: "batch", Kind: KindFrame, Detail: detail} }
-
-// Depths of nesting in a list of messages.
+// Depths of nesting in a batch.
 const (
-	depthOfMessages = 1
-	depthOfParts    = 2
+	depthOfMessages = 2
+	depthOfParts    = 3
 )
 
-// checkMessages checks the numbers of messages and of the elements of their parts in valid
-// JSON, without decoding it.
-func checkMessages(text []byte) error {
+// checkBatch checks the number of messages in a batch, and that of the elements of their
+// parts, without decoding it. It accepts malformed JSON.
+func checkBatch(params []byte) error {
 	messages, elements, depth := 1, 0, 0
-	part := ""
+	var part []byte
 	namesPart := false // the next string at depthOfParts is the name of a part
-	for i := 0; i < len(text); i++ {
-		switch text[i] {
+	for i := 0; i < len(params); i++ {
+		switch params[i] {
 		case '"':
-			end := endOfString(text, i)
+			end := endOfString(params, i)
 			if depth == depthOfParts && namesPart {
-				part, elements, namesPart = string(text[i+1:end]), 0, false
+				part, elements, namesPart = params[i+1:end], 0, false
 			}
 			i = end
 		case '{', '[':
@@ -104,9 +90,11 @@
 	return nil
 }
 
+func frameError(detail string) error { return &Error{Op: "batch", Kind: KindFrame, Detail: detail} }
+
 // maxElementsOf returns the number of elements that a part of a message may have.
-func maxElementsOf(part string) int {
-	switch part {
+func maxElementsOf(part []byte) int {
+	switch string(part) {
 	case "start", "outcome", "forward", "reply", "configuration":
 		return math.MaxInt // contents of callers, backend servers or the platform, which are not decoded
 	case "marks":
@@ -115,12 +103,13 @@
 	return maxElements
 }
 
-// endOfString returns the index of the quotation mark that ends the string that begins at i.
+// endOfString returns the index of the quotation mark that ends the string that begins at i,
+// or the length of the text if there is none.
 func endOfString(text []byte, i int) int {
-	for i++; i < len(text)-1 && text[i] != '"'; i++ {
+	for i++; i < len(text) && text[i] != '"'; i++ {
 		if text[i] == '\\' {
 			i++
 		}
 	}
-	return i
+	return min(i, len(text))
 }
--- a/tests/crowd_peers_test.go
+++ b/tests/crowd_peers_test.go
@@ -60,6 +60,20 @@
 	}
 }
 
+// sendSmallBatches identifies itself and sends many frames below the size from which they are
+// checked, each of as many messages as fit.
+func sendSmallBatches(c net.Conn, n int, _ []byte, _ bool) {
+	if identifyAsPeer(c, n, "") != nil {
+		return
+	}
+	batch := `{"jsonrpc":"2.0","method":"batch","params":{"first":1,"messages":[{}` + strings.Repeat(",{}", 20_000) + `]}}`
+	for range 100 {
+		if writeFrame(c, batch) != nil {
+			return
+		}
+	}
+}
+
 // sendLists identifies itself and sends messages with long lists.
 func sendLists(c net.Conn, n int, _ []byte, _ bool) {
 	if identifyAsPeer(c, n, "") != nil {
@@ -113,7 +127,7 @@
 // that speak the protocol between processes.
 func TestCrowdOfPeers(t *testing.T) {
 	buildCrowdDaemon(t)
-	for _, k := range []crowdKind{{"batches", sendBatches}, {"lists", sendLists}, {"entries", sendEntries}, {"hellos", sendHellos}, {"request-batches", sendRequestBatches}} {
+	for _, k := range []crowdKind{{"batches", sendBatches}, {"small-batches", sendSmallBatches}, {"lists", sendLists}, {"entries", sendEntries}, {"hellos", sendHellos}, {"request-batches", sendRequestBatches}} {
 		t.Run(k.name, func(t *testing.T) {
 			requireCrowdWithstoodOffPlatform(t, func(f *fleet, w *crowd) {
 				w.open(f.entries[0].relay.Target, crowdOthers, []crowdKind{k}, nil)
