Read-through: one copy of what stood twice, states instead of flags

The number of entries that may be known is one constant. A job with a ticket is made by one function, which reserves its memory. A refusal because of a source with too many connections is a verdict, and how far the end of a connection has come is a state, instead of flags. Identified links count by source, as all else. No bound changes; the test of a source with too many connections asks for the new verdict.

--- a/configurer/process.go
+++ b/configurer/process.go
@@ -74,7 +74,7 @@
 
 // Limits and defaults of settings.
 const (
-	MinTicketKeyBytes  = 32
+	MinKeyBytes        = 32
 	MaxNameBytes       = 64
 	defaultDrainMillis = 60_000
 
@@ -154,8 +154,8 @@
 	if p.MaxDrainMillis < 0 {
 		f.reject("drain-ms", "found %d, expected 0 or more", p.MaxDrainMillis)
 	}
-	if n := len(p.LinkKey); n > 0 && n < MinTicketKeyBytes {
-		f.reject("link-key", "found %d bytes, expected none or at least %d, the same at every process", n, MinTicketKeyBytes)
+	if n := len(p.LinkKey); n > 0 && n < MinKeyBytes {
+		f.reject("link-key", "found %d bytes, expected none or at least %d, the same at every process", n, MinKeyBytes)
 	}
 	if p.MemoryMiB < 0 {
 		f.reject("memory-mb", "found %d, expected 0 or more", p.MemoryMiB)
@@ -176,8 +176,8 @@
 		f.checkAddress("link-advertised", p.AdvertisedLinkAddress)
 	}
 	f.checkAddress("caller-address", p.CallerAddress)
-	if len(p.TicketKey) < MinTicketKeyBytes && p.Platform == nil {
-		f.reject("ticket-key", "expected at least %d bytes, the same at every entry", MinTicketKeyBytes)
+	if len(p.TicketKey) < MinKeyBytes && p.Platform == nil {
+		f.reject("ticket-key", "expected at least %d bytes, the same at every entry", MinKeyBytes)
 	}
 	if len(p.BackendServers) > 0 {
 		f.reject("backend-servers", "an entry has no backend servers")
--- a/coordinator/memory.go
+++ b/coordinator/memory.go
@@ -1,5 +1,7 @@
 package coordinator
 
+import "time"
+
 // Memory of a job that this entry holds, by estimate, in bytes.
 const (
 	heldJobBytes  = 800 // beside its tasks, until the job is removed
@@ -15,17 +17,18 @@
 	return heldJobBytes + int64(len(j.Tasks))*heldTaskBytes, requests
 }
 
-// reserveMemory reserves the memory of a job and reports whether there was room for it.
-func (c *Coordinator) reserveMemory(j *Job) bool {
-	held, requests := j.memory()
-	return c.ReserveMemory == nil || c.ReserveMemory(held+requests)
-}
-
-// recordMemory records in a new job what reserveMemory has reserved for it.
-func (c *Coordinator) recordMemory(j *job, spec *Job) {
-	if c.ReserveMemory != nil {
-		j.heldBytes, j.requestBytes = spec.memory()
+// newTicketJob is newJob for a job with a ticket. It returns nil if there is no memory for it.
+func (c *Coordinator) newTicketJob(now time.Time, key jobKey, spec Job) *job {
+	if c.ReserveMemory == nil {
+		return c.newJob(now, key, spec)
+	}
+	held, requests := spec.memory()
+	if !c.ReserveMemory(held + requests) {
+		return nil
 	}
+	j := c.newJob(now, key, spec)
+	j.heldBytes, j.requestBytes = held, requests
+	return j
 }
 
 // releaseRequests releases the memory of the requests of a job that has ended.
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -71,11 +71,10 @@
 	if b := c.backups[t.Backup]; b != nil && (b.sealed || c.handedOver) {
 		return nil, &Error{Op: "submit", Kind: KindSealed}
 	}
-	if !c.reserveMemory(&spec) {
+	j := c.newTicketJob(now, jobKey{t.Owner, t.Sequence}, spec)
+	if j == nil {
 		return nil, &Error{Op: "submit", Kind: KindOverload, Detail: "there is no memory for the job; submit it again later"}
 	}
-	j := c.newJob(now, jobKey{t.Owner, t.Sequence}, spec)
-	c.recordMemory(j, &spec)
 	j.backup = t.Backup
 	if c.queue.Waiting()+len(spec.Tasks) > c.Settings.MaxQueuedTasks {
 		c.stop(now, j, protocol.ReasonOverload)
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -141,11 +141,10 @@
 	if t.Sequence < o.closedBelow {
 		return nil, expired
 	}
-	if !c.reserveMemory(&spec) {
+	j := c.newTicketJob(now, key, spec)
+	if j == nil {
 		return nil, &Error{Op: "take over", Kind: KindNoMemory, Detail: "there is no memory for the job; submit it again with the same ticket"}
 	}
-	j := c.newJob(now, key, spec)
-	c.recordMemory(j, &spec)
 	j.takenOver, j.awaitingSeal = true, true
 	for i := range j.tasks {
 		j.tasks[i].attempt = backupFirstAttempt
--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -36,6 +36,15 @@
 	stageIdle
 )
 
+// ending is how far the end of a connection has come.
+type ending int
+
+const (
+	endingNone    ending = iota
+	endingRefused        // a refusal was written; Close leaves the client time to read it
+	endingClosed         // by net/http or the messenger
+)
+
 // Conn is an accepted connection whose memory is accounted for. All methods but those
 // of net.Conn may be called on nil, which stands for a connection without limits.
 type Conn struct {
@@ -56,8 +65,7 @@
 	bodyOpen   bool      // the body is not known to have ended
 	readingAll bool      // ReadAll runs: nothing of the request has run
 	written    bool      // a response was begun
-	refused    bool      // a refusal was written: nothing more is read or written
-	closed     bool      // by net/http or the messenger
+	ending     ending    // nothing is read or written once it has begun
 	held       int64     // reserved for handling the request
 	heldBase   int64     // part of held for the headers
 }
@@ -105,6 +113,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	defer c.signal(false)
+	if c.ending != endingNone {
+		return
+	}
 	if c.pool.plain || c.written || c.stage != stageHeaders && !c.readingAll {
 		c.Conn.Close()
 		return
@@ -120,14 +131,14 @@
 // once the client could read that. The caller holds mu.
 func (c *Conn) writeRefusal() {
 	writeRefusal(c.Conn)
-	c.written, c.refused = true, true
+	c.written, c.ending = true, endingRefused
 }
 
-// isRefused reports whether a refusal was written.
-func (c *Conn) isRefused() bool {
+// hasBegunToEnd reports whether nothing more is read or written.
+func (c *Conn) hasBegunToEnd() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.refused
+	return c.ending != endingNone
 }
 
 // writeRefusal writes the refusal without blocking.
@@ -156,7 +167,7 @@
 		return 0, c.refuse()
 	}
 	n, err := c.Conn.Read(b)
-	if n > 0 && !c.account(b[:n]) || c.isRefused() {
+	if n > 0 && !c.account(b[:n]) || c.hasBegunToEnd() {
 		return 0, c.refuse()
 	}
 	return n, err
@@ -180,7 +191,7 @@
 func (c *Conn) refuse() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.written {
+	if !c.written && c.ending == endingNone {
 		c.writeRefusal()
 	}
 	return limitError()
@@ -190,7 +201,7 @@
 // net/http has buffered beyond the end of the request before.
 func (c *Conn) prepareRead() bool {
 	c.mu.Lock()
-	if c.refused {
+	if c.ending != endingNone {
 		c.mu.Unlock()
 		return false
 	}
@@ -246,10 +257,10 @@
 // Write writes a part of a response.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
-	refused := c.refused
+	ended := c.ending != endingNone
 	c.written = true
 	c.mu.Unlock()
-	if refused {
+	if ended {
 		return 0, limitError()
 	}
 	return c.Conn.Write(b)
@@ -260,7 +271,7 @@
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.refused {
+	if c.ending != endingNone {
 		return nil // reading has ended
 	}
 	c.deadlines++
@@ -292,16 +303,15 @@
 // read the refusal first.
 func (c *Conn) Close() error {
 	c.mu.Lock()
-	lingers := c.refused && !c.closed
-	closed := c.closed
-	c.closed = true
+	before := c.ending
+	c.ending = endingClosed
 	c.mu.Unlock()
 	var err error
-	switch {
-	case lingers:
-		c.pool.lingerer.close(c.Conn)
-	case !closed || !c.isRefused():
+	switch before {
+	case endingNone:
 		err = c.Conn.Close()
+	case endingRefused:
+		c.pool.lingerer.close(c.Conn)
 	}
 	c.pool.do(func(l *Ledger) {
 		l.Close(&c.holder)
--- a/limiter/eviction.go
+++ b/limiter/eviction.go
@@ -41,16 +41,17 @@
 	return true
 }
 
-// makeRoomForConnection evicts a connection if that of h is one too many, and reports
-// whether there is room for it then. It counts connections; their memory is an account.
-func (l *Ledger) makeRoomForConnection(now time.Time, h *Holder, cost int64) bool {
+// makeRoomForConnection evicts a connection if that of h is one too many, and returns
+// Granted if there is room for it then. It counts connections; their memory is an account.
+func (l *Ledger) makeRoomForConnection(now time.Time, h *Holder, cost int64) Verdict {
 	var v *Holder
 	switch {
 	case l.hoards(h, cost):
-		v = l.oldest(now, h, Connections, 0, func(v *Holder) bool { return v.source != h.source })
-		h.hoarded = v == nil
+		if v = l.oldest(now, h, Connections, 0, func(v *Holder) bool { return v.source != h.source }); v == nil {
+			return Hoarded
+		}
 	case l.MaxConnections <= 0 || l.count-l.leavingCount < l.MaxConnections:
-		return true
+		return Granted
 	case !l.exceedsConnections(h.source):
 		if v = l.evictableOf(l.mostConnections(), Connections, nil); v == nil {
 			v = l.victim(now, nil, h, Connections, 0)
@@ -58,10 +59,11 @@
 	default:
 		v = l.victim(now, nil, h, Connections, 0)
 	}
-	if v != nil {
-		l.evict(v)
+	if v == nil {
+		return Refused
 	}
-	return v != nil
+	l.evict(v)
+	return Granted
 }
 
 // victim returns the holder to evict next, beside those taken, so that h can reserve n
--- a/limiter/ledger.go
+++ b/limiter/ledger.go
@@ -32,11 +32,13 @@
 // Verdict is the decision on a reservation.
 type Verdict int
 
-// Verdicts. With Waits, the reservation is granted once evicted connections have ended.
+// Verdicts. With Waits, the reservation is granted once evicted connections have ended. With
+// Hoarded it is refused, and will be until a connection of the same source ends.
 const (
 	Refused Verdict = iota
 	Granted
 	Waits
+	Hoarded
 )
 
 const (
@@ -65,7 +67,6 @@
 	since    time.Time // when the request began, or the connection became idle
 	received int64     // bytes of the request so far
 	used     [accounts]int64
-	hoarded  bool // refused since its source has too many connections
 	evicted  bool
 	closed   bool
 	waiting  bool
@@ -142,14 +143,13 @@
 func (l *Ledger) Open(now time.Time, h *Holder, cost int64) Verdict {
 	h.since, h.phase = now, PhaseReading
 	l.join(h)
-	if !l.makeRoomForConnection(now, h, cost) {
-		h.closed = true
-		l.leave(h)
+	v := l.makeRoomForConnection(now, h, cost)
+	if v == Granted {
+		v = l.reserve(now, h, Connections, cost)
+	} else {
 		l.Refusals++
-		return Refused
 	}
-	v := l.reserve(now, h, Connections, cost)
-	if v == Refused {
+	if v == Refused || v == Hoarded {
 		h.closed = true
 		l.leave(h)
 		return v
--- a/limiter/ledger_test.go
+++ b/limiter/ledger_test.go
@@ -158,7 +158,7 @@
 		for range 400 {
 			now = now.Add(time.Duration(r.IntN(200)) * time.Millisecond)
 			if len(list) < 12 && r.IntN(3) == 0 {
-				if h := (&Holder{Source: names[r.IntN(len(names))]}); l.Open(now, h, 1000) != Refused {
+				if h := (&Holder{Source: names[r.IntN(len(names))]}); !slices.Contains([]Verdict{Refused, Hoarded}, l.Open(now, h, 1000)) {
 					list = append(list, h)
 				}
 			} else if len(list) > 0 {
--- a/limiter/linger.go
+++ b/limiter/linger.go
@@ -21,10 +21,12 @@
 // close closes a connection to which a refusal was written. It does not block.
 func (l *lingerer) close(c net.Conn) {
 	w, ok := c.(interface{ CloseWrite() error })
-	if !ok || l.count.Add(1) > l.limit {
-		if ok {
-			l.count.Add(-1)
-		}
+	if !ok {
+		c.Close()
+		return
+	}
+	if l.count.Add(1) > l.limit {
+		l.count.Add(-1)
 		c.Close()
 		return
 	}
--- a/limiter/peers.go
+++ b/limiter/peers.go
@@ -1,31 +1,31 @@
 package limiter
 
-// peers counts the identified links of a listener by the address of the other end. Whoever
-// speaks the protocol of links is identified, so one address gets half of them at most. The
+// peers counts the identified links of a listener by their sources. Whoever
+// speaks the protocol of links is identified, so one source gets half of them at most. The
 // zero value has no limit.
 type peers struct {
-	limit     int // 0: none
-	count     int
-	byAddress map[string]int
+	limit    int // 0: none
+	count    int
+	bySource map[string]int
 }
 
 // add admits a link and reports whether there was room for it.
-func (p *peers) add(address string) bool {
-	if p.limit > 0 && (p.count >= p.limit || p.byAddress[address] >= (p.limit+1)/2) {
+func (p *peers) add(source string) bool {
+	if p.limit > 0 && (p.count >= p.limit || p.bySource[source] >= (p.limit+1)/2) {
 		return false
 	}
-	if p.byAddress == nil {
-		p.byAddress = make(map[string]int)
+	if p.bySource == nil {
+		p.bySource = make(map[string]int)
 	}
-	p.byAddress[address]++
+	p.bySource[source]++
 	p.count++
 	return true
 }
 
 // remove ends a link that was admitted.
-func (p *peers) remove(address string) {
+func (p *peers) remove(source string) {
 	p.count--
-	if p.byAddress[address]--; p.byAddress[address] == 0 {
-		delete(p.byAddress, address)
+	if p.bySource[source]--; p.bySource[source] == 0 {
+		delete(p.bySource, source)
 	}
 }
--- a/limiter/peers_test.go
+++ b/limiter/peers_test.go
@@ -6,8 +6,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against one address that takes all links of a process.
-func TestOneAddressGetsHalfOfTheLinks(t *testing.T) {
+// Guards against one source that takes all links of a process.
+func TestOneSourceGetsHalfOfTheLinks(t *testing.T) {
 	p := peers{limit: 5}
 	for range 3 {
 		require.True(t, p.add("a"))
@@ -18,11 +18,11 @@
 	require.False(t, p.add("d"), "all links are in use")
 	p.remove("a")
 	require.True(t, p.add("d"))
-	for _, address := range []string{"a", "a", "b", "c", "d"} {
-		p.remove(address)
+	for _, source := range []string{"a", "a", "b", "c", "d"} {
+		p.remove(source)
 	}
 	require.Zero(t, p.count)
-	require.Empty(t, p.byAddress)
+	require.Empty(t, p.bySource)
 }
 
 // Guards against a large frame that waits for more memory than there is, and against one
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -92,7 +92,7 @@
 			return c
 		}
 		p.do(func(l *Ledger) { l.Close(&c.holder) })
-		if !p.patient || c.holder.hoarded || time.Since(began) > openTimeout {
+		if !p.patient || v == Hoarded || time.Since(began) > openTimeout {
 			return nil
 		}
 	}
--- a/limiter/source_test.go
+++ b/limiter/source_test.go
@@ -58,7 +58,7 @@
 	for range 9 {
 		l.SetPhase(start, openFrom(t, l, start, "crowd", Headers, 500), PhaseBusy)
 	}
-	require.Equal(t, Refused, l.Open(start, &Holder{Source: "crowd"}, 1000))
+	require.Equal(t, Hoarded, l.Open(start, &Holder{Source: "crowd"}, 1000))
 	require.Empty(t, l.TakeEvicted())
 	openFrom(t, l, start, "ordinary", Headers, 500)
 }
--- a/messenger/hub.go
+++ b/messenger/hub.go
@@ -16,6 +16,8 @@
 	minRedialDelay = 50 * time.Millisecond  // also the delay after a failed accept
 	checkInterval  = 100 * time.Millisecond // between two checks of the session timeouts
 	maxNextEpochs  = 1 << 16                // size limit of Hub.nextEpochs
+	// MaxKnownEntries limits the entries that a process knows and dials: peers name them.
+	MaxKnownEntries = 500
 	// maxIdentityBytes is the longest part of an identity; names have up to 64 bytes.
 	maxIdentityBytes = 256
 	ackThreshold     = 256 // unacknowledged received messages that trigger an acknowledgement at once
@@ -90,7 +92,7 @@
 	h.nextEpochs = make(map[string]uint64)
 	h.dialing = make(map[string]bool)
 	h.selector.Self, h.selector.Limit = h.Self.Name, h.Settings.MaxEntries
-	h.selector.Most = h.Settings.MaxKnown
+	h.selector.Most = MaxKnownEntries
 	h.incarnationAt = make(map[string]string)
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.listener = l
--- a/messenger/settings.go
+++ b/messenger/settings.go
@@ -11,7 +11,6 @@
 	Agents     Timing        // for sessions with agents; default 1 s, 2.5 s, 3.5 s
 	AckDelay   time.Duration // maximum delay of an acknowledgement without messages; default 100 ms
 	MaxEntries int           // number of entries to keep connections to, see package selector; 0: all known ones
-	MaxKnown   int           // number of entries that may be known, since peers name them; default 500
 	MaxBatch   int           // maximum number of messages per frame; default 512
 
 	DialTimeout    time.Duration // for one connection attempt; default 1 s
@@ -36,7 +35,6 @@
 	s.Agents.withDefaults(time.Second, 2500*time.Millisecond, 3500*time.Millisecond)
 	setDefault(&s.AckDelay, 100*time.Millisecond)
 	setDefault(&s.MaxBatch, 512)
-	setDefault(&s.MaxKnown, 500)
 	setDefault(&s.DialTimeout, time.Second)
 	setDefault(&s.MaxRedialDelay, time.Second)
 	return s
--- a/server/entry.go
+++ b/server/entry.go
@@ -40,9 +40,6 @@
 // services that agents announce.
 const maxServices = 1000
 
-// maxKnownEntries limits the entries that a process knows and dials. Peers name them.
-const maxKnownEntries = 500
-
 // maxServiceBytes is the longest name of a service that an agent may announce.
 const maxServiceBytes = 256
 
@@ -145,12 +142,12 @@
 
 // AddEntries adds the entries at the given addresses to those it may connect to, and forwards addresses
 // that were unknown so far to all peers. Malformed addresses are ignored, and new ones once
-// maxKnownEntries are known.
+// messenger.MaxKnownEntries are known.
 func (e *Entry) AddEntries(addresses []string) {
 	e.mu.Lock()
 	var added []string
 	for _, address := range addresses {
-		if isAddress(address) && !e.entryAddresses[address] && len(e.entryAddresses) < maxKnownEntries {
+		if isAddress(address) && !e.entryAddresses[address] && len(e.entryAddresses) < messenger.MaxKnownEntries {
 			e.entryAddresses[address] = true
 			added = append(added, address)
 		}
--- a/server/operation.go
+++ b/server/operation.go
@@ -14,6 +14,7 @@
 
 	"mustardlever.dev/mustardlever/caller"
 	"mustardlever.dev/mustardlever/coordinator"
+	"mustardlever.dev/mustardlever/internal/lister"
 	"mustardlever.dev/mustardlever/limiter"
 	"mustardlever.dev/mustardlever/protocol"
 	"mustardlever.dev/mustardlever/ticketer"
@@ -176,28 +177,11 @@
 // UnmarshalJSON decodes an array or null. Unknown fields of tasks are errors.
 func (l *taskList) UnmarshalJSON(text []byte) error {
 	*l = taskList{}
-	decoder := json.NewDecoder(bytes.NewReader(text))
-	decoder.DisallowUnknownFields()
-	if text = bytes.TrimSpace(text); len(text) == 0 || text[0] != '[' {
-		err := decoder.Decode(&l.kept) // null, or not an array
-		l.count = len(l.kept)
-		return err
-	}
-	if _, err := decoder.Token(); err != nil {
-		return err
-	}
-	var element, zero caller.Task // element is allocated once, since its address is taken
-	for decoder.More() {
-		element = zero
-		if err := decoder.Decode(&element); err != nil {
-			return err
-		}
+	return lister.Each(text, true, func(t caller.Task) {
 		if l.count++; l.count <= caller.MaxTasks {
-			l.kept = append(l.kept, element)
+			l.kept = append(l.kept, t)
 		}
-	}
-	_, err := decoder.Token()
-	return err
+	})
 }
 
 // digest returns a hash that identifies the content of a submission. It hashes the
