--- a/internal/soaker/crowds.go
+++ b/internal/soaker/crowds.go
@@ -45,6 +45,7 @@
 	crowdHeaderBytes = 16_000
 	crowdShortfall   = 16 // bytes that are missing in an unfinished request
 	crowdHold        = 500 * time.Millisecond
+	crowdDeadline    = 3 * time.Second // of its jobs
 )
 
 // addCrowdSettings adds the limits of the processes.
@@ -147,11 +148,13 @@
 
 // reportRequests are requests to the address of an agent for status reports.
 var reportRequests = []func(n uint64) []byte{
-	func(uint64) []byte { return shorten(crowdRequest(crowdReportPath, oddHeaderLines(), "")) },
+	func(uint64) []byte { return shorten(crowdRequest(standin.ReportPath, oddHeaderLines(), "")) },
 	func(uint64) []byte {
-		return shorten(crowdRequest(crowdReportPath, "", strings.Repeat(" ", 4*crowdBodyBytes)))
+		return shorten(crowdRequest(standin.ReportPath, "", strings.Repeat(" ", 4*crowdBodyBytes)))
+	},
+	func(uint64) []byte {
+		return crowdRequest(standin.ReportPath, "", strings.Repeat(" ", 4*crowdBodyBytes))
 	},
-	func(uint64) []byte { return crowdRequest(crowdReportPath, "", strings.Repeat(" ", 4*crowdBodyBytes)) },
 }
 
 // linkFrames are frames to the address of an entry for other processes.
@@ -163,8 +166,6 @@
 	},
 }
 
-const crowdReportPath = "/instances/crowd/heartbeat"
-
 func crowdJobPath(n uint64) string { return pathPrefix + standin.JobID(1<<60|n) }
 
 func crowdJob() string { return standin.Job(1, standin.Work{DurationMillis: 1, Millicores: 1}) }
@@ -175,7 +176,7 @@
 }
 
 func crowdRequest(path, headers, body string) []byte {
-	return fmt.Appendf(nil, "POST %s HTTP/1.1\r\nHost: %s\r\nDeadline-Ms: 3000\r\n%sContent-Length: %d\r\n\r\n%s", path, host, headers, len(body), body)
+	return standin.JobRequest(host, path, crowdDeadline, headers, body)
 }
 
 // shorten returns a request without its last bytes.
@@ -190,7 +191,7 @@
 }
 
 func smallChunks(path, body string) []byte {
-	b := fmt.Appendf(nil, "POST %s HTTP/1.1\r\nHost: %s\r\nTransfer-Encoding: chunked\r\n\r\n", path, host)
+	b := []byte(standin.JobHead(host, path, crowdDeadline, "Transfer-Encoding: chunked\r\n\r\n"))
 	for i := range len(body) {
 		b = append(b, "1\r\n"...)
 		b = append(b, body[i], '\r', '\n')
--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -44,6 +44,7 @@
 	requestsShare = 0.07 // submissions whose callers wait
 	heldJobsShare = 0.14
 	resultsShare  = 0.05 // of jobs that have ended
+	backendsShare = 0.10 // stand-ins in the same process; a task has up to 4 MiB
 
 	// Shares of the descriptors that are not reserved for files. The rest is for links that
 	// the process opens and for the store.
@@ -126,8 +127,8 @@
 	b.Readiness = single("readiness", connectionCost, readinessDescriptors, readinessShare)
 	b.Operators = single("operators", connectionCost, operatorDescriptors, operatorsShare)
 	b.Reports = single("reports", connectionCost, reportDescriptors, reportsShare)
-	b.Backends = single("backends", connectionCost, reportDescriptors, reportsShare)
-	b.Backends.ledger.MaxLarge = 0 // their callers are the agents of the process
+	b.Backends = single("backends", connectionCost, reportDescriptors, backendsShare)
+	b.Backends.ledger.MaxLarge = 0 // they are called by the agents of the process
 	b.Links = single("links", linkCost, linkDescriptors, linksShare)
 	b.Links.peers.limit = part(usable, peerDescriptors)
 	b.Links.plain, b.Links.patient = true, true
--- a/tests/crowd_complete_test.go
+++ b/tests/crowd_complete_test.go
@@ -3,11 +3,9 @@
 import (
 	"bufio"
 	"bytes"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -21,7 +19,7 @@
 
 // completeJob returns a complete request for a job on the platform.
 func completeJob(id string, body []byte) []byte {
-	return fmt.Appendf(nil, "POST %s%s HTTP/1.1\r\nHost: %s\r\nDeadline-Ms: 4000\r\nContent-Length: %d\r\n\r\n%s", routePrefix, id, routeHost, len(body), body)
+	return standin.JobRequest(routeHost, routePrefix+id, crowdDeadline, "", string(body))
 }
 
 // sendAndRead sends a complete request and waits for the beginning of the answer.
@@ -72,17 +70,13 @@
 // callers any more, after many connections whose requests are complete.
 func TestCrowdOfCompleteRequests(t *testing.T) {
 	buildCrowdDaemon(t)
-	sendBody := func(text string) func(c net.Conn, n int, _ []byte, _ bool) {
-		return func(c net.Conn, n int, _ []byte, _ bool) { sendAndRead(c, completeJob(jobID(1000+n), []byte(text))) }
+	kinds := []crowdKind{{"in-turn", sendInTurn}, {"pipelined", sendPipelined}}
+	for name, body := range standin.HardJobs() {
+		kinds = append(kinds, crowdKind{name, func(c net.Conn, n int, _ []byte, _ bool) {
+			sendAndRead(c, completeJob(jobID(1000+n), []byte(body)))
+		}})
 	}
-	for _, k := range []crowdKind{
-		{"brackets", sendBody(strings.Repeat("[", 250_000))},
-		{"brackets-in-field", sendBody(`{"steps":` + strings.Repeat("[", 250_000))},
-		{"objects-in-field", sendBody(`{"spec":` + strings.Repeat(`{"a":`, 50_000))},
-		{"empty-steps", sendBody(`{"spec":"x","bestEffort":true,"steps":[{}` + strings.Repeat(",{}", 87_000) + `]}`)},
-		{"in-turn", sendInTurn},
-		{"pipelined", sendPipelined},
-	} {
+	for _, k := range kinds {
 		t.Run(k.name, func(t *testing.T) {
 			requireCrowdWithstood(t, func(f *platformFleet, w *crowd) {
 				w.open(callersAddress(f.entries[0]), crowdCallers, []crowdKind{k}, nil)
--- a/tests/crowd_fair_test.go
+++ b/tests/crowd_fair_test.go
@@ -1,9 +1,6 @@
 package tests
 
 import (
-	"bytes"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -20,6 +17,7 @@
 const (
 	ordinaryJobs     = 10 // submitted beside a crowd, one after another
 	ordinaryInterval = 100 * time.Millisecond
+	ordinaryDeadline = 10 * time.Second
 	busyJobMillis    = 3000
 )
 
@@ -57,34 +55,17 @@
 // limits. On a machine without processor time the agent may be lost for a time; the entry
 // then refuses jobs with that cause.
 func requireNotKeptOut(t *testing.T, entry *process, id string) {
+	job := standin.Job(1, standin.Work{DurationMillis: 1, Millicores: 10})
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: ordinaryDeadline + 5*time.Second}
 	for end := time.Now().Add(crowdAnswerTimeout); ; time.Sleep(ordinaryInterval) {
-		status, answer, err := postOnce(entry, id)
-		require.NoError(t, err, "job %s", id)
-		if status == http.StatusOK {
+		a := standin.Submit(t.Context(), client, entry.callerURL, routeHost, routePrefix, id, job, ordinaryDeadline)
+		require.NotZero(t, a.Status, "job %s: the connection ended without an answer", id)
+		if a.Status == http.StatusOK {
 			return
 		}
-		require.NotEmpty(t, answer, "job %s was refused by the limits with status %d", id, status)
-		require.NotContains(t, answer, "memory", "job %s", id)
-		require.True(t, time.Now().Before(end), "job %s is refused with %d and %s", id, status, answer)
-		t.Logf("job %s: %d, %s", id, status, answer)
-	}
-}
-
-// postOnce submits a small job on a connection of its own.
-func postOnce(entry *process, id string) (status int, answer string, err error) {
-	job := standin.Job(1, standin.Work{DurationMillis: 1, Millicores: 10})
-	request, err := http.NewRequest(http.MethodPost, fmt.Sprint(entry.callerURL, routePrefix, id), bytes.NewReader([]byte(job)))
-	if err != nil {
-		return 0, "", err
-	}
-	request.Host = routeHost
-	request.Header.Set("Deadline-Ms", "10000")
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 15 * time.Second}
-	response, err := client.Do(request)
-	if err != nil {
-		return 0, "", err
+		require.NotEmpty(t, a.Body, "job %s was refused by the limits with status %d", id, a.Status)
+		require.NotContains(t, a.Body, "memory", "job %s", id)
+		require.True(t, time.Now().Before(end), "job %s is refused with %d and %s", id, a.Status, a.Body)
+		t.Logf("job %s: %d, %s", id, a.Status, a.Body)
 	}
-	defer response.Body.Close()
-	text, err := io.ReadAll(response.Body)
-	return response.StatusCode, string(text), err
 }
--- a/tests/crowd_product_test.go
+++ b/tests/crowd_product_test.go
@@ -3,11 +3,14 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"maps"
 	"net"
 	"net/http"
+	"net/netip"
+	"os"
 	"os/exec"
 	"strings"
 	"testing"
@@ -164,6 +167,57 @@
 	}
 }
 
+// Guards against an address of a system in one process that is without limits: those for
+// callers, for links and of the stand-ins for backend servers.
+func TestCrowdAtAllAddressesInOneProcess(t *testing.T) {
+	buildCrowdDaemon(t)
+	f, p := startInOneProcess(t)
+	addresses := listeningAddresses(t, p)
+	require.Len(t, addresses, 2*2+3, "two of each entry, one of each stand-in")
+	descriptors := watchDescriptors([]*process{p})
+	w := &crowd{t: t}
+	kinds := append(kindsWithLine(submitLine), crowdKind{"frames", sendFrame})
+	for _, address := range addresses {
+		w.open(address, crowdOthers, kinds, paddedSubmission(crowdBodyBytes))
+	}
+	w.work.Wait()
+	time.Sleep(crowdHold)
+	most := descriptors()
+	w.close()
+	requireWithinLimits(t, []*process{p}, most)
+	requireSubmissionAnswered(t, f, "ordinary")
+}
+
+// listeningAddresses returns the addresses of IPv4 that a process listens on.
+func listeningAddresses(t *testing.T, p *process) []string {
+	const listening = "0A" // the state in the kernel's table
+	dir := fmt.Sprintf("/proc/%d", p.command.Process.Pid)
+	files, err := os.ReadDir(dir + "/fd")
+	require.NoError(t, err)
+	sockets := make(map[string]bool)
+	for _, f := range files {
+		if name, err := os.Readlink(dir + "/fd/" + f.Name()); err == nil {
+			sockets[name] = true
+		}
+	}
+	table, err := os.ReadFile(dir + "/net/tcp")
+	require.NoError(t, err)
+	var list []string
+	for line := range strings.Lines(string(table)) {
+		fields := strings.Fields(line)
+		if len(fields) < 10 || fields[3] != listening || !sockets["socket:["+fields[9]+"]"] {
+			continue
+		}
+		var ip uint32
+		var port uint16
+		_, err := fmt.Sscanf(fields[1], "%X:%X", &ip, &port)
+		require.NoError(t, err)
+		address := binary.NativeEndian.AppendUint32(nil, ip)
+		list = append(list, netip.AddrPortFrom(netip.AddrFrom4([4]byte(address)), port).String())
+	}
+	return list
+}
+
 // startInOneProcess starts a system with the command dev. The fleet has its entry only.
 func startInOneProcess(t *testing.T) (*fleet, *process) {
 	p := &process{name: "dev", exited: make(chan struct{})}
--- a/tests/crowd_test.go
+++ b/tests/crowd_test.go
@@ -44,6 +44,7 @@
 	crowdFrameSent     = 1 << 20
 	crowdHold          = time.Second // how long a crowd stays open after its last byte
 	crowdWriteTimeout  = 8 * time.Second
+	crowdDeadline      = 4 * time.Second // of the jobs of a crowd
 )
 
 // crowdKind is one way in which the requests of a crowd are made. It writes a request
@@ -69,7 +70,7 @@
 }
 
 func crowdHead(n int) string {
-	return fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\nDeadline-Ms: 4000\r\n", routePrefix, jobID(1000+n), routeHost)
+	return standin.JobHead(routeHost, routePrefix+jobID(1000+n), crowdDeadline, "")
 }
 
 // sendOddHeaderLines sends header lines that are short: distinct names, one name, and
@@ -459,7 +460,7 @@
 
 // reportKinds returns the kinds of a crowd, with the path of status reports.
 func reportKinds() []crowdKind {
-	return kindsWithLine("POST /instances/executor-9/heartbeat HTTP/1.1")
+	return kindsWithLine("POST " + standin.ReportPath + " HTTP/1.1")
 }
 
 // kindsWithLine returns the kinds of a crowd, with the given request line instead of
