--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of review/11 to review/15 start.
+# Builds the stand-ins that the scripts of review/11 to review/14 start.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -o target/review-standin-3 ./review/standin-3
